Add the whole path, thin, from operator to answer

Cause: nothing ran yet. Change: core (frozen data, commands, state machine), daemon (caller, target, operator and health interfaces, loans, jobs, leases, maintenance), command line, stand-ins, demo and the behave runner. Before: nothing. Conclusion: ports and names stand; the replicated log is still a single synced file, routing and policy are plain.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SUITE_TIMEOUT_S := 480
+SUITES := $(notdir $(patsubst %/,%,$(wildcard features/*/)))
+
+.PHONY: setup demo test check format bench soak clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --no-build-isolation -c constraints.txt setuptools wheel
+	$(BIN)/pip install -q --no-build-isolation -c constraints.txt \
+	  $(foreach package,$(wildcard packages/*),-e $(package)) \
+	  behave hypothesis ruff
+	touch $@
+
+demo: setup
+	$(BIN)/python -m mulberryledge_testing.demo falaj yayla
+
+test: check $(addprefix suite-,$(SUITES))
+	$(BIN)/python tools/summary.py build
+
+suite-%: setup
+	@mkdir -p build
+	@rm -f build/$*.json
+	@timeout $(SUITE_TIMEOUT_S) $(BIN)/behave \
+	  --format progress --outfile build/$*.txt \
+	  --format json --outfile build/$*.json features/$* \
+	  > build/$*.log 2>&1 || true
+
+check: setup
+	$(BIN)/ruff format --check -q .
+	$(BIN)/ruff check -q .
+
+format: setup
+	$(BIN)/ruff format -q .
+	$(BIN)/ruff check -q --fix .
+
+bench: setup
+	$(BIN)/python -m mulberryledge_testing.bench
+
+soak: setup
+	$(BIN)/python -m mulberryledge_testing.soak
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/codec.py
@@ -0,0 +1,95 @@
+"""
+mulberryledge_core.codec
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+CBOR encoding of frozen data, and its conversion from and to plain values.
+"""
+
+from typing import Any, TypeVar
+
+import cbor2
+from cattrs import ClassValidationError, transform_error
+from cattrs.preconf.cbor2 import make_converter as make_cbor_converter
+from cattrs.preconf.json import make_converter as make_json_converter
+from result import Err, Ok, Result
+
+from mulberryledge_core.commands import Command, get_command_by_name
+from mulberryledge_core.outcomes import Code, Fault, Refusal
+
+__all__ = [
+    "decode",
+    "decode_command",
+    "encode",
+    "encode_command",
+    "from_plain",
+    "to_plain",
+]
+
+T = TypeVar("T")
+
+CBOR = make_cbor_converter()
+PLAIN = make_json_converter(forbid_extra_keys=True)
+
+
+def encode(value: object) -> bytes:
+    """Encode frozen data as CBOR."""
+    return cbor2.dumps(CBOR.unstructure(value))
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """
+    Decode frozen data that :func:`encode` wrote.
+
+    Raises
+    ------
+    ValueError
+        If the data is damaged; callers check integrity beforehand.
+    """
+    return CBOR.structure(cbor2.loads(data), kind)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command with its name."""
+    return cbor2.dumps([type(command).__name__, CBOR.unstructure(command)])
+
+
+def decode_command(data: bytes) -> Command:
+    """
+    Decode a command that :func:`encode_command` wrote.
+
+    Raises
+    ------
+    ValueError
+        If the command is unknown to this release.
+    """
+    name, fields = cbor2.loads(data)
+    kind = get_command_by_name(name)
+    if kind is None:
+        raise ValueError(f"unknown command {name!r}: upgrade this daemon first")
+    return CBOR.structure(fields, kind)
+
+
+def to_plain(value: object) -> Any:
+    """Convert frozen data to values that JSON can hold."""
+    return PLAIN.unstructure(value)
+
+
+def from_plain(value: object, kind: type[T]) -> Result[T, Refusal]:
+    """Convert plain values to frozen data, reporting every fault at once."""
+    try:
+        return Ok(PLAIN.structure(value, kind))
+    except ClassValidationError as error:
+        return Err(_refusal(error))
+    except (TypeError, ValueError, KeyError) as error:
+        return Err(Refusal(Code.BAD_REQUEST, f"not a {kind.__name__}: {error}"))
+
+
+def _refusal(error: ClassValidationError) -> Refusal:
+    faults = tuple(_fault(line) for line in transform_error(error))
+    summary = "; ".join(f"{fault.place}: {fault.problem}" for fault in faults)
+    return Refusal(Code.BAD_REQUEST, summary, faults)
+
+
+def _fault(line: str) -> Fault:
+    problem, _, place = line.rpartition(" @ ")
+    return Fault(place.removeprefix("$.") or "$", problem)
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
@@ -0,0 +1,160 @@
+"""
+mulberryledge_core.commands.work
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on jobs, reservations, and the sessions that capacity is lent to.
+"""
+
+from dataclasses import dataclass
+
+from mulberryledge_core.model.jobs import Answer, JobPhase, ReservationPhase
+from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
+
+__all__ = [
+    "COMMANDS",
+    "CancelJobs",
+    "CloseSession",
+    "EndJob",
+    "ExpireJob",
+    "ForgetWork",
+    "Lend",
+    "OpenSession",
+    "Reserve",
+    "ReturnLoan",
+    "SettleReservation",
+    "StartJob",
+    "SubmitJob",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Queue a job; the same job again is the same success."""
+
+    job_id: str
+    service: str
+    team: str
+    body: bytes
+    urgent: bool = False
+    repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StartJob:
+    """Lease a queued job to a target; ``key`` is the key that took it."""
+
+    job_id: str
+    target: str
+    generation: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndJob:
+    """
+    End the given attempt of a running job.
+
+    ``phase`` is ``DONE``, ``FAILED``, ``CANCELLED``, or ``QUEUED`` to hand a job
+    back that has provably not run or may be repeated.
+    """
+
+    job_id: str
+    attempt: int
+    phase: JobPhase
+    result: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpireJob:
+    """End an attempt whose lease ran out: requeue if repeatable, else unknown."""
+
+    job_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJobs:
+    """Cancel jobs of one team; queued ones end, running ones are asked to stop."""
+
+    team: str
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Reserve:
+    """Claim the one run of a request that must not be repeated."""
+
+    request_id: str
+    team: str
+    service: str
+    digest: bytes
+    entry: str
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettleReservation:
+    """Record what became of a reserved request."""
+
+    request_id: str
+    team: str
+    session: str
+    phase: ReservationPhase
+    answer: Answer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetWork:
+    """Drop ended jobs and settled reservations from before ``before_ms``."""
+
+    before_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSession:
+    """Begin a new life of a daemon; earlier lives stay until closed."""
+
+    daemon: str
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseSession:
+    """End a life of a daemon: its loans return, its running calls are unknown."""
+
+    daemon: str
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lend:
+    """Raise what is lent to a session by the given amounts."""
+
+    session: str
+    slots: tuple[SlotGrant, ...] = ()
+    permits: tuple[TeamGrant, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnLoan:
+    """Lower what is lent to a session by the given amounts."""
+
+    session: str
+    slots: tuple[SlotGrant, ...] = ()
+    permits: tuple[TeamGrant, ...] = ()
+
+
+COMMANDS = (
+    SubmitJob,
+    StartJob,
+    EndJob,
+    ExpireJob,
+    CancelJobs,
+    Reserve,
+    SettleReservation,
+    ForgetWork,
+    OpenSession,
+    CloseSession,
+    Lend,
+    ReturnLoan,
+)
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/keys.py
@@ -0,0 +1,66 @@
+"""
+mulberryledge_core.keys
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Team keys: a public identifier and a secret, of which only a salted hash is kept.
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from mulberryledge_core.model.teams import TeamKey
+
+__all__ = ["KEY_BYTES", "NewKey", "digest_secret", "make_key", "matches", "split_key"]
+
+ID_BYTES = 6
+SALT_BYTES = 16
+SECRET_BYTES = 24
+KEY_BYTES = ID_BYTES + SALT_BYTES + SECRET_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class NewKey:
+    """A key at the one moment when its text is known."""
+
+    key_id: str
+    text: str
+    salt: bytes
+    digest: bytes
+
+
+def make_key(random: bytes) -> NewKey:
+    """
+    Make a key from :data:`KEY_BYTES` bytes of a cryptographic random source.
+
+    Returns
+    -------
+    NewKey
+        The ``text`` is ``mlk_<id>_<secret>`` and is shown once.
+    """
+    key_id = random[:ID_BYTES].hex()
+    salt = random[ID_BYTES : ID_BYTES + SALT_BYTES]
+    secret = random[ID_BYTES + SALT_BYTES :].hex()
+    return NewKey(key_id, f"mlk_{key_id}_{secret}", salt, digest_secret(salt, secret))
+
+
+def digest_secret(salt: bytes, secret: str) -> bytes:
+    """
+    Return the salted hash of a secret.
+
+    A fast hash is enough because the secret has 192 random bits.
+    """
+    return hashlib.blake2b(secret.encode(), salt=salt, digest_size=32).digest()
+
+
+def split_key(text: str) -> tuple[str, str]:
+    """Split a key into identifier and secret, both empty if it is malformed."""
+    parts = text.split("_")
+    if len(parts) != 3 or parts[0] != "mlk":
+        return "", ""
+    return parts[1], parts[2]
+
+
+def matches(key: TeamKey, secret: str) -> bool:
+    """Return whether the secret belongs to the key, in constant time."""
+    return hmac.compare_digest(key.digest, digest_secret(key.salt, secret))
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_core.model
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Frozen data of the replicated state, one module a subject.
+"""
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/hosts.py
@@ -0,0 +1,98 @@
+"""
+mulberryledge_core.model.hosts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Hosts, the pools that own them and the failure domains that they stand in.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+__all__ = ["Host", "HostPhase", "Pool", "Resources"]
+
+
+class HostPhase(StrEnum):
+    """Lifecycle phase of a host; only ``SERVING`` hosts take new work."""
+
+    SERVING = "serving"
+    CORDONED = "cordoned"
+    DRAINING = "draining"
+    REBOOTING = "rebooting"
+    PROBATION = "probation"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """
+    Capacity of a host or size of a job.
+
+    Attributes
+    ----------
+    processors : float
+        Processor cores.
+    memory_mb : int
+        Memory in megabytes.
+    accelerators : int
+        Whole accelerators.
+    """
+
+    processors: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """
+    A named set of hosts with a daily quiet window.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    quiet_start_min, quiet_end_min : int
+        Quiet window in minutes after midnight UTC; a window whose end is not
+        after its start wraps over midnight, and an equal pair is the whole day.
+    spare : bool
+        Whether the pool is the shared buffer.
+    """
+
+    name: str
+    quiet_start_min: int = 0
+    quiet_end_min: int = 0
+    spare: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """
+    A worker machine that belongs to exactly one pool.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    pool : str
+        Owning pool.
+    region, availability_zone, rack : str
+        Failure domains, widest first.
+    resources : Resources
+        Total capacity.
+    phase : HostPhase
+        Lifecycle phase.
+    phase_since_ms : int
+        Log time at which the phase was entered, in milliseconds.
+    maintained_ms : int
+        Log time of the last completed maintenance, zero if never.
+    """
+
+    name: str
+    pool: str
+    region: str = ""
+    availability_zone: str = ""
+    rack: str = ""
+    resources: Resources = Resources()
+    phase: HostPhase = HostPhase.SERVING
+    phase_since_ms: int = 0
+    maintained_ms: int = 0
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -0,0 +1,208 @@
+"""
+mulberryledge_core.state.appliers.fleet
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Appliers of the commands on pools, hosts and targets.
+"""
+
+from dataclasses import replace
+
+from mulberryledge_core.commands.fleet import (
+    AddHost,
+    AnnounceTarget,
+    CreatePool,
+    DropTarget,
+    LeaveTarget,
+    MoveHost,
+    RemoveHost,
+    RemovePool,
+    SetHostPhase,
+)
+from mulberryledge_core.documents import is_name
+from mulberryledge_core.model.hosts import Host, Pool
+from mulberryledge_core.model.targets import Target, TargetPhase
+from mulberryledge_core.outcomes import ApplyResult, Code
+from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.tables import ClusterState, Context
+
+__all__ = ["APPLIERS"]
+
+DAY_MIN = 1_440
+
+
+def create_pool(state: ClusterState, command: CreatePool, ctx: Context) -> ApplyResult:
+    """Create a pool."""
+    if not is_name(command.name):
+        return bad_name("pool", command.name)
+    for minute in (command.quiet_start_min, command.quiet_end_min):
+        if not 0 <= minute < DAY_MIN:
+            text = f"quiet time {minute} is out of range: use 0 to {DAY_MIN - 1}"
+            return refuse(Code.BAD_REQUEST, text)
+    pool = Pool(
+        command.name, command.quiet_start_min, command.quiet_end_min, command.spare
+    )
+    present = state.pools.get(pool.name)
+    if present is not None and present != pool:
+        return refuse(Code.EXISTS, f"pool {pool.name!r} exists as {present}")
+    state.pools[pool.name] = pool
+    return ok(ctx.index)
+
+
+def remove_pool(state: ClusterState, command: RemovePool, ctx: Context) -> ApplyResult:
+    """Remove an empty pool that no service names."""
+    if command.name not in state.pools:
+        return missing("pool", command.name)
+    for host in state.hosts.values():
+        if host.pool == command.name:
+            return refuse(
+                Code.IN_USE, f"pool {command.name!r} holds host {host.name!r}"
+            )
+    for service in state.services.values():
+        if service.document.service.pool == command.name:
+            text = f"pool {command.name!r} is named by service {service.name!r}"
+            return refuse(Code.IN_USE, text)
+    del state.pools[command.name]
+    return ok(ctx.index)
+
+
+def add_host(state: ClusterState, command: AddHost, ctx: Context) -> ApplyResult:
+    """Assign a new host to a pool."""
+    if not is_name(command.name):
+        return bad_name("host", command.name)
+    if command.pool not in state.pools:
+        return missing("pool", command.pool)
+    present = state.hosts.get(command.name)
+    if present is not None and present.pool != command.pool:
+        text = f"host {command.name!r} belongs to pool {present.pool!r}: move it"
+        return refuse(Code.EXISTS, text)
+    if present is not None:
+        return ok(ctx.index, "present")
+    state.hosts[command.name] = Host(
+        name=command.name,
+        pool=command.pool,
+        region=command.region,
+        availability_zone=command.availability_zone,
+        rack=command.rack,
+        resources=command.resources,
+        phase_since_ms=ctx.now_ms,
+    )
+    return ok(ctx.index)
+
+
+def remove_host(state: ClusterState, command: RemoveHost, ctx: Context) -> ApplyResult:
+    """Remove a host that runs no target."""
+    if command.name not in state.hosts:
+        return missing("host", command.name)
+    for target in state.targets.values():
+        if target.host == command.name and target.phase != TargetPhase.LOST:
+            return refuse(Code.IN_USE, f"host {command.name!r} runs {target.name!r}")
+    del state.hosts[command.name]
+    return ok(ctx.index)
+
+
+def move_host(state: ClusterState, command: MoveHost, ctx: Context) -> ApplyResult:
+    """Move a host between pools by compare-and-set on the owning pool."""
+    host = state.hosts.get(command.name)
+    if host is None:
+        return missing("host", command.name)
+    if command.pool not in state.pools:
+        return missing("pool", command.pool)
+    if host.pool != command.expected_pool:
+        text = (
+            f"host {host.name!r} belongs to pool {host.pool!r},"
+            f" not to {command.expected_pool!r}"
+        )
+        return refuse(Code.CONFLICT, text)
+    state.hosts[host.name] = replace(host, pool=command.pool)
+    return ok(ctx.index)
+
+
+def set_host_phase(
+    state: ClusterState, command: SetHostPhase, ctx: Context
+) -> ApplyResult:
+    """Change the phase of a host by compare-and-set."""
+    host = state.hosts.get(command.name)
+    if host is None:
+        return missing("host", command.name)
+    if host.phase == command.phase:
+        return ok(ctx.index, "present")
+    if host.phase != command.expected:
+        text = f"host {host.name!r} is {host.phase}, not {command.expected}"
+        return refuse(Code.CONFLICT, text)
+    state.hosts[host.name] = replace(
+        host, phase=command.phase, phase_since_ms=ctx.now_ms
+    )
+    return ok(ctx.index)
+
+
+def announce_target(
+    state: ClusterState, command: AnnounceTarget, ctx: Context
+) -> ApplyResult:
+    """Announce a target on a known host for a service whose team it proved."""
+    if command.host not in state.hosts:
+        return missing("host", command.host)
+    service = state.services.get(command.service)
+    if service is None:
+        return missing("service", command.service)
+    key = state.keys.get(command.key)
+    if key is None or key.team != service.document.service.team:
+        text = f"target {command.name!r} proved no key of the owner of {service.name!r}"
+        return refuse(Code.BAD_KEY, text)
+    target = Target(
+        name=command.name,
+        host=command.host,
+        service=command.service,
+        address=command.address,
+        port=command.port,
+        slots=command.slots,
+        connections=command.connections,
+        generation=ctx.index,
+        announced_ms=ctx.now_ms,
+        key=command.key,
+        instance=command.instance,
+    )
+    present = state.targets.get(command.name)
+    if present is not None and _renewed(present, ctx) == target:
+        return ok(present.generation, "present")
+    state.targets[target.name] = target
+    return ok(ctx.index)
+
+
+def _renewed(target: Target, ctx: Context) -> Target:
+    return replace(target, generation=ctx.index, announced_ms=ctx.now_ms)
+
+
+def leave_target(
+    state: ClusterState, command: LeaveTarget, ctx: Context
+) -> ApplyResult:
+    """Mark a target as leaving, so that it gets no new work."""
+    target = state.targets.get(command.name)
+    if target is None or target.generation != command.generation:
+        return missing("target", command.name)
+    state.targets[target.name] = replace(target, phase=TargetPhase.LEAVING)
+    return ok(ctx.index)
+
+
+def drop_target(state: ClusterState, command: DropTarget, ctx: Context) -> ApplyResult:
+    """Forget a target, or keep it as lost."""
+    target = state.targets.get(command.name)
+    if target is None or target.generation != command.generation:
+        return missing("target", command.name)
+    if command.lost:
+        state.targets[target.name] = replace(target, phase=TargetPhase.LOST)
+    else:
+        del state.targets[target.name]
+    return ok(ctx.index)
+
+
+APPLIERS = {
+    CreatePool: create_pool,
+    RemovePool: remove_pool,
+    AddHost: add_host,
+    RemoveHost: remove_host,
+    MoveHost: move_host,
+    SetHostPhase: set_host_phase,
+    AnnounceTarget: announce_target,
+    LeaveTarget: leave_target,
+    DropTarget: drop_target,
+}
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -0,0 +1,101 @@
+"""
+mulberryledge_core.state.appliers.loans
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Appliers of the commands on sessions and the capacity lent to them.
+"""
+
+from collections import Counter
+from dataclasses import replace
+
+from mulberryledge_core.commands.work import (
+    CloseSession,
+    Lend,
+    OpenSession,
+    ReturnLoan,
+)
+from mulberryledge_core.model.jobs import ReservationPhase
+from mulberryledge_core.model.sessions import Session, SlotGrant, TeamGrant
+from mulberryledge_core.outcomes import ApplyResult, Code
+from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.limits import slots_in_use, team_headroom
+from mulberryledge_core.state.tables import ClusterState, Context
+
+__all__ = ["APPLIERS"]
+
+
+def open_session(
+    state: ClusterState, command: OpenSession, ctx: Context
+) -> ApplyResult:
+    """Begin a new life of a daemon."""
+    if command.session not in state.sessions:
+        state.sessions[command.session] = Session(command.daemon, command.session)
+    return ok(ctx.index, command.session)
+
+
+def close_session(
+    state: ClusterState, command: CloseSession, ctx: Context
+) -> ApplyResult:
+    """End a life of a daemon; its unsettled reservations become unknown."""
+    state.sessions.pop(command.session, None)
+    for name, item in state.reservations.items():
+        if item.session != command.session:
+            continue
+        if item.phase == ReservationPhase.RUNNING:
+            state.reservations[name] = replace(item, phase=ReservationPhase.UNKNOWN)
+    return ok(ctx.index)
+
+
+def lend(state: ClusterState, command: Lend, ctx: Context) -> ApplyResult:
+    """Raise a session's loans if every target and team has room for all of them."""
+    session = state.sessions.get(command.session)
+    if session is None:
+        return missing("session", command.session)
+    for grant in command.slots:
+        target = state.targets.get(grant.target)
+        if target is None or target.generation != grant.generation:
+            return missing("target", grant.target)
+        if not state.target_serves(target.name):
+            return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
+        if slots_in_use(state, target.name) + grant.slots > target.slots:
+            return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
+    for grant in command.permits:
+        if team_headroom(state, grant.team) < grant.permits:
+            return refuse(Code.LIMIT, f"team {grant.team!r} is at its upper limit")
+    state.sessions[session.session] = _changed(session, command, sign=1)
+    return ok(ctx.index)
+
+
+def return_loan(state: ClusterState, command: ReturnLoan, ctx: Context) -> ApplyResult:
+    """Lower a session's loans."""
+    session = state.sessions.get(command.session)
+    if session is None:
+        return missing("session", command.session)
+    state.sessions[session.session] = _changed(session, command, sign=-1)
+    return ok(ctx.index)
+
+
+def _changed(session: Session, change: Lend | ReturnLoan, sign: int) -> Session:
+    slots: Counter[tuple[str, int]] = Counter()
+    for grant in session.slots:
+        slots[grant.target, grant.generation] += grant.slots
+    for grant in change.slots:
+        slots[grant.target, grant.generation] += sign * grant.slots
+    permits: Counter[str] = Counter()
+    for grant in session.permits:
+        permits[grant.team] += grant.permits
+    for grant in change.permits:
+        permits[grant.team] += sign * grant.permits
+    return replace(
+        session,
+        slots=tuple(SlotGrant(t, g, n) for (t, g), n in sorted(slots.items()) if n > 0),
+        permits=tuple(TeamGrant(t, n) for t, n in sorted(permits.items()) if n > 0),
+    )
+
+
+APPLIERS = {
+    OpenSession: open_session,
+    CloseSession: close_session,
+    Lend: lend,
+    ReturnLoan: return_loan,
+}
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -0,0 +1,163 @@
+"""
+mulberryledge_daemon.daemon
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Puts the tasks and adapters of one daemon together and runs them.
+"""
+
+import logging
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from uuid import uuid4
+
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.server import Site
+
+from mulberryledge_core.commands.work import CloseSession, OpenSession
+from mulberryledge_daemon.entry.calls import Calls
+from mulberryledge_daemon.entry.client import AgentClient
+from mulberryledge_daemon.entry.loans import Loans
+from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.http.health import health_routes
+from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
+from mulberryledge_daemon.http.routing import Router
+from mulberryledge_daemon.http.targets import TargetInterface, target_routes
+from mulberryledge_daemon.leader.jobs import Jobs
+from mulberryledge_daemon.leader.leases import TargetLeases
+from mulberryledge_daemon.leader.lender import Lender
+from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.log.single import open_single_log
+from mulberryledge_daemon.platform import HttpPlatform
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["Daemon", "open_daemon"]
+
+STOP_POLL_S = 0.02
+
+logger = logging.getLogger(__name__)
+
+
+class Daemon:
+    """One running daemon."""
+
+    def __init__(self, reactor, settings: Settings, log):
+        self.reactor = reactor
+        self.settings = settings
+        self.log = log
+        self.session = uuid4().hex
+        self.stopping = False
+        self.loops: list[LoopingCall] = []
+        self.ports: list = []
+        name = settings.daemon.name
+        timing = settings.timing
+        self.client = AgentClient(reactor)
+        self.platform = HttpPlatform(reactor, settings.platform.url)
+        self.loans = Loans(
+            reactor, log, log, self.session, settings.daemon.availability_zone
+        )
+        self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
+        self.lender = Lender(log, log)
+        self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
+        self.jobs = Jobs(reactor, log, log)
+        self.maintenance = Maintenance(log, self.platform, timing.probation_s)
+        self.targets = TargetInterface(log, log, name, timing.target_lease_s)
+        self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
+        self.operators = OperatorInterface(log, settings.operator)
+
+    async def start(self) -> None:
+        """Open the session, listen, and start the periodic tasks."""
+        listen = self.settings.listen
+        await self.log.propose(OpenSession(self.settings.daemon.name, self.session))
+        routes = (
+            *health_routes(self.is_ready),
+            *caller_routes(self.callers),
+            *target_routes(self.targets),
+        )
+        self.listen(listen.callers_port, routes)
+        self.listen(listen.operators_port, operator_routes(self.operators))
+        for task in (
+            self.entry_tick,
+            self.leader_tick,
+        ):
+            loop = LoopingCall(lambda run=task: Deferred.fromCoroutine(run()))
+            loop.clock = self.reactor
+            loop.start(self.settings.timing.tick_s).addErrback(log_failure)
+            self.loops.append(loop)
+        extra = {"callers_port": self.callers_port, "session": self.session}
+        logger.info("started", extra=extra)
+
+    def listen(self, port: int, routes: tuple) -> None:
+        """Serve routes on a TCP port."""
+        site = Site(Router(routes))
+        address = self.settings.listen.address
+        self.ports.append(self.reactor.listenTCP(port, site, interface=address))
+
+    @property
+    def callers_port(self) -> int:
+        """TCP port for callers and targets."""
+        return self.ports[0].getHost().port
+
+    @property
+    def operators_port(self) -> int:
+        """TCP port for operators."""
+        return self.ports[1].getHost().port
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send traffic here."""
+        return not self.stopping and self.log.is_fresh()
+
+    async def entry_tick(self) -> None:
+        """Run the periodic tasks of an entry."""
+        await self.targets.tick()
+        await self.loans.return_idle(everything=self.stopping)
+
+    async def leader_tick(self) -> None:
+        """Run the periodic tasks of the leader."""
+        if not self.log.is_leader():
+            return
+        await self.leases.tick()
+        await self.jobs.tick()
+        await self.maintenance.tick()
+
+    async def stop(self) -> int:
+        """
+        Stop gracefully.
+
+        Returns
+        -------
+        int
+            Number of calls that the stop cut off.
+        """
+        self.stopping = True
+        until = self.reactor.seconds() + self.settings.timing.stop_timeout_s
+        while self.loans.running() and self.reactor.seconds() < until:
+            await deferLater(self.reactor, STOP_POLL_S)
+        cut_off = self.loans.running()
+        for loop in self.loops:
+            loop.stop()
+        await self.loans.return_idle(everything=True)
+        if not cut_off:
+            await self.log.propose(
+                CloseSession(self.settings.daemon.name, self.session)
+            )
+        for port in self.ports:
+            await maybeDeferred(port.stopListening)
+        await self.client.close()
+        await self.platform.close()
+        await self.log.stop()
+        logger.info("stopped", extra={"cut_off": cut_off})
+        return cut_off
+
+
+@contextmanager
+def open_daemon(reactor, settings: Settings) -> Iterator[Daemon]:
+    """Open the data folder of a daemon and put the daemon together."""
+    with ExitStack() as stack:
+        log = stack.enter_context(open_single_log(settings.daemon.data_folder))
+        yield Daemon(reactor, settings, log)
+
+
+def log_failure(failure) -> None:
+    """Log the failure of a periodic task."""
+    logger.critical("task failed", extra={"failure": failure.getTraceback()})
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_daemon.http
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+HTTP adapters, one module a kind of client.
+"""
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
@@ -0,0 +1,248 @@
+"""
+mulberryledge_daemon.http.targets
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The targets' HTTP interface: announce, renew, leave, and take jobs.
+"""
+
+from base64 import b64encode
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+from twisted.web.http import Request
+
+from mulberryledge_core.codec import from_plain
+from mulberryledge_core.commands.fleet import AnnounceTarget, DropTarget, LeaveTarget
+from mulberryledge_core.commands.work import EndJob
+from mulberryledge_core.messages import RenewJob, TakeJob, TakenJob, TargetsSeen
+from mulberryledge_core.model.jobs import JobPhase
+from mulberryledge_core.model.targets import (
+    DEFAULT_CONNECTIONS,
+    DEFAULT_SLOTS,
+    Target,
+)
+from mulberryledge_core.model.teams import TeamKey
+from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_daemon.entry.admission import admit
+from mulberryledge_daemon.http.routing import (
+    Reply,
+    Route,
+    header_of,
+    json_body,
+    json_reply,
+    query_of,
+    refusal_reply,
+)
+from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
+
+__all__ = ["Announcement", "TargetInterface", "target_routes"]
+
+MAX_WAIT_S = 30.0
+ENDINGS = {
+    "done": JobPhase.DONE,
+    "failed": JobPhase.FAILED,
+    "cancelled": JobPhase.CANCELLED,
+    "handback": JobPhase.QUEUED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a target says of itself."""
+
+    host: str
+    service: str
+    address: str = ""
+    port: int = 0
+    slots: int = DEFAULT_SLOTS
+    connections: int = DEFAULT_CONNECTIONS
+    instance: str = ""
+
+
+class TargetInterface:
+    """Handlers of the targets' routes."""
+
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        channel: LeaderChannel,
+        daemon: str,
+        lease_s: float,
+    ):
+        self.log = log
+        self.channel = channel
+        self.daemon = daemon
+        self.lease_s = lease_s
+        self.seen: set[str] = set()
+
+    async def announce(self, request: Request, name: str) -> Reply:
+        """Announce a target, or renew its lease by announcing it again."""
+        admitted = admit(self.log, header_of(request, "Authorization"))
+        if isinstance(admitted, Err):
+            return refusal_reply(admitted.err_value)
+        body = json_body(request).and_then(
+            lambda plain: from_plain(plain, Announcement)
+        )
+        if isinstance(body, Err):
+            return refusal_reply(body.err_value)
+        said = body.ok_value
+        command = AnnounceTarget(
+            name=name,
+            host=said.host,
+            service=said.service,
+            address=said.address,
+            port=said.port,
+            slots=said.slots,
+            connections=said.connections,
+            key=admitted.ok_value.key_id,
+            instance=said.instance,
+        )
+        outcome = await self.log.propose(command)
+        if isinstance(outcome, Err):
+            return refusal_reply(outcome.err_value)
+        self.seen.add(name)
+        return self.lease_reply(name)
+
+    async def renew(self, request: Request, name: str) -> Reply:
+        """Renew the lease of a target."""
+        found = self.find_target(request, name)
+        if isinstance(found, Err):
+            return refusal_reply(found.err_value)
+        self.seen.add(name)
+        return self.lease_reply(name)
+
+    async def leave(self, request: Request, name: str) -> Reply:
+        """Give a target no new work."""
+        found = self.find_target(request, name)
+        if isinstance(found, Err):
+            return refusal_reply(found.err_value)
+        command = LeaveTarget(name, found.ok_value.generation)
+        return outcome_reply(await self.log.propose(command))
+
+    async def left(self, request: Request, name: str) -> Reply:
+        """Forget a target that has stopped."""
+        found = self.find_target(request, name)
+        if isinstance(found, Err):
+            return refusal_reply(found.err_value)
+        command = DropTarget(name, found.ok_value.generation)
+        return outcome_reply(await self.log.propose(command))
+
+    async def take(self, request: Request, service: str) -> Reply:
+        """Wait for a job of a queue."""
+        name = query_of(request, "target")
+        found = self.find_target(request, name)
+        if isinstance(found, Err):
+            return refusal_reply(found.err_value)
+        target = found.ok_value
+        if target.service != service:
+            text = f"target {name!r} serves {target.service!r}, not {service!r}"
+            return refusal_reply(Refusal(Code.NOT_ALLOWED, text))
+        wait_s = min(MAX_WAIT_S, float(query_of(request, "wait_s", "0")))
+        key_id = admit(self.log, header_of(request, "Authorization")).ok_value.key_id
+        message = TakeJob(service, name, target.generation, key_id, int(wait_s * 1_000))
+        outcome = await self.channel.ask(message)
+        if isinstance(outcome, Err):
+            return refusal_reply(outcome.err_value)
+        taken = outcome.ok_value
+        if not isinstance(taken, TakenJob):
+            return Reply(204)
+        return json_reply(
+            {
+                "job_id": taken.job_id,
+                "attempt": taken.attempt,
+                "lease_ms": taken.lease_ms,
+                "body": b64encode(taken.body).decode(),
+            }
+        )
+
+    async def renew_job(self, request: Request, job_id: str, attempt: str) -> Reply:
+        """Renew the lease of a running job."""
+        admitted = self.admit_for_job(request, job_id)
+        if isinstance(admitted, Err):
+            return refusal_reply(admitted.err_value)
+        message = RenewJob(job_id, int(attempt), admitted.ok_value.key_id)
+        return outcome_reply(await self.channel.ask(message))
+
+    async def end_job(
+        self, request: Request, job_id: str, attempt: str, ending: str
+    ) -> Reply:
+        """End a running job with the request's body as its result."""
+        admitted = self.admit_for_job(request, job_id)
+        if isinstance(admitted, Err):
+            return refusal_reply(admitted.err_value)
+        phase = ENDINGS.get(ending)
+        if phase is None:
+            text = f"ending {ending!r}: use one of {', '.join(ENDINGS)}"
+            return refusal_reply(Refusal(Code.BAD_REQUEST, text))
+        command = EndJob(job_id, int(attempt), phase, request.content.read())
+        return outcome_reply(await self.log.propose(command))
+
+    def admit_for_job(self, request: Request, job_id: str) -> Result[TeamKey, Refusal]:
+        """Check that the key is of the team that owns the job's queue."""
+        admitted = admit(self.log, header_of(request, "Authorization"))
+        if isinstance(admitted, Err):
+            return admitted
+        job = self.log.state.jobs.get(job_id)
+        service = self.log.state.services.get(job.service) if job else None
+        if service is None:
+            return Err(Refusal(Code.NOT_FOUND, f"job {job_id!r} does not exist"))
+        if service.document.service.team != admitted.ok_value.team:
+            text = f"job {job_id!r} is not for this team's targets"
+            return Err(Refusal(Code.NOT_ALLOWED, text))
+        return admitted
+
+    def find_target(self, request: Request, name: str) -> Result[Target, Refusal]:
+        """Return a target if the key is of the team that owns its service."""
+        admitted = admit(self.log, header_of(request, "Authorization"))
+        if isinstance(admitted, Err):
+            return admitted
+        target = self.log.state.targets.get(name)
+        service = self.log.state.services.get(target.service) if target else None
+        if service is None:
+            text = f"target {name!r} is not announced"
+            return Err(Refusal(Code.NOT_FOUND, text))
+        if service.document.service.team != admitted.ok_value.team:
+            text = f"target {name!r} belongs to another team"
+            return Err(Refusal(Code.NOT_ALLOWED, text))
+        return Ok(target)
+
+    def lease_reply(self, name: str) -> Reply:
+        """Return the state of a target's lease."""
+        target = self.log.state.targets[name]
+        body = {
+            "generation": target.generation,
+            "phase": target.phase,
+            "lease_s": self.lease_s,
+        }
+        return json_reply(body)
+
+    async def tick(self) -> None:
+        """Report the targets seen since the last tick."""
+        if not self.seen:
+            return
+        message = TargetsSeen(self.daemon, tuple(sorted(self.seen)))
+        self.seen = set()
+        outcome = await self.channel.ask(message)
+        if isinstance(outcome, Err):
+            self.seen.update(message.targets)
+
+
+def outcome_reply(outcome: Result) -> Reply:
+    """Return the outcome of a command or of a request to the leader."""
+    if isinstance(outcome, Err):
+        return refusal_reply(outcome.err_value)
+    return json_reply(outcome.ok_value)
+
+
+def target_routes(interface: TargetInterface) -> tuple[Route, ...]:
+    """Return the targets' routes."""
+    job = "/v1/jobs/{job_id}/attempts/{attempt}"
+    return (
+        Route("PUT", "/v1/targets/{name}", interface.announce),
+        Route("POST", "/v1/targets/{name}/lease", interface.renew),
+        Route("POST", "/v1/targets/{name}/leaving", interface.leave),
+        Route("DELETE", "/v1/targets/{name}", interface.left),
+        Route("POST", "/v1/queues/{service}/take", interface.take),
+        Route("POST", job + "/lease", interface.renew_job),
+        Route("POST", job + "/{ending}", interface.end_job),
+    )
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_daemon.leader
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Tasks that run on the daemon that leads: lending, jobs, leases, maintenance.
+"""
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -0,0 +1,58 @@
+"""
+mulberryledge_daemon.leader.leases
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Leases of targets: a target that is silent for a whole lease is lost.
+"""
+
+from result import Ok, Result
+from twisted.internet.interfaces import IReactorTime
+
+from mulberryledge_core.commands.fleet import DropTarget
+from mulberryledge_core.messages import Acknowledged, TargetsSeen
+from mulberryledge_core.model.targets import TargetPhase
+from mulberryledge_core.outcomes import Refusal
+from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
+
+__all__ = ["TargetLeases"]
+
+
+class TargetLeases:
+    """Owns the times at which targets were last seen by any entry."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        log: ReplicatedLog,
+        channel: LeaderChannel,
+        lease_s: float,
+    ):
+        self.clock = clock
+        self.log = log
+        self.lease_s = lease_s
+        self.seen: dict[tuple[str, int], float] = {}
+        channel.serve(TargetsSeen, self.on_seen)
+
+    async def on_seen(self, message: TargetsSeen) -> Result[object, Refusal]:
+        """Renew the leases of targets that an entry heard from."""
+        now = self.clock.seconds()
+        for name in message.targets:
+            target = self.log.state.targets.get(name)
+            if target is not None:
+                self.seen[name, target.generation] = now
+        return Ok(Acknowledged())
+
+    async def tick(self) -> None:
+        """Drop targets whose lease ran out; unseen ones begin a lease now."""
+        now = self.clock.seconds()
+        seen: dict[tuple[str, int], float] = {}
+        expired = []
+        for target in self.log.state.targets.values():
+            key = (target.name, target.generation)
+            seen[key] = self.seen.get(key, now)
+            if target.phase != TargetPhase.LOST and now - seen[key] > self.lease_s:
+                lost = target.phase == TargetPhase.SERVING
+                expired.append(DropTarget(*key, lost=lost))
+        self.seen = seen
+        for command in expired:
+            await self.log.propose(command)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_testing
+~~~~~~~~~~~~~~~~~~~~~
+
+Small stand-ins for targets, callers and the platform, used by demo, tests and bench.
+"""
