--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -23,6 +23,7 @@
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
 from mulberryledge_daemon.http.routing import Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
+from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
@@ -51,6 +52,7 @@
         self.ports: list = []
         name = settings.daemon.name
         timing = settings.timing
+        self.journal = Journal()
         self.client = AgentClient(reactor)
         self.platform = HttpPlatform(reactor, settings.platform.url)
         self.loans = Loans(
