--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/__init__.py
@@ -5,13 +5,13 @@
 Typed commands of the replicated log, found by name for decoding.
 """
 
-from mulberryledge_core.commands import fleet, maintenance, teams, work
+from mulberryledge_core.commands import fleet, maintenance, members, teams, work
 
 __all__ = ["COMMANDS", "Command", "get_command_by_name"]
 
 COMMANDS = {
     command.__name__: command
-    for module in (fleet, teams, work, maintenance)
+    for module in (fleet, teams, work, maintenance, members)
     for command in module.COMMANDS
 }
 
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/wire.py
@@ -0,0 +1,44 @@
+"""
+mulberryledge_core.consensus.wire
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+CBOR encoding of typed messages by position, for messages that are sent often and
+for records on disk.
+"""
+
+from typing import Any
+
+import cbor2
+from cattrs import Converter, UnstructureStrategy
+
+__all__ = ["MessageTable"]
+
+CONVERTER = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+
+
+class MessageTable:
+    """Encodes the given kinds of messages; their order numbers them."""
+
+    def __init__(self, kinds: tuple[type, ...]):
+        self.kinds = kinds
+        self.numbers = {kind: number for number, kind in enumerate(kinds)}
+
+    def encode(self, message: object) -> bytes:
+        """Encode a message with its number."""
+        number = self.numbers[type(message)]
+        return cbor2.dumps([number, CONVERTER.unstructure(message)])
+
+    def decode(self, data: bytes) -> Any:
+        """
+        Decode a message.
+
+        Raises
+        ------
+        ValueError
+            If the data is no message of the table.
+        """
+        try:
+            number, fields = cbor2.loads(data)
+            return CONVERTER.structure(fields, self.kinds[number])
+        except (TypeError, LookupError, cbor2.CBORDecodeError) as error:
+            raise ValueError(f"no message of this table: {error}") from error
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -11,6 +11,8 @@
     "MESSAGES",
     "Acknowledged",
     "DemandReport",
+    "InForceAsk",
+    "InForceReply",
     "JobLease",
     "NoJob",
     "RenewJob",
@@ -112,6 +114,21 @@
     cancel_requested: bool
 
 
+@dataclass(frozen=True, slots=True)
+class InForceAsk:
+    """Wait, at most the given milliseconds, until an index is in force."""
+
+    index: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReply:
+    """Daemons on which the index is not known to be in force."""
+
+    waiting: tuple[str, ...] = ()
+
+
 MESSAGES = {
     kind.__name__: kind
     for kind in (
@@ -123,6 +140,8 @@
         NoJob,
         RenewJob,
         JobLease,
+        InForceAsk,
+        InForceReply,
     )
 }
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -10,7 +10,8 @@
 from contextlib import ExitStack, contextmanager
 from uuid import uuid4
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from result import Err
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
@@ -19,6 +20,7 @@
 from mulberryledge_daemon.entry.client import AgentClient
 from mulberryledge_daemon.entry.loans import Loans
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
 from mulberryledge_daemon.http.routing import Router
@@ -28,13 +30,14 @@
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
-from mulberryledge_daemon.log.single import open_single_log
+from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
 
 __all__ = ["Daemon", "open_daemon"]
 
 STOP_POLL_S = 0.02
+SETTLE_TIMEOUT_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -70,14 +73,17 @@
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
-        await self.log.propose(OpenSession(self.settings.daemon.name, self.session))
+        await self.log.start()
         routes = (
             *health_routes(self.is_ready),
             *caller_routes(self.callers),
             *target_routes(self.targets),
         )
         self.listen(listen.callers_port, routes)
-        self.listen(listen.operators_port, operator_routes(self.operators))
+        cluster = cluster_routes(self.operators.admit, self.log.status)
+        operators = (*operator_routes(self.operators), *cluster)
+        self.listen(listen.operators_port, operators)
+        await self.open_session()
         for task in (
             self.entry_tick,
             self.leader_tick,
@@ -89,6 +95,19 @@
         extra = {"callers_port": self.callers_port, "session": self.session}
         logger.info("started", extra=extra)
 
+    async def open_session(self) -> None:
+        """Begin this life of the daemon as an entry, as soon as there is a leader."""
+        command = OpenSession(self.settings.daemon.name, self.session)
+        while isinstance(await self.log.propose(command), Err):
+            logger.warning("no leader yet")
+
+    async def settle_session(self, cut_off: int) -> None:
+        """Return the loans, and end the session unless a call was cut off."""
+        await self.loans.return_idle(everything=True)
+        if not cut_off:
+            command = CloseSession(self.settings.daemon.name, self.session)
+            await self.log.propose(command)
+
     def listen(self, port: int, routes: tuple) -> None:
         """Serve routes on a TCP port."""
         site = Site(Router(routes))
@@ -107,7 +126,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send traffic here."""
-        return not self.stopping and self.log.is_fresh()
+        known = self.session in self.log.state.sessions
+        return known and not self.stopping and self.log.is_fresh()
 
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
@@ -138,11 +158,9 @@
         cut_off = self.loans.running()
         for loop in self.loops:
             loop.stop()
-        await self.loans.return_idle(everything=True)
-        if not cut_off:
-            await self.log.propose(
-                CloseSession(self.settings.daemon.name, self.session)
-            )
+        settled = Deferred.fromCoroutine(self.settle_session(cut_off))
+        settled.addTimeout(SETTLE_TIMEOUT_S, self.reactor)
+        await settled.addErrback(lambda failure: failure.trap(TimeoutError))
         for port in self.ports:
             await maybeDeferred(port.stopListening)
         await self.client.close()
@@ -156,7 +174,7 @@
 def open_daemon(reactor, settings: Settings) -> Iterator[Daemon]:
     """Open the data folder of a daemon and put the daemon together."""
     with ExitStack() as stack:
-        log = stack.enter_context(open_single_log(settings.daemon.data_folder))
+        log = stack.enter_context(open_log(reactor, settings))
         yield Daemon(reactor, settings, log)
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/__init__.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/__init__.py
@@ -2,5 +2,44 @@
 mulberryledge_daemon.log
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
-Adapters of the replicated log, one module a variant.
+Adapters of the replicated log: disk, peers, and the tasks of one daemon.
 """
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from random import Random, SystemRandom
+
+from twisted.internet.defer import maybeDeferred
+from twisted.internet.threads import deferToThreadPool
+
+from mulberryledge_daemon.log.replicated import ReplicatedLog
+from mulberryledge_daemon.log.storage import open_storage
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["open_log"]
+
+
+@contextmanager
+def open_log(
+    reactor, settings: Settings, random: Random | None = None
+) -> Iterator[ReplicatedLog]:
+    """
+    Open the replicated log of a daemon; it joins its peers once started.
+
+    Raises
+    ------
+    StorageFault
+        If the data folder cannot be used.
+    """
+    with ExitStack() as stack:
+        storage, run = None, maybeDeferred
+        if settings.daemon.data_folder:
+            folder = Path(settings.daemon.data_folder)
+            storage = stack.enter_context(open_storage(folder, settings.daemon.name))
+
+            def run(function, *args):
+                pool = reactor.getThreadPool()
+                return deferToThreadPool(reactor, pool, function, *args)
+
+        yield ReplicatedLog(reactor, settings, storage, random or SystemRandom(), run)
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
@@ -0,0 +1,149 @@
+"""
+mulberryledge_daemon.log.channel
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Requests of the entries to the tasks of the leader, over the peers' connections.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import cbor2
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+
+from mulberryledge_core.codec import CBOR
+from mulberryledge_core.messages import get_message_by_name
+from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_daemon.peers.messages import Ask, AskReply
+
+__all__ = ["Channel"]
+
+ASK_TIMEOUT_S = 40.0
+MAX_ASKS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A request that the leader has not answered."""
+
+    leader: str
+    done: Deferred
+
+
+class Channel:
+    """Owns the open requests of this daemon and the handlers of its leader tasks."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        leader: Callable[[], str],
+        leads: Callable[[], bool],
+        send: Callable[[str, object], bool],
+    ):
+        self.clock = clock
+        self.leader = leader
+        self.leads = leads
+        self.send = send
+        self.handlers: dict[type, Callable] = {}
+        self.asked: dict[int, Asked] = {}
+        self.number = 0
+
+    def serve(self, kind: type, handler: Callable[[object], Awaitable]) -> None:
+        """Register the handler of a kind of request."""
+        self.handlers[kind] = handler
+
+    async def ask(self, message: object) -> Result[object, Refusal]:
+        """Have the leader answer a request."""
+        if self.leads():
+            return await self.answer(message)
+        leader = self.leader()
+        if not leader or len(self.asked) >= MAX_ASKS:
+            return no_leader("there is no leader now")
+        self.number += 1
+        number = self.number
+        if not self.send(leader, Ask(number, encode_named(message))):
+            return no_leader(f"leader {leader!r} cannot be reached")
+        done = Deferred()
+        self.asked[number] = Asked(leader, done)
+        timer = self.clock.callLater(
+            ASK_TIMEOUT_S, self.settle, number, no_leader("the leader did not answer")
+        )
+        outcome = await done
+        if timer.active():
+            timer.cancel()
+        return outcome
+
+    async def answer(self, message: object) -> Result[object, Refusal]:
+        """Answer a request as the leader."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return no_leader(f"nobody serves {type(message).__name__}")
+        return await handler(message)
+
+    def on_ask(self, sender: str, ask: Ask) -> None:
+        """Answer another daemon's request."""
+        answered = ensureDeferred(self.answer_peer(ask))
+        answered.addErrback(lambda failure: failed(ask, failure))
+        answered.addCallback(lambda reply: self.send(sender, reply))
+
+    async def answer_peer(self, ask: Ask) -> AskReply:
+        """Return the reply to another daemon's request."""
+        if not self.leads():
+            refusal = Refusal(Code.NO_LEADER, "this daemon does not lead")
+            return AskReply(ask.number, refusal=refusal)
+        outcome = await self.answer(decode_named(ask.data))
+        if isinstance(outcome, Err):
+            return AskReply(ask.number, refusal=outcome.err_value)
+        return AskReply(ask.number, encode_named(outcome.ok_value))
+
+    def on_reply(self, reply: AskReply) -> None:
+        """Take the leader's reply."""
+        if reply.refusal is not None:
+            self.settle(reply.number, Err(reply.refusal))
+        else:
+            self.settle(reply.number, Ok(decode_named(reply.data)))
+
+    def on_closed(self, peer: str) -> None:
+        """Give up the requests to a leader that is out of reach."""
+        for number, asked in list(self.asked.items()):
+            if asked.leader == peer:
+                self.settle(number, no_leader(f"leader {peer!r} was lost"))
+
+    def on_leader(self, leader: str) -> None:
+        """Give up the requests to any other leader."""
+        for number, asked in list(self.asked.items()):
+            if asked.leader != leader:
+                self.settle(number, no_leader("the leader changed"))
+
+    def settle(self, number: int, outcome: Result[object, Refusal]) -> None:
+        """Hand an outcome to the request that waits for it."""
+        asked = self.asked.pop(number, None)
+        if asked is not None:
+            asked.done.callback(outcome)
+
+
+def failed(ask: Ask, failure) -> AskReply:
+    """Return the reply of a handler that failed."""
+    refusal = Refusal(Code.UNAVAILABLE, f"the leader failed: {failure.value}")
+    return AskReply(ask.number, refusal=refusal)
+
+
+def no_leader(text: str) -> Result[object, Refusal]:
+    """Return the refusal of a request that may not have reached a leader."""
+    return Err(Refusal(Code.NO_LEADER, text))
+
+
+def encode_named(message: object) -> bytes:
+    """Encode a message with its name."""
+    return cbor2.dumps([type(message).__name__, CBOR.unstructure(message)])
+
+
+def decode_named(data: bytes) -> object:
+    """Decode what :func:`encode_named` wrote."""
+    name, fields = cbor2.loads(data)
+    kind = get_message_by_name(name)
+    if kind is None:
+        raise ValueError(f"unknown message {name!r}: upgrade this daemon first")
+    return CBOR.structure(fields, kind)
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -0,0 +1,504 @@
+"""
+mulberryledge_daemon.log.replicated
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The replicated log of one daemon: the node of the core, its disk and its peers.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from uuid import uuid4
+
+from result import Err, Ok, Result
+from twisted.internet.task import LoopingCall, deferLater
+
+from mulberryledge_core.codec import decode_command
+from mulberryledge_core.commands import Command
+from mulberryledge_core.consensus import steps
+from mulberryledge_core.consensus.effects import Apply, Persist, Restore, Send
+from mulberryledge_core.consensus.entries import HardState, Origin, Snapshot
+from mulberryledge_core.consensus.leading import flush
+from mulberryledge_core.consensus.leases import is_fresh, is_leading, waiting_for
+from mulberryledge_core.consensus.members import Configuration, Member
+from mulberryledge_core.consensus.memory import EntryLog
+from mulberryledge_core.consensus.messages import NotMember
+from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_core.messages import InForceAsk, InForceReply
+from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
+from mulberryledge_daemon.http.cluster import ClusterStatus, MemberStatus
+from mulberryledge_daemon.log.channel import Channel
+from mulberryledge_daemon.log.formation import Formation
+from mulberryledge_daemon.log.proposer import Proposer
+from mulberryledge_daemon.log.replica import Replica
+from mulberryledge_daemon.log.storage import Storage
+from mulberryledge_daemon.log.writer import Compaction, Writer, WriterEvents
+from mulberryledge_daemon.peers.messages import (
+    Ask,
+    AskReply,
+    Form,
+    Hello,
+    Propose,
+    ProposeReply,
+)
+from mulberryledge_daemon.peers.network import Handlers, Network, PeerAddress
+from mulberryledge_daemon.ports import AppliedEvent, InForce
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["ReplicatedLog"]
+
+TICK_S = 0.05
+POLL_S = 0.02
+SNAPSHOT_ENTRIES = 5_000
+CLOCK_BASE_BITS = 40
+MS = 1_000
+
+logger = logging.getLogger(__name__)
+
+
+class ReplicatedLog:
+    """
+    Implements the ports ReplicatedLog and LeaderChannel.
+
+    Parameters
+    ----------
+    storage : Storage or None
+        Data folder; None for a learner, or for the only daemon of a cluster in
+        memory.
+    random : Random
+        Source of election timeouts and of jitter.
+    run : callable
+        Runs a blocking function and returns a Deferred of its result.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings: Settings,
+        storage: Storage | None,
+        random: Random,
+        run: Callable,
+    ):
+        self.reactor = reactor
+        self.settings = settings
+        self.storage = storage
+        self.name = settings.daemon.name
+        self.clock_base_ms = random.getrandbits(CLOCK_BASE_BITS)
+        self.cluster = storage.identity.cluster if storage is not None else ""
+        self.generation = storage.identity.generation if storage is not None else 1
+        usable = storage is not None and not storage.damage
+        folder = storage.identity.folder if usable else ""
+        self.replica = Replica(self.on_outcome)
+        self.state = self.replica.state
+        self.node = self.make_node(folder, random)
+        self.writer = Writer(
+            reactor,
+            storage if usable else None,
+            WriterEvents(
+                self.transmit, self.on_synced, self.on_failed, self.on_recovered
+            ),
+            run,
+        )
+        self.formation = Formation(settings, folder)
+        handlers = Handlers(self.hello, self.greet, self.on_message, self.on_closed)
+        self.network = Network(reactor, self.name, handlers, random)
+        self.proposer = Proposer(reactor, self.send_proposal)
+        self.channel = Channel(
+            reactor, lambda: self.node.leader, self.is_leader, self.network.send
+        )
+        self.channel.serve(InForceAsk, self.on_in_force)
+        self.accepted: set[tuple[str, int]] = set()
+        self.seen_leader = ("", 0)
+        self.seen_members: Configuration | None = None
+        self.flushing = False
+        self.started = False
+        self.loop = LoopingCall(self.tick)
+        self.loop.clock = reactor
+        self.handlers = {
+            Hello: self.on_hello,
+            Form: self.on_form,
+            Propose: self.on_propose,
+            ProposeReply: lambda sender, reply: self.proposer.on_reply(reply),
+            Ask: self.channel.on_ask,
+            AskReply: lambda sender, reply: self.channel.on_reply(reply),
+        }
+
+    def make_node(self, folder: str, random: Random) -> Node:
+        """Return a node that begins with what is on disk."""
+        snapshot, entries, hard_state = Snapshot(), [], HardState()
+        if self.storage is not None:
+            snapshot = self.storage.snapshot
+            entries = self.storage.entries
+            hard_state = self.storage.hard_state
+        self.replica.restore(snapshot.data)
+        return Node(
+            name=self.name,
+            folder=folder,
+            log=EntryLog(snapshot, entries),
+            draw=random.random,
+            started_ms=self.now(),
+            hard_state=hard_state,
+        )
+
+    def now(self) -> int:
+        """Return milliseconds of a clock that runs while the host sleeps."""
+        nanoseconds = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return self.clock_base_ms + nanoseconds // 1_000_000
+
+    async def start(self) -> None:
+        """Join the cluster, or begin one alone if there are no peers."""
+        self.started = True
+        if self.settings.peers:
+            listen = self.settings.listen
+            self.network.listen(listen.address, listen.peers_port)
+        elif not self.cluster:
+            self.form_alone()
+        self.follow_members()
+        self.loop.start(TICK_S)
+
+    def form_alone(self) -> None:
+        """Begin a cluster of this daemon only."""
+        folder = self.node.folder or "memory"
+        self.node.folder = self.formation.folder = folder
+        members = self.formation.members()
+        assert members is not None, "no peers are awaited"
+        self.form(uuid4().hex, members)
+
+    # What the daemon asks for.
+
+    async def propose(self, command: Command) -> ApplyResult:
+        """Append a command; return its outcome once this daemon has applied it."""
+        return await self.proposer.propose(command)
+
+    def is_leader(self) -> bool:
+        """Return whether this daemon leads and its quorum lease holds."""
+        return is_leading(self.node, self.now())
+
+    def is_fresh(self) -> bool:
+        """Return whether this daemon's freshness lease holds."""
+        return is_fresh(self.node, self.now())
+
+    def time_ms(self) -> int:
+        """Return the log time that a command proposed now would get."""
+        return max(self.state.now_ms, wall_ms())
+
+    async def in_force(self, index: int, timeout_s: float) -> InForce:
+        """Wait until the index is in force on every daemon."""
+        until = self.reactor.seconds() + timeout_s
+        waiting = ("the leader",)
+        while (left := until - self.reactor.seconds()) > 0:
+            ask = InForceAsk(index, int(left * MS))
+            outcome = await self.channel.ask(ask)
+            if isinstance(outcome, Ok):
+                waiting = outcome.ok_value.waiting
+                break
+            await deferLater(self.reactor, POLL_S)
+        return InForce(index, waiting)
+
+    def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
+        """Call the listener after each applied command."""
+        self.replica.listeners.append(listener)
+
+    async def ask(self, message: object) -> Result[object, Refusal]:
+        """Send a request to the leader."""
+        return await self.channel.ask(message)
+
+    def serve(self, kind: type, handler: Callable) -> None:
+        """Register the handler that answers a kind of request while leading."""
+        self.channel.serve(kind, handler)
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+        if not self.started:
+            return
+        self.started = False
+        self.loop.stop()
+        self.writer.stop()
+        await self.network.stop()
+        while self.writer.busy:
+            await deferLater(self.reactor, POLL_S)
+
+    def status(self) -> ClusterStatus:
+        """Return the cluster as this daemon sees it."""
+        node = self.node
+        return ClusterStatus(
+            daemon=self.name,
+            cluster=self.cluster,
+            generation=self.generation,
+            folder=self.formation.folder,
+            role=node.role,
+            term=node.term,
+            leader=node.leader,
+            leads=self.is_leader(),
+            fresh=self.is_fresh(),
+            removed=node.removed,
+            disk=self.disk_status(),
+            commit=node.commit,
+            applied=node.applied,
+            last_index=node.log.last_index,
+            members=tuple(map(self.member_status, node.log.members.members)),
+        )
+
+    def disk_status(self) -> str:
+        """Return ``ok``, ``none``, ``full`` or what is damaged."""
+        if self.storage is None:
+            return "none"
+        if self.storage.damage:
+            return self.storage.damage
+        return "ok" if self.node.storage_ok else "full"
+
+    def member_status(self, member: Member) -> MemberStatus:
+        """Return what this daemon knows of a member."""
+        if member.name == self.name:
+            return MemberStatus(member, self.node.applied, self.formation.folder)
+        progress = self.node.progress.get(member.name)
+        if progress is None:
+            return MemberStatus(member)
+        return MemberStatus(member, progress.applied, progress.folder)
+
+    # What happens to the node.
+
+    def tick(self) -> None:
+        """Let time pass."""
+        steps.tick(self.node, self.now())
+        self.proposer.tick()
+        self.carry_out()
+
+    def on_message(self, sender: str, message: object) -> None:
+        """Handle a message of a peer."""
+        handler = self.handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+            return
+        if not self.cluster:
+            return
+        steps.step(self.node, sender, message, self.now())
+        if isinstance(message, NotMember):
+            logger.critical("this daemon was removed", extra={"by": sender})
+        self.carry_out()
+
+    def on_synced(self, index: int, term: int) -> None:
+        """Take note of what is on disk."""
+        steps.synced(self.node, index, term, self.now())
+        self.carry_out()
+
+    def on_failed(self) -> None:
+        """Go on without a disk."""
+        steps.storage_failed(self.node, self.now())
+        self.carry_out()
+
+    def on_recovered(self) -> None:
+        """Write what is missing on disk."""
+        steps.storage_recovered(self.node)
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Carry out the node's effects in order."""
+        while effects := self.node.take_effects():
+            for effect in effects:
+                self.carry_out_one(effect)
+        self.notice_changes()
+        if not self.flushing:
+            self.flushing = True
+            self.reactor.callLater(0, self.flush)
+
+    def carry_out_one(self, effect: object) -> None:
+        """Carry out one effect."""
+        if isinstance(effect, Send) and effect.after_sync:
+            self.writer.send(effect)
+        elif isinstance(effect, Send):
+            self.transmit(effect)
+        elif isinstance(effect, Apply):
+            for entry in effect.entries:
+                self.accepted.discard((entry.origin.session, entry.origin.sequence))
+                self.replica.apply(entry)
+        elif isinstance(effect, Persist | Restore):
+            self.writer.write(effect)
+            if isinstance(effect, Restore):
+                self.replica.restore(effect.snapshot.data)
+                self.proposer.on_restored(self.replica.proposals.seen)
+            elif self.writer.storage is None:
+                self.node.durable = self.node.log.last_index
+
+    def flush(self) -> None:
+        """Send and write what one turn of the reactor has brought together."""
+        self.flushing = False
+        flush(self.node, self.now())
+        effects = self.node.take_effects()
+        for effect in effects:
+            self.carry_out_one(effect)
+        self.writer.pump()
+        self.compact()
+
+    def compact(self) -> None:
+        """Take a snapshot once there are enough applied entries."""
+        node = self.node
+        if node.applied - node.log.snapshot.index < SNAPSHOT_ENTRIES:
+            return
+        snapshot = steps.compact(node, self.replica.snapshot())
+        first = snapshot.index + 1
+        rest = node.log.between(first, node.log.last_index, limit=1 << 62)
+        self.writer.write(Compaction(snapshot, Persist(node.hard_state, rest)))
+        logger.info("snapshot taken", extra={"index": snapshot.index})
+
+    def notice_changes(self) -> None:
+        """Act on a new leader and on new members."""
+        leader = (self.node.leader, self.node.term)
+        if leader != self.seen_leader:
+            self.seen_leader = leader
+            self.accepted.clear()
+            self.channel.on_leader(self.node.leader)
+            extra = {"leader": self.node.leader, "term": self.node.term}
+            logger.info("leader", extra=extra)
+            if self.node.leader:
+                self.proposer.send_all()
+        if self.node.log.members is not self.seen_members:
+            self.seen_members = self.node.log.members
+            self.follow_members()
+
+    def follow_members(self) -> None:
+        """Dial the peers that come after this daemon's name."""
+        if not self.started or not self.settings.peers:
+            return
+        known = {
+            peer.name: PeerAddress(peer.name, peer.address, peer.port)
+            for peer in self.settings.peers
+        }
+        members = self.node.log.members
+        for member in members.members:
+            known[member.name] = PeerAddress(member.name, member.address, member.port)
+        for name in members.former:
+            if members.find(self.name) is not None:
+                known.pop(name, None)
+        everyone = bool(members.members) and members.find(self.name) is None
+        wanted = (peer for peer in known.values() if everyone or peer.name > self.name)
+        self.network.set_peers(tuple(wanted))
+
+    # What peers send besides the messages of the log.
+
+    def hello(self) -> Hello:
+        """Return this daemon's first message."""
+        return Hello(self.name, self.cluster, self.generation, self.formation.folder)
+
+    def greet(self, hello: Hello) -> str:
+        """Return why a peer is refused, or an empty text."""
+        if hello.name == self.name:
+            return f"another daemon is named {self.name!r}"
+        if not hello.cluster or not self.cluster:
+            return ""
+        if hello.cluster != self.cluster:
+            return f"it belongs to cluster {hello.cluster}, this one to {self.cluster}"
+        if hello.generation != self.generation:
+            return (
+                f"it has generation {hello.generation} of the cluster, this one"
+                f" {self.generation}: move the older one's data folder away"
+            )
+        return ""
+
+    def on_hello(self, sender: str, hello: Hello) -> None:
+        """Begin a cluster, or tell a peer without one where it belongs."""
+        if self.cluster:
+            if not hello.cluster:
+                self.network.send(sender, Form(self.cluster, self.genesis()))
+            members = self.node.log.members
+            if sender in members.former:
+                notice = NotMember(self.node.term, self.node.log.members_index)
+                self.network.send(sender, notice)
+            return
+        self.formation.greet(hello)
+        members = self.formation.members()
+        if members is not None:
+            self.form(uuid4().hex, members)
+            for name in list(self.network.links):
+                self.network.send(name, Form(self.cluster, members))
+
+    def genesis(self) -> Configuration:
+        """Return the first members, if the log still reaches back to them."""
+        snapshot = self.node.log.snapshot
+        members = snapshot.members if snapshot.index == 0 else Configuration()
+        return replace(members, generation=self.generation)
+
+    def on_form(self, sender: str, message: Form) -> None:
+        """Belong to a cluster from now on."""
+        if not self.cluster:
+            self.form(message.cluster, message.members)
+
+    def form(self, cluster: str, members: Configuration) -> None:
+        """Belong to a cluster that begins with the given members."""
+        assert self.node.log.last_index == 0, "a cluster begins with an empty log"
+        self.cluster = cluster
+        self.generation = members.generation
+        snapshot = Snapshot(members=members)
+        if self.writer.storage is not None:
+            self.storage.form(cluster, snapshot)
+        self.node.log = EntryLog(snapshot)
+        steps.begin_cluster(self.node, self.now())
+        extra = {"cluster": cluster, "members": [one.name for one in members.members]}
+        logger.info("cluster", extra=extra)
+        self.notice_changes()
+
+    def send_proposal(self, message: Propose) -> bool:
+        """Hand a proposal of this daemon to the leader."""
+        if self.node.role == Role.LEADER:
+            self.on_propose(self.name, message)
+            return True
+        leader = self.node.leader
+        return bool(leader) and self.network.send(leader, message)
+
+    def on_propose(self, sender: str, message: Propose) -> None:
+        """Append a proposal as the leader, unless it is there already."""
+        origin = Origin(sender, message.session, message.sequence, message.floor)
+        key = (message.session, message.sequence)
+        if key in self.accepted or self.replica.proposals.seen(origin):
+            return
+        if message.change:
+            command = decode_command(message.data)
+            outcome = steps.propose_change(
+                self.node, command, origin, wall_ms(), self.now()
+            )
+        else:
+            outcome = steps.propose(
+                self.node, message.data, origin, wall_ms(), self.now()
+            )
+        if isinstance(outcome, Err):
+            reply = ProposeReply(message.sequence, outcome.err_value)
+            if sender == self.name:
+                self.reactor.callLater(0, self.proposer.on_reply, reply)
+            else:
+                self.network.send(sender, reply)
+            return
+        self.accepted.add(key)
+        self.carry_out()
+
+    def on_outcome(self, origin: Origin, outcome: ApplyResult) -> None:
+        """Resolve a proposal of this daemon."""
+        self.proposer.on_outcome(origin, outcome)
+
+    async def on_in_force(self, ask: InForceAsk) -> Result[object, Refusal]:
+        """Wait, as the leader, until an index is in force or the time is over."""
+        until = self.now() + ask.timeout_ms
+        while True:
+            waiting = waiting_for(self.node, ask.index, self.now())
+            if not self.is_leader():
+                return Err(
+                    Refusal(Code.NO_LEADER, "this daemon does not lead any more")
+                )
+            if not waiting or self.now() >= until:
+                return Ok(InForceReply(waiting))
+            await deferLater(self.reactor, POLL_S)
+
+    def on_closed(self, peer: str) -> None:
+        """Take note of a lost connection."""
+        self.formation.lose(peer)
+        self.channel.on_closed(peer)
+
+    def transmit(self, effect: Send) -> None:
+        """Send a message of the node; the node itself copes with lost ones."""
+        self.network.send(effect.to, effect.message)
+
+
+def wall_ms() -> int:
+    """Return the wall-clock time in milliseconds."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
@@ -0,0 +1,256 @@
+"""
+mulberryledge_daemon.log.storage
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The data folder of a daemon: identity, snapshot and log file.
+"""
+
+import errno
+import fcntl
+import json
+import logging
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+from uuid import uuid4
+
+from mulberryledge_core.codec import from_plain
+from mulberryledge_core.consensus.entries import Entry, HardState, Snapshot
+from mulberryledge_daemon.log.disk import Disk
+from mulberryledge_daemon.log.frames import Batch, pack, scan
+
+__all__ = ["Identity", "Storage", "StorageFault", "open_storage"]
+
+IDENTITY_FILE = "identity.json"
+SNAPSHOT_FILE = "snapshot"
+LOG_FILE = "log"
+LOCK_FILE = "lock"
+PROBE_FILE = "probe"
+PROBE_BYTES = 65_536
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
+
+logger = logging.getLogger(__name__)
+
+
+class StorageFault(Exception):
+    """A data folder that cannot be used; the message says what to do."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """
+    Whose data folder this is.
+
+    Attributes
+    ----------
+    folder : str
+        Identity of the folder, made when it was.
+    cluster : str
+        Cluster that the folder belongs to; empty before it joined one.
+    daemon : str
+        Daemon that the folder belongs to.
+    generation : int
+        Generation of the cluster.
+    """
+
+    folder: str
+    cluster: str = ""
+    daemon: str = ""
+    generation: int = 1
+
+
+class Storage:
+    """
+    Owns the files of one data folder.
+
+    Attributes
+    ----------
+    damage : str
+        What is damaged; empty if nothing is. A daemon with a damaged folder does
+        not vote.
+    size : int
+        Size of the log file up to the last synced record, in bytes.
+    """
+
+    def __init__(self, folder: Path, disk: Disk, identity: Identity):
+        self.folder = folder
+        self.disk = disk
+        self.identity = identity
+        self.hard_state = HardState()
+        self.snapshot = Snapshot()
+        self.entries: list[Entry] = []
+        self.damage = ""
+        self.size = 0
+        self.descriptor = -1
+
+    def load(self) -> None:
+        """Read snapshot and log; cut off a torn tail."""
+        self.load_snapshot()
+        path = self.folder / LOG_FILE
+        self.descriptor = self.disk.open(path)
+        self.disk.sync_folder(self.folder)
+        data = path.read_bytes()
+        found = scan(data)
+        if found.damaged_at is not None:
+            self.report_damage(f"{path}: record at byte {found.damaged_at} is damaged")
+        if self.damage:
+            self.hard_state, self.snapshot = HardState(), Snapshot()
+            return
+        if found.end < len(data):
+            extra = {"path": str(path), "bytes": len(data) - found.end}
+            logger.warning("torn tail cut off", extra=extra)
+            self.disk.cut(self.descriptor, found.end)
+        self.size = found.end
+        for batch in found.records:
+            self.replay(batch)
+
+    def load_snapshot(self) -> None:
+        """Read the snapshot if there is one."""
+        path = self.folder / SNAPSHOT_FILE
+        if not path.exists():
+            return
+        data = path.read_bytes()
+        found = scan(data)
+        if len(found.records) != 1 or found.end != len(data):
+            self.report_damage(f"{path}: the snapshot is damaged")
+            return
+        self.snapshot = found.records[0]
+
+    def report_damage(self, text: str) -> None:
+        """Say what is damaged."""
+        self.damage = text
+        logger.critical("data folder is damaged: not voting", extra={"why": text})
+
+    def replay(self, batch: Batch) -> None:
+        """Take one record of the log file."""
+        self.hard_state = batch.hard_state
+        for entry in batch.entries:
+            while self.entries and self.entries[-1].index >= entry.index:
+                self.entries.pop()
+            if entry.index > self.snapshot.index:
+                self.entries.append(entry)
+
+    def write(self, batch: Batch) -> None:
+        """
+        Append a record and sync it.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses; the file then ends where it ended before.
+        """
+        data = pack(batch)
+        try:
+            self.disk.append(self.descriptor, data)
+            self.disk.sync(self.descriptor)
+        except OSError:
+            self.disk.cut(self.descriptor, self.size)
+            raise
+        self.size += len(data)
+
+    def write_snapshot(self, snapshot: Snapshot, batch: Batch) -> None:
+        """Replace the snapshot, then the log by what follows on it."""
+        self.disk.replace(self.folder / SNAPSHOT_FILE, pack(snapshot))
+        data = pack(batch)
+        self.disk.replace(self.folder / LOG_FILE, data)
+        os.close(self.descriptor)
+        self.descriptor = self.disk.open(self.folder / LOG_FILE)
+        self.size = len(data)
+
+    def write_identity(self, identity: Identity) -> None:
+        """Replace the identity."""
+        write_identity(self.folder, self.disk, identity)
+        self.identity = identity
+
+    def form(self, cluster: str, snapshot: Snapshot) -> None:
+        """Make the folder one of a cluster that begins with the snapshot."""
+        self.write_snapshot(snapshot, Batch(self.hard_state))
+        self.write_identity(replace(self.identity, cluster=cluster))
+        self.snapshot = snapshot
+
+    def probe(self) -> None:
+        """
+        Check that the disk takes data again.
+
+        Raises
+        ------
+        OSError
+            If it does not.
+        """
+        path = self.folder / PROBE_FILE
+        try:
+            self.disk.replace(path, bytes(PROBE_BYTES))
+        finally:
+            path.unlink(missing_ok=True)
+
+    def close(self) -> None:
+        """Close the log file."""
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+
+
+def is_full(error: OSError) -> bool:
+    """Return whether the error means that the disk has no room."""
+    return error.errno in FULL_ERRORS
+
+
+def write_identity(folder: Path, disk: Disk, identity: Identity) -> None:
+    """Write the identity of a folder."""
+    text = json.dumps(asdict(identity), indent=1) + "\n"
+    disk.replace(folder / IDENTITY_FILE, text.encode())
+
+
+def read_identity(folder: Path, daemon: str, disk: Disk) -> Identity:
+    """Return the identity of a folder; a new one for an empty folder."""
+    path = folder / IDENTITY_FILE
+    if not path.exists():
+        if (folder / LOG_FILE).exists() or (folder / SNAPSHOT_FILE).exists():
+            raise StorageFault(
+                f"{folder}: holds a log but no {IDENTITY_FILE}: restore that file,"
+                " or move the folder away and start with an empty one"
+            )
+        identity = Identity(uuid4().hex, daemon=daemon)
+        write_identity(folder, disk, identity)
+        return identity
+    try:
+        found = from_plain(json.loads(path.read_text()), Identity)
+    except ValueError as error:
+        raise StorageFault(f"{path}: not JSON: {error}") from error
+    identity = found.unwrap_or(None)
+    if identity is None:
+        raise StorageFault(f"{path}: {found.err_value.message}")
+    if identity.daemon != daemon:
+        raise StorageFault(
+            f"{folder}: is the data folder of daemon {identity.daemon!r},"
+            f" not of {daemon!r}: check data_folder in the settings"
+        )
+    return identity
+
+
+@contextmanager
+def open_storage(
+    folder: Path, daemon: str, disk: Disk | None = None
+) -> Iterator[Storage]:
+    """
+    Open the data folder of a daemon, for it alone.
+
+    Raises
+    ------
+    StorageFault
+        If the folder is in use, foreign or incomplete.
+    """
+    disk = disk or Disk()
+    folder.mkdir(parents=True, exist_ok=True)
+    with open(folder / LOCK_FILE, "w") as lock:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            raise StorageFault(f"{folder}: in use by another daemon") from error
+        storage = Storage(folder, disk, read_identity(folder, daemon, disk))
+        try:
+            storage.load()
+            yield storage
+        finally:
+            storage.close()
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
@@ -0,0 +1,168 @@
+"""
+mulberryledge_daemon.peers.link
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One websocket between two daemons, on a Twisted transport.
+"""
+
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from prometheus_client import Counter
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol
+from websockets.client import ClientProtocol
+from websockets.frames import Frame, Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+from zope.interface import implementer
+
+__all__ = ["Link", "accept_link", "dial_link"]
+
+MAX_MESSAGE_BYTES = 4_194_304
+MAX_QUEUED_BYTES = 2_097_152
+SILENCE_TIMEOUT_S = 6.0
+PING_INTERVAL_S = 2.0
+
+BYTES = Counter("mulberryledge_peer_bytes", "Bytes between daemons.", ["direction"])
+BYTES_SENT = BYTES.labels("sent")
+BYTES_RECEIVED = BYTES.labels("received")
+
+logger = logging.getLogger(__name__)
+
+
+@implementer(IPushProducer)
+class Link(Protocol):
+    """Owns one connection, its websocket state and its bounded send queue."""
+
+    def __init__(
+        self,
+        websocket: ClientProtocol | ServerProtocol,
+        clock,
+        on_open: Callable[["Link"], None],
+        on_message: Callable[["Link", bytes], None],
+        on_close: Callable[["Link"], None],
+    ):
+        self.websocket = websocket
+        self.clock = clock
+        self.on_open = on_open
+        self.on_message = on_message
+        self.on_close = on_close
+        self.peer = ""
+        self.queue: deque[bytes] = deque()
+        self.queued_bytes = 0
+        self.paused = False
+        self.heard_s = 0.0
+        self.sent_s = 0.0
+
+    def connectionMade(self) -> None:
+        """Send the handshake if this side dialled."""
+        self.heard_s = self.sent_s = self.clock.seconds()
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        if isinstance(self.websocket, ClientProtocol):
+            self.websocket.send_request(self.websocket.connect())
+            self.pump()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feed the websocket and hand its messages on."""
+        self.heard_s = self.clock.seconds()
+        BYTES_RECEIVED.inc(len(data))
+        self.websocket.receive_data(data)
+        for event in self.websocket.events_received():
+            self.on_event(event)
+        self.pump()
+
+    def on_event(self, event: Request | Response | Frame) -> None:
+        """Handle one event of the websocket."""
+        if isinstance(event, Request):
+            self.websocket.send_response(self.websocket.accept(event))
+            if self.websocket.state is State.OPEN:
+                self.on_open(self)
+        elif isinstance(event, Response):
+            if self.websocket.state is State.OPEN:
+                self.on_open(self)
+        elif event.opcode is Opcode.BINARY:
+            self.on_message(self, event.data)
+
+    def send(self, data: bytes) -> bool:
+        """Send a message; return False if the queue is full or the link closed."""
+        if self.websocket.state is not State.OPEN:
+            return False
+        if self.queued_bytes + len(data) > MAX_QUEUED_BYTES:
+            return False
+        self.websocket.send_binary(data)
+        self.pump()
+        return True
+
+    def ping_if_silent(self) -> None:
+        """Ping a silent peer, and drop one that does not answer."""
+        now = self.clock.seconds()
+        if now - self.heard_s > SILENCE_TIMEOUT_S:
+            logger.warning("peer is silent", extra={"peer": self.peer})
+            self.transport.abortConnection()
+            return
+        quiet = now - max(self.heard_s, self.sent_s) > PING_INTERVAL_S
+        if quiet and self.websocket.state is State.OPEN:
+            self.websocket.send_ping(b"")
+            self.pump()
+
+    def pump(self) -> None:
+        """Move what the websocket wants sent to the transport."""
+        for data in self.websocket.data_to_send():
+            if data:
+                self.queue.append(data)
+                self.queued_bytes += len(data)
+        self.drain()
+        if self.websocket.close_expected() and not self.queue:
+            self.transport.loseConnection()
+
+    def drain(self) -> None:
+        """Write the queue until the transport is full."""
+        while self.queue and not self.paused:
+            data = self.queue.popleft()
+            self.queued_bytes -= len(data)
+            BYTES_SENT.inc(len(data))
+            self.sent_s = self.clock.seconds()
+            self.transport.write(data)
+
+    def pauseProducing(self) -> None:
+        """Stop writing: the transport is full."""
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        """Write again."""
+        self.paused = False
+        self.drain()
+
+    def stopProducing(self) -> None:
+        """Drop the queue: the connection is gone."""
+        self.paused = True
+        self.queue.clear()
+        self.queued_bytes = 0
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.websocket.state is State.OPEN:
+            self.websocket.send_close()
+            self.pump()
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason=None) -> None:
+        """Tell the owner."""
+        self.websocket.receive_eof()
+        self.on_close(self)
+
+
+def dial_link(address: str, port: int, clock, **handlers) -> Link:
+    """Return the dialling side of a connection."""
+    uri = parse_uri(f"ws://{address}:{port}/")
+    return Link(ClientProtocol(uri, max_size=MAX_MESSAGE_BYTES), clock, **handlers)
+
+
+def accept_link(clock, **handlers) -> Link:
+    """Return the accepting side of a connection."""
+    return Link(ServerProtocol(max_size=MAX_MESSAGE_BYTES), clock, **handlers)
