Keep indexes beside the tables and prove replay, limits and resends

Cause: limits were counted by scanning every job and session, and nothing showed that replicas agree. Random logs of every command found three faults: a loan with two grants for one target or team passed a check that looked at each grant alone ("team 'a' may run 3, its upper limit is 2"), a resent GiveKey changed its time of issue, a resent MoveHost was a conflict. Change: tables tell indexes and tallies of each row; loans are summed before they are checked and amounts below one refused; both resends are the same success; invariants are asserted after each command.

--- a/packages/mulberryledge-core/src/mulberryledge_core/state/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/__init__.py
@@ -13,6 +13,7 @@
 from mulberryledge_core.commands import Command
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
 from mulberryledge_core.state.appliers import get_applier_by_command
+from mulberryledge_core.state.invariants import assert_after
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["Applier", "ClusterState", "Context", "apply", "restore", "snapshot"]
@@ -44,7 +45,9 @@
     applier = get_applier_by_command(type(command))
     if applier is None:
         return Err(Refusal(Code.BAD_REQUEST, f"no applier for {command!r}"))
-    return applier(state, command, Context(context.index, state.now_ms))
+    outcome = applier(state, command, Context(context.index, state.now_ms))
+    assert_after(state, command, outcome)
+    return outcome
 
 
 def snapshot(state: ClusterState) -> bytes:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -107,6 +107,8 @@
         return missing("host", command.name)
     if command.pool not in state.pools:
         return missing("pool", command.pool)
+    if host.pool == command.pool:
+        return ok(ctx.index, "present")
     if host.pool != command.expected_pool:
         text = (
             f"host {host.name!r} belongs to pool {host.pool!r},"
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -191,16 +191,12 @@
 def forget_work(state: ClusterState, command: ForgetWork, ctx: Context) -> ApplyResult:
     """Drop what ended before the given time."""
     before = command.before_ms
-    state.jobs = {
-        job_id: job
-        for job_id, job in state.jobs.items()
-        if job.ended_ms == 0 or job.ended_ms >= before
-    }
-    state.reservations = {
-        name: item
-        for name, item in state.reservations.items()
-        if item.phase == ReservationPhase.RUNNING or item.reserved_ms >= before
-    }
+    state.jobs.keep(lambda job: job.ended_ms == 0 or job.ended_ms >= before)
+    state.reservations.keep(
+        lambda item: (
+            item.phase == ReservationPhase.RUNNING or item.reserved_ms >= before
+        )
+    )
     return ok(ctx.index)
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -38,7 +38,7 @@
 ) -> ApplyResult:
     """End a life of a daemon; its unsettled reservations become unknown."""
     state.sessions.pop(command.session, None)
-    for name, item in state.reservations.items():
+    for name, item in list(state.reservations.items()):
         if item.session != command.session:
             continue
         if item.phase == ReservationPhase.RUNNING:
@@ -51,17 +51,13 @@
     session = state.sessions.get(command.session)
     if session is None:
         return missing("session", command.session)
-    for grant in command.slots:
-        target = state.targets.get(grant.target)
-        if target is None or target.generation != grant.generation:
-            return missing("target", grant.target)
-        if not state.target_serves(target.name):
-            return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
-        if slots_in_use(state, target.name) + grant.slots > target.slots:
-            return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
-    for grant in command.permits:
-        if team_headroom(state, grant.team) < grant.permits:
-            return refuse(Code.LIMIT, f"team {grant.team!r} is at its upper limit")
+    refusal = _amount_refusal(command)
+    if refusal is None:
+        refusal = _slots_refusal(state, command.slots)
+    if refusal is None:
+        refusal = _permits_refusal(state, command.permits)
+    if refusal is not None:
+        return refusal
     state.sessions[session.session] = _changed(session, command, sign=1)
     return ok(ctx.index)
 
@@ -71,10 +67,52 @@
     session = state.sessions.get(command.session)
     if session is None:
         return missing("session", command.session)
+    refusal = _amount_refusal(command)
+    if refusal is not None:
+        return refusal
     state.sessions[session.session] = _changed(session, command, sign=-1)
     return ok(ctx.index)
 
 
+def _amount_refusal(change: Lend | ReturnLoan) -> ApplyResult | None:
+    for grant in change.slots:
+        if grant.slots < 1:
+            return refuse(Code.BAD_REQUEST, f"slots: {grant.slots} is below one")
+    for grant in change.permits:
+        if grant.permits < 1:
+            return refuse(Code.BAD_REQUEST, f"permits: {grant.permits} is below one")
+    return None
+
+
+def _slots_refusal(
+    state: ClusterState, grants: tuple[SlotGrant, ...]
+) -> ApplyResult | None:
+    wanted: Counter[str] = Counter()
+    for grant in grants:
+        target = state.targets.get(grant.target)
+        if target is None or target.generation != grant.generation:
+            return missing("target", grant.target)
+        if not state.target_serves(target.name):
+            return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
+        wanted[target.name] += grant.slots
+    for name, count in wanted.items():
+        if slots_in_use(state, name) + count > state.targets[name].slots:
+            return refuse(Code.LIMIT, f"target {name!r} has no {count} free slots")
+    return None
+
+
+def _permits_refusal(
+    state: ClusterState, grants: tuple[TeamGrant, ...]
+) -> ApplyResult | None:
+    wanted: Counter[str] = Counter()
+    for grant in grants:
+        wanted[grant.team] += grant.permits
+    for team, count in wanted.items():
+        if team_headroom(state, team) < count:
+            return refuse(Code.LIMIT, f"team {team!r} is at its upper limit")
+    return None
+
+
 def _changed(session: Session, change: Lend | ReturnLoan, sign: int) -> Session:
     slots: Counter[tuple[str, int]] = Counter()
     for grant in session.slots:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -70,8 +70,7 @@
             text = f"team {command.name!r} owns service {service.name!r}"
             return refuse(Code.IN_USE, text)
     del state.teams[command.name]
-    kept = {k: key for k, key in state.keys.items() if key.team != command.name}
-    state.keys = kept
+    state.keys.keep(lambda key: key.team != command.name)
     return ok(ctx.index)
 
 
@@ -82,6 +81,8 @@
     present = state.keys.get(command.key_id)
     if present is not None and present.digest != command.digest:
         return refuse(Code.EXISTS, f"key {command.key_id!r} exists")
+    if present is not None:
+        return ok(ctx.index, command.key_id)
     state.keys[command.key_id] = TeamKey(
         command.key_id, command.team, command.salt, command.digest, ctx.now_ms
     )
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/limits.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/limits.py
@@ -2,10 +2,9 @@
 mulberryledge_core.state.limits
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-What is in use of each upper limit, counted from the replicated state alone.
+What is in use of each upper limit, kept up to date with each change of the state.
 """
 
-from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.state.tables import ClusterState
 
 __all__ = ["slots_in_use", "team_headroom", "team_in_use"]
@@ -13,17 +12,7 @@
 
 def team_in_use(state: ClusterState, team: str) -> int:
     """Return permits lent to sessions plus running jobs of the team."""
-    lent = sum(
-        grant.permits
-        for session in state.sessions.values()
-        for grant in session.permits
-        if grant.team == team
-    )
-    running = sum(
-        job.team == team and job.phase == JobPhase.RUNNING
-        for job in state.jobs.values()
-    )
-    return lent + running
+    return state.indexes.permits_in_use[team]
 
 
 def team_headroom(state: ClusterState, team: str) -> int:
@@ -35,14 +24,4 @@
 
 def slots_in_use(state: ClusterState, target: str) -> int:
     """Return slots of the target lent to sessions plus its running jobs."""
-    lent = sum(
-        grant.slots
-        for session in state.sessions.values()
-        for grant in session.slots
-        if grant.target == target
-    )
-    running = sum(
-        job.target == target and job.phase == JobPhase.RUNNING
-        for job in state.jobs.values()
-    )
-    return lent + running
+    return state.indexes.slots_in_use[target]
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
@@ -8,14 +8,15 @@
 from dataclasses import dataclass, field
 
 from mulberryledge_core.model.hosts import Host, HostPhase, Pool
-from mulberryledge_core.model.jobs import Job, Reservation
+from mulberryledge_core.model.jobs import Job, JobPhase, Reservation
 from mulberryledge_core.model.maintenance import Permit, Wave
 from mulberryledge_core.model.services import Service
 from mulberryledge_core.model.sessions import Session
 from mulberryledge_core.model.targets import Target
 from mulberryledge_core.model.teams import Team, TeamKey
+from mulberryledge_core.state.indexes import Index, Table, Tally
 
-__all__ = ["ClusterState", "Context", "reservation_id"]
+__all__ = ["ClusterState", "Context", "Indexes", "reservation_id"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,13 +27,55 @@
     now_ms: int
 
 
+class Indexes:
+    """
+    What is derived from the tables; snapshots leave it out.
+
+    Attributes
+    ----------
+    hosts_by_pool, targets_by_host, targets_by_service : Index
+        Rows grouped by name.
+    running_by_target, queued_by_service : Index
+        Jobs in that phase, grouped by name.
+    permits_in_use : Tally
+        Permits lent plus running jobs, by team.
+    slots_in_use : Tally
+        Slots lent plus running jobs, by target.
+    """
+
+    def __init__(self):
+        self.hosts_by_pool = Index(lambda host: host.pool)
+        self.targets_by_host = Index(lambda target: target.host)
+        self.targets_by_service = Index(lambda target: target.service)
+        self.running_by_target = Index(
+            lambda job: job.target if job.phase == JobPhase.RUNNING else None
+        )
+        self.queued_by_service = Index(
+            lambda job: job.service if job.phase == JobPhase.QUEUED else None
+        )
+        self.permits_in_use = Tally(_permits_of)
+        self.slots_in_use = Tally(_slots_of)
+
+
+def _permits_of(row: Session | Job) -> list[tuple[str, int]]:
+    if isinstance(row, Session):
+        return [(grant.team, grant.permits) for grant in row.permits]
+    return [(row.team, 1)] if row.phase == JobPhase.RUNNING else []
+
+
+def _slots_of(row: Session | Job) -> list[tuple[str, int]]:
+    if isinstance(row, Session):
+        return [(grant.target, grant.slots) for grant in row.slots]
+    return [(row.target, 1)] if row.phase == JobPhase.RUNNING else []
+
+
 @dataclass(slots=True)
 class ClusterState:
     """
     Everything that the replicated log has decided.
 
-    Values are frozen; only appliers replace them. Attributes map names to
-    values unless said otherwise.
+    Rows are frozen; only appliers replace them. Attributes are tables of rows by
+    name unless said otherwise, and a table is never replaced as a whole.
 
     Attributes
     ----------
@@ -44,6 +87,8 @@
         Keyed by :func:`reservation_id`.
     sessions : dict of str to Session
         Keyed by session identifier.
+    indexes : Indexes
+        Derived from the tables.
     """
 
     applied_index: int = 0
@@ -59,6 +104,30 @@
     sessions: dict[str, Session] = field(default_factory=dict)
     waves: dict[str, Wave] = field(default_factory=dict)
     permits: dict[str, Permit] = field(default_factory=dict)
+    indexes: Indexes = field(
+        default_factory=Indexes, init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self):
+        derived = self.indexes
+        self.hosts = Table(self.hosts, (derived.hosts_by_pool,))
+        self.targets = Table(
+            self.targets, (derived.targets_by_host, derived.targets_by_service)
+        )
+        self.jobs = Table(
+            self.jobs,
+            (
+                derived.running_by_target,
+                derived.queued_by_service,
+                derived.permits_in_use,
+                derived.slots_in_use,
+            ),
+        )
+        self.sessions = Table(
+            self.sessions, (derived.permits_in_use, derived.slots_in_use)
+        )
+        self.keys = Table(self.keys)
+        self.reservations = Table(self.reservations)
 
     def target_serves(self, name: str) -> bool:
         """Return whether the target may be given new work."""
