Keep leaving targets leaving, and name the session in the log's port

Cause: a late announcement of a target that had said it leaves made it serve again, another team could take over a target's name, ranges were not checked, and a team with running work could be removed. Lease ends were not visible to the leader's tasks. Change: an announcement of the same instance keeps the phase; names belong to the owning team; ranges are checked with their place; RemoveTeam looks at jobs and calls; ReplicatedLog gains `session` and `lease_ended_s`. Conclusion: a target gets new work again only in a new life of its process.

--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -20,6 +20,7 @@
 )
 from mulberryledge_core.documents import is_name
 from mulberryledge_core.model.hosts import Host, Pool
+from mulberryledge_core.model.services import Service
 from mulberryledge_core.model.targets import Target, TargetPhase
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
@@ -28,6 +29,11 @@
 __all__ = ["APPLIERS"]
 
 DAY_MIN = 1_440
+ANNOUNCEMENT_RANGES = (
+    ("port", 0, 65_535),
+    ("slots", 1, 1_024),
+    ("connections", 1, 65_536),
+)
 
 
 def create_pool(state: ClusterState, command: CreatePool, ctx: Context) -> ApplyResult:
@@ -150,6 +156,9 @@
     if key is None or key.team != service.document.service.team:
         text = f"target {command.name!r} proved no key of the owner of {service.name!r}"
         return refuse(Code.BAD_KEY, text)
+    refusal = _announcement_refusal(state, command, service)
+    if refusal is not None:
+        return refusal
     target = Target(
         name=command.name,
         host=command.host,
@@ -164,14 +173,39 @@
         instance=command.instance,
     )
     present = state.targets.get(command.name)
-    if present is not None and _renewed(present, ctx) == target:
+    if present is not None and _same_life(present, target):
         return ok(present.generation, "present")
     state.targets[target.name] = target
     return ok(ctx.index)
 
 
-def _renewed(target: Target, ctx: Context) -> Target:
-    return replace(target, generation=ctx.index, announced_ms=ctx.now_ms)
+def _announcement_refusal(
+    state: ClusterState, command: AnnounceTarget, service: Service
+) -> ApplyResult | None:
+    for field, least, most in ANNOUNCEMENT_RANGES:
+        value = getattr(command, field)
+        if not least <= value <= most:
+            text = f"{field} {value} is out of range: use {least} to {most}"
+            return refuse(Code.BAD_REQUEST, text)
+    present = state.targets.get(command.name)
+    owner = state.services.get(present.service) if present is not None else None
+    if owner is None or present.phase == TargetPhase.LOST:
+        return None
+    if owner.document.service.team != service.document.service.team:
+        text = f"target {command.name!r} belongs to service {owner.name!r}"
+        return refuse(Code.EXISTS, text)
+    return None
+
+
+def _same_life(present: Target, announced: Target) -> bool:
+    # A process that said that it leaves is not revived by a late announcement.
+    if present.phase == TargetPhase.LEAVING:
+        return present.instance == announced.instance
+    return announced == replace(
+        present,
+        generation=announced.generation,
+        announced_ms=announced.announced_ms,
+    )
 
 
 def leave_target(
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -23,6 +23,7 @@
 from mulberryledge_core.model.teams import Team, TeamKey
 from mulberryledge_core.outcomes import ApplyResult, Code, Fault, Refusal
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.limits import team_in_use
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["APPLIERS", "HISTORY_VERSIONS"]
@@ -69,6 +70,12 @@
         if service.document.service.team == command.name:
             text = f"team {command.name!r} owns service {service.name!r}"
             return refuse(Code.IN_USE, text)
+    for job in state.jobs.values():
+        if job.team == command.name and job.ended_ms == 0:
+            text = f"team {command.name!r} has unfinished job {job.job_id!r}"
+            return refuse(Code.IN_USE, text)
+    if team_in_use(state, command.name):
+        return refuse(Code.IN_USE, f"team {command.name!r} has running calls")
     del state.teams[command.name]
     state.keys.keep(lambda key: key.team != command.name)
     return ok(ctx.index)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -8,7 +8,6 @@
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
-from uuid import uuid4
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
@@ -46,7 +45,7 @@
         self.reactor = reactor
         self.settings = settings
         self.log = log
-        self.session = uuid4().hex
+        self.session = log.session
         self.stopping = False
         self.loops: list[LoopingCall] = []
         self.ports: list = []
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/single.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/single.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 from typing import BinaryIO
+from uuid import uuid4
 
 from result import Err, Result
 
@@ -33,6 +34,8 @@
 
     def __init__(self, file: BinaryIO | None):
         self.state = ClusterState()
+        self.session = uuid4().hex
+        self.opened_s = time.monotonic()
         self.file = file
         self.listeners: list[Callable[[AppliedEvent], None]] = []
         self.handlers: dict[type, Callable] = {}
@@ -61,6 +64,10 @@
         """Return True: there is no other daemon."""
         return True
 
+    def lease_ended_s(self, session: str) -> float:
+        """Return zero for this life; other lives ended when the file was opened."""
+        return 0.0 if session == self.session else time.monotonic() - self.opened_s
+
     def time_ms(self) -> int:
         """Return wall-clock time, never below an earlier log time."""
         return max(self.state.now_ms, time.time_ns() // 1_000_000)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -60,9 +60,19 @@
 
 
 class ReplicatedLog(Protocol):
-    """The replicated log as one daemon sees it."""
+    """
+    The replicated log as one daemon sees it.
+
+    Attributes
+    ----------
+    state : ClusterState
+        What this daemon has applied.
+    session : str
+        Identifier of this life of the daemon, new at each start.
+    """
 
     state: ClusterState
+    session: str
 
     def propose(self, command: Command) -> Awaitable[ApplyResult]:
         """
@@ -78,6 +88,14 @@
     def is_fresh(self) -> bool:
         """Return whether this daemon's freshness lease holds."""
 
+    def lease_ended_s(self, session: str) -> float:
+        """
+        Return for how long the freshness lease of a session has surely ended.
+
+        Only the leader knows; it counts the drift margin in, and answers zero for
+        leases that may still hold, among them all for one term after its election.
+        """
+
     def time_ms(self) -> int:
         """Return the log time that a command proposed now would get."""
 
