--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -23,6 +23,7 @@
 from mulberryledge_core.model.teams import Team, TeamKey
 from mulberryledge_core.outcomes import ApplyResult, Code, Fault, Refusal
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.limits import team_in_use
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["APPLIERS", "HISTORY_VERSIONS"]
@@ -69,9 +70,14 @@
         if service.document.service.team == command.name:
             text = f"team {command.name!r} owns service {service.name!r}"
             return refuse(Code.IN_USE, text)
+    for job in state.jobs.values():
+        if job.team == command.name and job.ended_ms == 0:
+            text = f"team {command.name!r} has unfinished job {job.job_id!r}"
+            return refuse(Code.IN_USE, text)
+    if team_in_use(state, command.name):
+        return refuse(Code.IN_USE, f"team {command.name!r} has running calls")
     del state.teams[command.name]
-    kept = {k: key for k, key in state.keys.items() if key.team != command.name}
-    state.keys = kept
+    state.keys.keep(lambda key: key.team != command.name)
     return ok(ctx.index)
 
 
@@ -82,6 +88,8 @@
     present = state.keys.get(command.key_id)
     if present is not None and present.digest != command.digest:
         return refuse(Code.EXISTS, f"key {command.key_id!r} exists")
+    if present is not None:
+        return ok(ctx.index, command.key_id)
     state.keys[command.key_id] = TeamKey(
         command.key_id, command.team, command.salt, command.digest, ctx.now_ms
     )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from uuid import uuid4
 
 from result import Err
 from twisted.internet.defer import Deferred
@@ -45,10 +44,12 @@
 class Proposer:
     """Owns the pending proposals; sends them again until their deadline."""
 
-    def __init__(self, clock: IReactorTime, send: Callable[[Propose], bool]):
+    def __init__(
+        self, clock: IReactorTime, session: str, send: Callable[[Propose], bool]
+    ):
         self.clock = clock
+        self.session = session
         self.send = send
-        self.session = uuid4().hex
         self.sequence = 0
         self.pending: dict[int, Pending] = {}
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -21,7 +21,12 @@
 from mulberryledge_core.consensus.effects import Apply, Persist, Restore, Send
 from mulberryledge_core.consensus.entries import HardState, Origin, Snapshot
 from mulberryledge_core.consensus.leading import flush
-from mulberryledge_core.consensus.leases import is_fresh, is_leading, waiting_for
+from mulberryledge_core.consensus.leases import (
+    held_until_ms,
+    is_fresh,
+    is_leading,
+    waiting_for,
+)
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.memory import EntryLog
 from mulberryledge_core.consensus.messages import NotMember
@@ -51,6 +56,7 @@
 
 TICK_S = 0.05
 POLL_S = 0.02
+MAX_PAST_LIVES = 1_000
 SNAPSHOT_ENTRIES = 5_000
 CLOCK_BASE_BITS = 40
 MS = 1_000
@@ -85,6 +91,9 @@
         self.settings = settings
         self.storage = storage
         self.name = settings.daemon.name
+        self.session = uuid4().hex
+        self.lives: dict[str, str] = {}
+        self.past: dict[str, int] = {}
         self.clock_base_ms = random.getrandbits(CLOCK_BASE_BITS)
         self.cluster = storage.identity.cluster if storage is not None else ""
         self.generation = storage.identity.generation if storage is not None else 1
@@ -104,7 +113,7 @@
         self.formation = Formation(settings, folder)
         handlers = Handlers(self.hello, self.greet, self.on_message, self.on_closed)
         self.network = Network(reactor, self.name, handlers, random)
-        self.proposer = Proposer(reactor, self.send_proposal)
+        self.proposer = Proposer(reactor, self.session, self.send_proposal)
         self.channel = Channel(
             reactor, lambda: self.node.leader, self.is_leader, self.network.send
         )
@@ -180,6 +189,27 @@
         """Return whether this daemon's freshness lease holds."""
         return is_fresh(self.node, self.now())
 
+    def lease_ended_s(self, session: str) -> float:
+        """Return for how long the freshness lease of a session has surely ended."""
+        record = self.state.sessions.get(session)
+        if record is None or session == self.session or not self.is_leader():
+            return 0.0
+        until = self.node.elected_ms + self.node.timing.lease_held_ms
+        if self.lives.get(record.daemon) == session:
+            until = max(until, held_until_ms(self.node, record.daemon))
+        else:
+            until = max(until, self.past.get(session, 0))
+        return max(0, self.now() - until) / MS
+
+    def note_life(self, name: str, session: str) -> None:
+        """Keep until when the lease of an earlier life of a daemon may hold."""
+        earlier = self.lives.get(name, session)
+        if earlier != session:
+            self.past[earlier] = held_until_ms(self.node, name)
+            while len(self.past) > MAX_PAST_LIVES:
+                self.past.pop(next(iter(self.past)))
+        self.lives[name] = session
+
     def time_ms(self) -> int:
         """Return the log time that a command proposed now would get."""
         return max(self.state.now_ms, wall_ms())
@@ -380,7 +410,8 @@
 
     def hello(self) -> Hello:
         """Return this daemon's first message."""
-        return Hello(self.name, self.cluster, self.generation, self.formation.folder)
+        folder = self.formation.folder
+        return Hello(self.name, self.cluster, self.generation, folder, self.session)
 
     def greet(self, hello: Hello) -> str:
         """Return why a peer is refused, or an empty text."""
@@ -399,6 +430,7 @@
 
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Begin a cluster, or tell a peer without one where it belongs."""
+        self.note_life(sender, hello.session)
         if self.cluster:
             if not hello.cluster:
                 self.network.send(sender, Form(self.cluster, self.genesis()))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
@@ -36,12 +36,15 @@
         Generation of the cluster.
     folder : str
         Identity of the data folder; empty without one.
+    session : str
+        Identifier of this life of the daemon.
     """
 
     name: str
     cluster: str
     generation: int
     folder: str
+    session: str
 
 
 @dataclass(frozen=True, slots=True)
