Simulate the replicated log under faults and mend what the runs found

Runs over a fake network, fake disks and drifting clocks check one leader a term, log matching, committed entries, single copies and leases.

--- /dev/null
+++ b/features/log/steps/simulation.py
@@ -0,0 +1,103 @@
+"""Steps on simulated clusters."""
+
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager, nullcontext
+from dataclasses import replace
+from unittest.mock import patch
+
+from behave import then, when
+from hypothesis.stateful import run_state_machine_as_test
+from mulberryledge_testing.simulation import Defects, try_seed
+from mulberryledge_testing.simulation.machine import SETTINGS, ClusterMachine
+
+from mulberryledge_core.consensus import election, following, leading, leases
+
+WORKERS = 3
+CHUNK = 25
+
+
+def lease_from_arrival():
+    def take_grant(node, grant, now):
+        leases.take_grant(node, replace(grant, asked_ms=now, age_ms=0), now)
+
+    return patch.object(following, "take_grant", take_grant)
+
+
+def votes_despite_leader():
+    def may_vote(node, now):
+        return bool(node.folder) and node.storage_ok
+
+    return patch.object(election, "_may_vote", may_vote)
+
+
+@contextmanager
+def leases_forgotten():
+    begin_term = leading.begin_term
+
+    def begin(node, now):
+        begin_term(node, now)
+        node.elected_ms = now - node.timing.lease_held_ms
+
+    with patch.object(leading, "begin_term", begin):
+        yield
+
+
+def votes_twice():
+    def would_vote(node, sender, request):
+        return request.term >= node.term
+
+    return patch.object(election, "_would_vote", would_vote)
+
+
+PATCHES = {
+    "lease from its arrival": lease_from_arrival,
+    "votes despite a leader": votes_despite_leader,
+    "leases forgotten": leases_forgotten,
+    "votes twice a term": votes_twice,
+}
+
+
+@when("seeds {first:d} to {last:d} run")
+def step_run(context, first, last):
+    with ProcessPoolExecutor(WORKERS) as pool:
+        found = pool.map(try_seed, range(first, last + 1), chunksize=CHUNK)
+        context.outcomes = list(found)
+
+
+@then("no run breaks a promise")
+def step_none(context):
+    broken = [one for one in context.outcomes if isinstance(one, str)]
+    assert not broken, broken
+
+
+@then("together they had at least {terms:d} terms and {entries:d} committed entries")
+def step_enough(context, terms, entries):
+    found = (
+        sum(one.terms for one in context.outcomes),
+        sum(one.committed for one in context.outcomes),
+    )
+    print(f"terms and committed entries: {found}")
+    assert found[0] >= terms and found[1] >= entries, found
+
+
+@then("the hypothesis state machine finds nothing")
+def step_machine(context):
+    run_state_machine_as_test(ClusterMachine, settings=SETTINGS)
+
+
+@when('runs with the defect "{defect}" start at seed {seed:d}')
+def step_defect(context, defect, seed):
+    context.seed = seed
+    context.patch = PATCHES.get(defect, nullcontext)
+    context.defects = None if defect in PATCHES else Defects(**{defect: True})
+
+
+@then('one of the first {runs:d} runs breaks "{promise}"')
+def step_found(context, runs, promise):
+    with context.patch():
+        for seed in range(context.seed, context.seed + runs):
+            outcome = try_seed(seed, context.defects)
+            if isinstance(outcome, str) and promise in outcome:
+                print(outcome[:300])
+                return
+    raise AssertionError(f"no run of {runs} broke {promise!r}")
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/effects.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/effects.py
@@ -10,7 +10,7 @@
 
 from mulberryledge_core.consensus.entries import Entry, HardState, Snapshot
 
-__all__ = ["Apply", "Effect", "Persist", "Restore", "Send"]
+__all__ = ["Apply", "Effect", "Persist", "Restore", "Rewrite", "Send"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,10 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Restore:
-    """Replace state and log by a snapshot from the leader."""
+    """Replace the state by a snapshot from the leader."""
+
+    snapshot: Snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Rewrite:
+    """Write a snapshot and the entries after it in place of all that is on disk."""
 
     hard_state: HardState
     snapshot: Snapshot
+    entries: tuple[Entry, ...] = ()
 
 
-Effect = Send | Persist | Apply | Restore
+Effect = Send | Persist | Apply | Restore | Rewrite
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
@@ -14,8 +14,15 @@
 
 
 def may_campaign(node: Node) -> bool:
-    """Return whether the node may stand for election."""
-    return node.is_voter() and node.storage_ok and not node.removed
+    """
+    Return whether the node may stand for election.
+
+    A leader that demotes itself may be the only one that holds the entry, so it
+    stands until the entry is committed.
+    """
+    committed = node.log.members_at(node.commit)
+    votes = node.is_voter() or committed.votes(node.name, node.folder)
+    return votes and node.storage_ok and not node.removed
 
 
 def campaign(node: Node, now: int, pre: bool = True) -> None:
@@ -23,14 +30,15 @@
     node.reset_deadline(now)
     node.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
     node.leader = ""
-    node.votes = {node.name}
+    node.votes = {node.name} if node.is_voter() else set()
     node.vote_sent_ms = now
     if not pre:
         node.set_term(node.term + 1, node.name)
     term = node.term + 1 if pre else node.term
-    request = RequestVote(term, node.log.last_index, node.log.last_term, pre, now)
+    last = (node.log.last_index, node.log.last_term)
     for voter in node.log.members.voters():
         if voter.name != node.name:
+            request = RequestVote(voter.folder, term, *last, pre, now)
             node.send(voter.name, request, after_sync=not pre)
     if node.sole_voter():
         _count(node, now)
@@ -38,10 +46,10 @@
 
 def on_request_vote(node: Node, sender: str, request: RequestVote, now: int) -> None:
     """Vote, unless a leader was heard from or the candidate lacks entries."""
-    if node.log.members.find(sender) is None and node.log.members.members:
-        node.send(sender, NotMember(node.term, node.log.members_index))
+    if _is_removed(node, sender):
+        node.send(sender, NotMember(node.term, node.commit))
         return
-    if not _may_vote(node, now):
+    if request.folder != node.folder or not _may_vote(node, now):
         return
     if not request.pre and request.term > node.term:
         node.become_follower(request.term, "", now)
@@ -56,8 +64,13 @@
     node.send(sender, reply, after_sync=True)
 
 
+def _is_removed(node: Node, name: str) -> bool:
+    committed = node.log.members_at(node.commit)
+    return bool(committed.members) and committed.find(name) is None
+
+
 def _may_vote(node: Node, now: int) -> bool:
-    if not node.is_voter() or not node.storage_ok:
+    if not node.folder or not node.storage_ok:
         return False
     quiet_ms = node.timing.election_min_ms
     if node.role == Role.LEADER:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/following.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/following.py
@@ -5,7 +5,7 @@
 The follower's side of replication.
 """
 
-from mulberryledge_core.consensus.effects import Restore
+from mulberryledge_core.consensus.effects import Restore, Rewrite
 from mulberryledge_core.consensus.entries import Entry, Snapshot
 from mulberryledge_core.consensus.leases import take_grant, use_pending
 from mulberryledge_core.consensus.memory import EntryLog
@@ -115,8 +115,10 @@
         message.index, message.last_term, message.at_ms, message.members, data
     )
     node.log = EntryLog(snapshot)
-    node.commit = node.applied = node.durable = snapshot.index
-    node.effects.append(Restore(node.hard_state, snapshot))
+    node.commit = node.applied = snapshot.index
+    node.durable = 0
+    node.effects.append(Restore(snapshot))
+    node.effects.append(Rewrite(node.hard_state, snapshot))
     use_pending(node)
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -53,7 +53,7 @@
         node.log.members.former, now + node.timing.lease_held_ms
     )
     follow_members(node, now)
-    for name in node.votes - {node.name}:
+    for name in sorted(node.votes - {node.name}):
         node.progress[name].confirmed_ms = node.vote_sent_ms
     node.term_start = node.log.last_index + 1
     append(node, EntryKind.NOTHING, b"", Origin(), node.log.last_at_ms)
@@ -63,12 +63,12 @@
 def follow_members(node: Node, now: int) -> None:
     """Keep the progress of each member, and the leases of those removed."""
     names = {one.name for one in node.log.members.members} - {node.name}
-    for name in names - set(node.progress):
+    for name in sorted(names - set(node.progress)):
         held_until_ms = node.departed.pop(name, 0)
         node.progress[name] = Progress(
             node.log.last_index + 1, answered_ms=now, held_until_ms=held_until_ms
         )
-    for name in set(node.progress) - names:
+    for name in sorted(set(node.progress) - names):
         del node.progress[name]
         node.departed[name] = now + node.timing.lease_held_ms
 
@@ -110,6 +110,11 @@
         refusal = _not_caught_up(node, command)
         if refusal is not None:
             return Err(refusal)
+    silent = _silent_voters(node, changed.ok_value, now)
+    voters = changed.ok_value.voters()
+    if len(voters) - len(silent) < changed.ok_value.majority():
+        text = f"without {', '.join(silent)} the voters would have no quorum"
+        return Err(Refusal(Code.CONFLICT, text))
     data = encode_command(command)
     entry = append(node, EntryKind.MEMBERS, data, origin, wall_ms, changed.ok_value)
     follow_members(node, now)
@@ -127,6 +132,21 @@
     return None
 
 
+def _silent_voters(node: Node, members: Configuration, now: int) -> list[str]:
+    silent = []
+    for voter in members.voters():
+        progress = node.progress.get(voter.name)
+        if progress is None:
+            gone = voter.folder != node.folder
+        else:
+            since = now - node.timing.election_max_ms
+            heard = progress.heard_ms is not None and progress.heard_ms >= since
+            gone = progress.folder != voter.folder or not heard
+        if gone:
+            silent.append(voter.name)
+    return silent
+
+
 def lead(node: Node, now: int) -> None:
     """Send heartbeats and resends; step down without a quorum."""
     confirmed = confirmed_ms(node, now)
@@ -248,6 +268,7 @@
     if progress is None:
         return
     progress.folder = reply.folder
+    progress.heard_ms = now
     progress.asked = (reply.asked_ms, now)
     _confirm(node, sender, reply.folder, reply.sent_ms, progress)
     if not reply.ok:
@@ -297,6 +318,6 @@
     index = durable[node.log.members.majority() - 1]
     if index > node.commit and node.log.term_at(index) == node.term:
         node.advance_commit(index)
-        gone = node.log.members.find(node.name) is None
+        gone = not node.is_voter()
         if gone and node.commit >= node.log.members_index:
             node.become_follower(node.term, "", now)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/messages.py
@@ -26,8 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestVote:
-    """Ask for a vote; with ``pre`` only whether there would be one."""
+    """
+    Ask for a vote; with ``pre`` only whether there would be one.
+
+    Attributes
+    ----------
+    folder : str
+        Data folder whose vote counts for the candidate. The receiver may not hold
+        the entry yet that lets it vote.
+    """
 
+    folder: str
     term: int
     last_index: int
     last_term: int
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -41,6 +41,8 @@
         First index of the next message.
     in_flight : list of (last index, bytes)
         Messages with entries that are not answered.
+    heard_ms : int or None
+        When the member last told what it holds.
     confirmed_ms : int or None
         When the latest message was sent that the member answered in this term.
     held_until_ms : int
@@ -57,6 +59,7 @@
     commit_sent: int = -1
     sent_ms: int = -1_000_000
     answered_ms: int = 0
+    heard_ms: int | None = None
     confirmed_ms: int | None = None
     asked: tuple[int, int] | None = None
     held_until_ms: int = 0
@@ -137,6 +140,11 @@
         """Return whether this node alone is a quorum."""
         return self.is_voter() and len(self.log.members.voters()) == 1
 
+    def is_alone(self) -> bool:
+        """Return whether there is and was no other member to wait for."""
+        members = self.log.members
+        return self.sole_voter() and len(members.members) == 1 and not members.former
+
     def reset_deadline(self, now: int) -> None:
         """Draw the time of the next election."""
         low, high = self.timing.election_min_ms, self.timing.election_max_ms
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
@@ -12,8 +12,8 @@
 
 from mulberryledge_core.commands import members as member_commands
 from mulberryledge_core.consensus import election, following, leading
-from mulberryledge_core.consensus.effects import Persist
-from mulberryledge_core.consensus.entries import EntryKind, Origin, Snapshot
+from mulberryledge_core.consensus.effects import Rewrite
+from mulberryledge_core.consensus.entries import EntryKind, Origin
 from mulberryledge_core.consensus.leases import is_leading
 from mulberryledge_core.consensus.messages import (
     Append,
@@ -67,7 +67,7 @@
     if node.role == Role.LEADER:
         leading.lead(node, now)
         return
-    due = now >= node.deadline_ms or node.sole_voter()
+    due = now >= node.deadline_ms or node.is_alone()
     if due and election.may_campaign(node):
         election.campaign(node, now)
 
@@ -149,14 +149,19 @@
 
 
 def storage_recovered(node: Node) -> None:
-    """Write everything again that is not on disk."""
+    """Write everything again: what the disk refused may be anything."""
     node.storage_ok = True
-    first = max(node.durable, node.log.start) + 1
+    rewrite(node)
+
+
+def rewrite(node: Node) -> None:
+    """Ask for snapshot and log to be written whole."""
+    first = node.log.snapshot.index + 1
     entries = node.log.between(first, node.log.last_index, limit=1 << 62)
-    node.effects.append(Persist(node.hard_state, entries))
+    node.effects.append(Rewrite(node.hard_state, node.log.snapshot, entries))
 
 
-def compact(node: Node, data: bytes, keep: int = KEPT_ENTRIES) -> Snapshot:
+def compact(node: Node, data: bytes, keep: int = KEPT_ENTRIES) -> None:
     """Take the applied state as a snapshot in place of the entries before it."""
     index = node.applied
     term = node.log.term_at(index)
@@ -172,4 +177,4 @@
         data=data,
     )
     node.log.compact(snapshot, keep)
-    return snapshot
+    rewrite(node)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -18,7 +18,13 @@
 from mulberryledge_core.codec import decode_command
 from mulberryledge_core.commands import Command
 from mulberryledge_core.consensus import steps
-from mulberryledge_core.consensus.effects import Apply, Persist, Restore, Send
+from mulberryledge_core.consensus.effects import (
+    Apply,
+    Persist,
+    Restore,
+    Rewrite,
+    Send,
+)
 from mulberryledge_core.consensus.entries import HardState, Origin, Snapshot
 from mulberryledge_core.consensus.leading import flush
 from mulberryledge_core.consensus.leases import (
@@ -39,7 +45,7 @@
 from mulberryledge_daemon.log.proposer import Proposer
 from mulberryledge_daemon.log.replica import Replica
 from mulberryledge_daemon.log.storage import Storage
-from mulberryledge_daemon.log.writer import Compaction, Writer, WriterEvents
+from mulberryledge_daemon.log.writer import Writer, WriterEvents
 from mulberryledge_daemon.peers.messages import (
     Ask,
     AskReply,
@@ -344,12 +350,12 @@
             for entry in effect.entries:
                 self.accepted.discard((entry.origin.session, entry.origin.sequence))
                 self.replica.apply(entry)
-        elif isinstance(effect, Persist | Restore):
+        elif isinstance(effect, Restore):
+            self.replica.restore(effect.snapshot.data)
+            self.proposer.on_restored(self.replica.proposals.seen)
+        elif isinstance(effect, Persist | Rewrite):
             self.writer.write(effect)
-            if isinstance(effect, Restore):
-                self.replica.restore(effect.snapshot.data)
-                self.proposer.on_restored(self.replica.proposals.seen)
-            elif self.writer.storage is None:
+            if self.writer.storage is None:
                 self.node.durable = self.node.log.last_index
 
     def flush(self) -> None:
@@ -367,11 +373,9 @@
         node = self.node
         if node.applied - node.log.snapshot.index < SNAPSHOT_ENTRIES:
             return
-        snapshot = steps.compact(node, self.replica.snapshot())
-        first = snapshot.index + 1
-        rest = node.log.between(first, node.log.last_index, limit=1 << 62)
-        self.writer.write(Compaction(snapshot, Persist(node.hard_state, rest)))
-        logger.info("snapshot taken", extra={"index": snapshot.index})
+        steps.compact(node, self.replica.snapshot())
+        logger.info("snapshot taken", extra={"index": node.applied})
+        self.carry_out()
 
     def notice_changes(self) -> None:
         """Act on a new leader and on new members."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
@@ -12,26 +12,18 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.consensus.effects import Persist, Restore, Send
-from mulberryledge_core.consensus.entries import HardState, Snapshot
+from mulberryledge_core.consensus.effects import Persist, Rewrite, Send
+from mulberryledge_core.consensus.entries import HardState
 from mulberryledge_daemon.log.frames import Batch
 from mulberryledge_daemon.log.storage import Storage, is_full
 
-__all__ = ["Compaction", "Writer", "WriterEvents"]
+__all__ = ["Writer", "WriterEvents"]
 
 PROBE_INTERVAL_S = 1.0
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Compaction:
-    """A snapshot in place of the log, and the entries to keep after it."""
-
-    snapshot: Snapshot
-    kept: Persist
-
-
 @dataclass(frozen=True, slots=True)
 class WriterEvents:
     """
@@ -57,7 +49,7 @@
 class Work:
     """Writes of one sync, and the messages that wait for it."""
 
-    writes: list[Persist | Restore | Compaction] = field(default_factory=list)
+    writes: list[Persist | Rewrite] = field(default_factory=list)
     sends: list[Send] = field(default_factory=list)
 
 
@@ -80,7 +72,7 @@
         self.ok = True
         self.stopped = False
 
-    def write(self, effect: Persist | Restore | Compaction) -> None:
+    def write(self, effect: Persist | Rewrite) -> None:
         """Queue a write."""
         if self.storage is not None and self.ok:
             self.work.writes.append(effect)
@@ -166,12 +158,9 @@
             continue
         flush(storage, batch)
         batch = []
-        kept = (
-            write.kept if isinstance(write, Compaction) else Persist(write.hard_state)
-        )
-        storage.write_snapshot(write.snapshot, Batch(kept.hard_state, kept.entries))
+        storage.write_snapshot(write.snapshot, Batch(write.hard_state, write.entries))
         last = (write.snapshot.index, write.snapshot.term)
-        last = last_entry((kept,)) or last
+        last = last_entry((write,)) or last
     flush(storage, batch)
     return last_entry(batch) or last
 
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
@@ -0,0 +1,269 @@
+"""
+mulberryledge_testing.simulation.runs
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Seeded runs: faults at random moments, then calm, in which the cluster must work.
+"""
+
+from dataclasses import dataclass
+from itertools import combinations
+
+from mulberryledge_core.commands.members import (
+    AddMember,
+    DemoteMember,
+    PromoteMember,
+    RemoveMember,
+)
+from mulberryledge_testing.simulation.world import (
+    VOTERS,
+    Defects,
+    SimulatedMember,
+    World,
+)
+
+__all__ = ["FAULTS", "RunReport", "calm", "run_seed", "try_seed"]
+
+STEPS = 60
+STEP_MAX_MS = 250
+CALM_MS = 9_000
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """What a run came to: terms, committed entries, executed proposals."""
+
+    seed: int
+    terms: int
+    committed: int
+    executed: int
+    in_force: int
+
+    def __str__(self) -> str:
+        return (
+            f"{self.terms} terms, {self.committed} entries committed,"
+            f" {self.executed} proposals applied, {self.in_force} in force"
+        )
+
+
+def pick(world: World) -> SimulatedMember:
+    """Return any member."""
+    return world.random.choice(list(world.members.values()))
+
+
+def crash(world: World) -> None:
+    """Crash a member."""
+    world.restart_after_ms = world.random.choice((50, 500, 3_000))
+    world.crash(pick(world))
+
+
+def lose_power(world: World) -> None:
+    """Crash all members at once, most often while they write."""
+    propose(world)
+    world.run(world.random.choice((1, 2, 5, 40)))
+    world.restart_after_ms = world.random.choice((1, 500))
+    for member in world.members.values():
+        world.crash(member)
+
+
+def cut_pair(world: World) -> None:
+    """Cut the connection between two members."""
+    one, other = world.random.sample(list(world.members), 2)
+    world.blocked |= {(one, other), (other, one)}
+
+
+def cut_from_leader(world: World) -> None:
+    """Cut one voter from the leader only, for long and while nothing is proposed."""
+    leader = world.leader()
+    if leader is not None:
+        heal(world)
+        world.run(300)
+        other = world.random.choice([name for name in VOTERS if name != leader.name])
+        world.blocked |= {(leader.name, other), (other, leader.name)}
+        world.run(2_000)
+
+
+def wipe(world: World) -> None:
+    """Lose a disk, if a majority of every quorum in use keeps its own."""
+    member = pick(world)
+    if member.disk is not None and may_lose(world, member):
+        world.wipe(member)
+
+
+def lost_voters(world: World) -> list[str]:
+    """Return the leader's voters that have lost their disk."""
+    return [
+        voter.name
+        for voter in world.leader().node.log.members.voters()
+        if world.members[voter.name].disk.folder != voter.folder
+    ]
+
+
+def may_lose(world: World, member: SimulatedMember) -> bool:
+    """Return whether the voters without this member's disk still are a majority."""
+    folders = {
+        one.name: one.disk.folder
+        for one in world.members.values()
+        if one.disk is not None and one is not member
+    }
+    configurations = [world.genesis]
+    for one in world.members.values():
+        if one.node is not None:
+            configurations.append(one.node.log.members)
+        if one.disk is not None:
+            configurations.append(one.disk.log().members)
+    return all(
+        sum(folders.get(voter.name) == voter.folder for voter in each.voters())
+        >= each.majority()
+        for each in configurations
+    )
+
+
+def pause(world: World) -> None:
+    """Give a member no processor time for up to five seconds."""
+    world.pause(pick(world), world.random.choice((100, 1_000, 5_000)))
+
+
+def split(world: World) -> None:
+    """Cut the network in two."""
+    names = list(world.members)
+    side = set(world.random.sample(names, world.random.randint(1, 2)))
+    for one, other in combinations(names, 2):
+        if (one in side) != (other in side):
+            world.blocked |= {(one, other), (other, one)}
+
+
+def cut_one_way(world: World) -> None:
+    """Cut one or more directions between two members."""
+    for _ in range(world.random.randint(1, 4)):
+        one, other = world.random.sample(list(world.members), 2)
+        world.blocked.add((one, other))
+
+
+def heal(world: World) -> None:
+    """Join the network again."""
+    world.blocked.clear()
+
+
+def propose(world: World) -> None:
+    """Propose a few new commands."""
+    for _ in range(world.random.randint(1, 4)):
+        world.propose()
+
+
+def resend(world: World) -> None:
+    """Propose a command again."""
+    if world.sequence:
+        oldest = max(1, world.sequence - 99)
+        world.propose(world.random.randint(oldest, world.sequence))
+
+
+def change_members(world: World) -> None:
+    """Add, remove, promote or demote a member."""
+    leader = world.leader()
+    if leader is None:
+        return
+    lost = lost_voters(world)
+    if lost:
+        world.change(DemoteMember(lost[0]))
+        return
+    member = pick(world)
+    known = leader.node.log.members.find(member.name)
+    if known is None:
+        world.change(AddMember(member.name, "", 0))
+    elif known.voter and world.random.random() < 0.5:
+        world.change(DemoteMember(member.name))
+    elif member.disk is not None and not known.voter:
+        progress = leader.node.progress.get(member.name)
+        if progress is not None:
+            world.change(PromoteMember(member.name, progress.folder))
+    elif world.random.random() < 0.3:
+        world.change(RemoveMember(member.name))
+
+
+def compact(world: World) -> None:
+    """Take a snapshot on a member."""
+    world.compact(pick(world), keep=world.random.choice((0, 3)))
+
+
+def fill(world: World) -> None:
+    """Fill a disk."""
+    world.fill_disk(pick(world))
+
+
+def free(world: World) -> None:
+    """Make room on a disk."""
+    world.free_disk(pick(world))
+
+
+FAULTS = (
+    (propose, 30),
+    (resend, 10),
+    (crash, 6),
+    (lose_power, 3),
+    (cut_pair, 4),
+    (cut_from_leader, 1),
+    (pause, 4),
+    (split, 5),
+    (cut_one_way, 4),
+    (heal, 8),
+    (change_members, 8),
+    (compact, 6),
+    (wipe, 2),
+    (fill, 2),
+    (free, 4),
+)
+
+
+def calm(world: World) -> None:
+    """End every fault and check that the cluster works."""
+    heal(world)
+    world.loss = world.doubling = world.slow = 0.0
+    world.slow_disk = world.crash_on_write = 0.0
+    for member in world.members.values():
+        world.free_disk(member)
+    world.run(CALM_MS)
+    before = len(world.witness.committed)
+    assert world.propose(), "no leader after the faults ended"
+    world.run(500)
+    assert len(world.witness.committed) > before, "no progress after the faults ended"
+    voters = world.leader().node.log.members
+    for member in world.members.values():
+        if voters.find(member.name) is not None:
+            applied = member.node.applied
+            assert applied == world.leader().node.applied, f"{member.name} is behind"
+
+
+def try_seed(seed: int, defects: Defects | None = None) -> RunReport | str:
+    """Run once and return the report, or which promise was broken."""
+    try:
+        return run_seed(seed, defects)
+    except AssertionError as error:
+        return f"seed {seed}: {error}"
+
+
+def run_seed(seed: int, defects: Defects | None = None) -> RunReport:
+    """
+    Run once.
+
+    Raises
+    ------
+    AssertionError
+        If a promise of the log is broken.
+    """
+    world = World(seed, defects)
+    world.run(world.random.choice((0, 1_600)))
+    actions = [action for action, _ in FAULTS]
+    weights = [weight for _, weight in FAULTS]
+    for _ in range(STEPS):
+        action = world.random.choices(actions, weights)[0]
+        action(world)
+        world.run(world.random.uniform(0, STEP_MAX_MS))
+    calm(world)
+    witness = world.witness
+    return RunReport(
+        seed,
+        len(witness.leaders),
+        len(witness.committed),
+        len(witness.copies),
+        witness.in_force,
+    )
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
@@ -0,0 +1,428 @@
+"""
+mulberryledge_testing.simulation.world
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Members of one cluster over a fake network and fake disks, in virtual time.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from mulberryledge_core.codec import decode, encode
+from mulberryledge_core.consensus import steps
+from mulberryledge_core.consensus.effects import Apply, Persist, Restore, Rewrite, Send
+from mulberryledge_core.consensus.entries import Entry, HardState, Origin, Snapshot
+from mulberryledge_core.consensus.leading import flush
+from mulberryledge_core.consensus.members import Configuration, Member
+from mulberryledge_core.consensus.memory import EntryLog
+from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_core.consensus.proposals import AppliedProposals, ProposerRecord
+from mulberryledge_testing.simulation.witness import Seen, Witness
+
+__all__ = ["Defects", "SimulatedDisk", "SimulatedMember", "World"]
+
+TICK_MS = 50
+DRIFT = 0.02
+NAMES = ("a", "b", "c", "d", "e")
+VOTERS = ("a", "b", "c")
+
+
+@dataclass(frozen=True, slots=True)
+class Defects:
+    """Faults of the program itself that the checks must find."""
+
+    acknowledge_early: bool = False
+    wiped_keeps_name: bool = False
+    apply_doubles: bool = False
+
+
+@dataclass(slots=True)
+class SimulatedDisk:
+    """What would be found after a crash."""
+
+    folder: str
+    hard_state: HardState = HardState()
+    snapshot: Snapshot = Snapshot()
+    entries: dict[int, Entry] = field(default_factory=dict)
+
+    def write(self, effect: Persist | Rewrite) -> None:
+        """Take one write."""
+        self.hard_state = effect.hard_state
+        if isinstance(effect, Rewrite):
+            self.snapshot = effect.snapshot
+            self.entries = {}
+        if effect.entries:
+            first = effect.entries[0].index
+            for index in [index for index in self.entries if index >= first]:
+                del self.entries[index]
+            self.entries.update((entry.index, entry) for entry in effect.entries)
+
+    def log(self) -> EntryLog:
+        """Return the log as read after a restart."""
+        entries = [
+            self.entries[index]
+            for index in sorted(self.entries)
+            if index > self.snapshot.index
+        ]
+        return EntryLog(self.snapshot, entries)
+
+
+@dataclass(slots=True)
+class SimulatedMember:
+    """
+    One member.
+
+    Attributes
+    ----------
+    rate, offset_ms : float
+        Its clock against real time.
+    paused_until : float
+        Real time up to which its process does not run.
+    """
+
+    name: str
+    disk: SimulatedDisk | None
+    rate: float
+    offset_ms: float
+    node: Node | None = None
+    proposals: AppliedProposals = field(default_factory=AppliedProposals)
+    queue: list[Persist | Rewrite] = field(default_factory=list)
+    waiting: list[Send] = field(default_factory=list)
+    busy: bool = False
+    full: bool = False
+    life: int = 0
+    paused_until: float = 0.0
+
+
+class World:
+    """
+    Owns the virtual time, the messages under way and all members.
+
+    Parameters
+    ----------
+    seed : int
+        Decides everything that is random.
+    """
+
+    def __init__(self, seed: int, defects: Defects | None = None):
+        self.random = Random(seed)
+        self.defects = defects or Defects()
+        self.witness = Witness()
+        self.time_ms = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = count()
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = self.random.choice((0.0, 0.02, 0.2))
+        self.doubling = self.random.choice((0.0, 0.05, 0.2))
+        self.slow = self.random.choice((0.0, 0.05))
+        self.slow_disk = self.random.choice((0.0, 0.05, 0.9))
+        self.slowest_ms = self.random.choice((100, 600))
+        self.crash_on_write = self.random.choice((0.0, 0.01))
+        self.restart_after_ms = 300
+        self.sequence = 0
+        self.proposed: set[int] = set()
+        self.genesis = Configuration(
+            tuple(Member(name, folder=name * (name in VOTERS)) for name in NAMES)
+        )
+        self.members = {name: self.make_member(name) for name in NAMES}
+        for member in self.members.values():
+            self.start(member)
+
+    def make_member(self, name: str) -> SimulatedMember:
+        """Return a member that has not started."""
+        disk = None
+        if name in VOTERS:
+            disk = SimulatedDisk(name, snapshot=Snapshot(members=self.genesis))
+        rate = self.random.uniform(1 - DRIFT, 1 + DRIFT)
+        return SimulatedMember(name, disk, rate, self.random.uniform(0, 1e6))
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        heappush(self.events, (self.time_ms + delay_ms, next(self.numbers), action))
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass."""
+        end = self.time_ms + duration_ms
+        while self.events and self.events[0][0] <= end:
+            self.time_ms, _, action = heappop(self.events)
+            action()
+        self.time_ms = end
+        self.check()
+
+    def now(self, member: SimulatedMember) -> int:
+        """Return the time on a member's clock."""
+        return int(self.time_ms * member.rate + member.offset_ms)
+
+    def check(self) -> None:
+        """Check leaders and leases of all that run."""
+        self.witness.check(
+            [
+                Seen(member.node, self.now(member))
+                for member in self.members.values()
+                if member.node is not None and member.paused_until <= self.time_ms
+            ]
+        )
+
+    # Life and death.
+
+    def start(self, member: SimulatedMember) -> None:
+        """Start a member with what its disk holds."""
+        if member.node is not None:
+            return
+        member.life += 1
+        member.queue, member.waiting, member.busy = [], [], False
+        member.proposals = AppliedProposals()
+        disk = member.disk
+        log = EntryLog(Snapshot(members=self.genesis)) if disk is None else disk.log()
+        if disk is not None:
+            member.proposals.load(decode_proposals(log.snapshot.data))
+        member.node = Node(
+            name=member.name,
+            folder=disk.folder if disk is not None else "",
+            log=log,
+            draw=self.random.random,
+            started_ms=self.now(member),
+            hard_state=disk.hard_state if disk is not None else HardState(),
+        )
+        if member.full:
+            steps.storage_failed(member.node, self.now(member))
+        self.tick(member, member.life)
+
+    def crash(self, member: SimulatedMember) -> None:
+        """Lose all that is not on disk; an unfinished write may be, or not."""
+        if member.node is None:
+            return
+        member.node = None
+        member.paused_until = 0.0
+        if member.disk is not None and self.random.random() < 0.5:
+            for effect in member.queue:
+                member.disk.write(effect)
+        self.after(
+            self.random.uniform(1, self.restart_after_ms), lambda: self.start(member)
+        )
+
+    def wipe(self, member: SimulatedMember) -> None:
+        """Lose a member with its disk; it comes back with an empty one."""
+        self.crash(member)
+        folder = f"{member.name}{next(self.numbers)}"
+        if self.defects.wiped_keeps_name:
+            folder = member.disk.folder
+        member.disk = SimulatedDisk(folder, snapshot=Snapshot(members=self.genesis))
+
+    def pause(self, member: SimulatedMember, duration_ms: float) -> None:
+        """Give a member no processor time for a while."""
+        member.paused_until = self.time_ms + duration_ms
+
+    def when_running(
+        self, member: SimulatedMember, life: int, action: Callable[[], None]
+    ) -> None:
+        """Do something on a member unless it has died meanwhile."""
+        if member.node is None or member.life != life:
+            return
+        if member.paused_until > self.time_ms:
+            delay_ms = member.paused_until - self.time_ms
+            self.after(delay_ms, lambda: self.when_running(member, life, action))
+            return
+        action()
+
+    # What members do.
+
+    def tick(self, member: SimulatedMember, life: int) -> None:
+        """Let a member do what is due, again and again."""
+
+        def run() -> None:
+            steps.tick(member.node, self.now(member))
+            self.carry_out(member)
+            self.after(TICK_MS, lambda: self.when_running(member, life, run))
+
+        self.after(
+            self.random.uniform(0, TICK_MS),
+            lambda: self.when_running(member, life, run),
+        )
+
+    def carry_out(self, member: SimulatedMember) -> None:
+        """Carry out a member's effects, and check."""
+        flush(member.node, self.now(member))
+        while effects := member.node.take_effects():
+            for effect in effects:
+                self.carry_out_one(member, effect)
+            flush(member.node, self.now(member))
+        self.pump(member)
+        self.check()
+
+    def carry_out_one(self, member: SimulatedMember, effect: object) -> None:
+        """Carry out one effect."""
+        if isinstance(effect, Send):
+            early = self.defects.acknowledge_early
+            if effect.after_sync and (member.queue or member.busy) and not early:
+                member.waiting.append(effect)
+            else:
+                self.transmit(member.name, effect)
+        elif isinstance(effect, Apply):
+            for entry in effect.entries:
+                self.apply(member, entry)
+        elif isinstance(effect, Restore):
+            member.proposals.load(decode_proposals(effect.snapshot.data))
+        elif isinstance(effect, Persist | Rewrite):
+            for entry in effect.entries:
+                self.witness.on_written(member.node, entry)
+            if member.disk is not None and not member.full:
+                member.queue.append(effect)
+
+    def apply(self, member: SimulatedMember, entry: Entry) -> None:
+        """Apply an entry unless its proposal has been."""
+        self.witness.on_applied(entry)
+        fresh = member.proposals.admit(entry.origin, entry.at_ms)
+        if entry.origin.session and (fresh or self.defects.apply_doubles):
+            self.witness.on_executed(entry)
+
+    def pump(self, member: SimulatedMember) -> None:
+        """Start a sync."""
+        if member.busy or not member.queue:
+            return
+        member.busy = True
+        life = member.life
+        slow = self.random.random() < self.slow_disk
+        delay_ms = self.random.uniform(0, 80 if slow else 2)
+        written, waiting = len(member.queue), member.waiting
+        member.waiting = []
+
+        def done() -> None:
+            self.synced(member, written, waiting)
+
+        self.after(delay_ms, lambda: self.when_running(member, life, done))
+
+    def synced(
+        self, member: SimulatedMember, written: int, waiting: list[Send]
+    ) -> None:
+        """Finish a sync; a member may die just before or just after it."""
+        if self.random.random() < self.crash_on_write:
+            self.crash(member)
+            return
+        done, member.queue = member.queue[:written], member.queue[written:]
+        for effect in done:
+            member.disk.write(effect)
+        member.busy = False
+        if self.random.random() < self.crash_on_write:
+            self.crash(member)
+            return
+        for effect in waiting:
+            self.transmit(member.name, effect)
+        for effect in reversed(done):
+            last = effect.snapshot if isinstance(effect, Rewrite) else None
+            if effect.entries:
+                last = effect.entries[-1]
+            if last is not None:
+                steps.synced(member.node, last.index, last.term, self.now(member))
+                break
+        if not member.queue:
+            for effect in member.waiting:
+                self.transmit(member.name, effect)
+            member.waiting = []
+        self.carry_out(member)
+
+    def transmit(self, sender: str, effect: Send) -> None:
+        """Send a message over the network, which may lose, double or delay it."""
+        copies = 1 + (self.random.random() < self.doubling)
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            slow = self.random.random() < self.slow
+            delay_ms = self.random.uniform(0.2, self.slowest_ms if slow else 3)
+            self.after(delay_ms, lambda: self.deliver(sender, effect))
+
+    def deliver(self, sender: str, effect: Send) -> None:
+        """Hand a message to its receiver."""
+        member = self.members[effect.to]
+        if (sender, effect.to) in self.blocked or member.node is None:
+            return
+
+        def receive() -> None:
+            steps.step(member.node, sender, effect.message, self.now(member))
+            self.carry_out(member)
+
+        self.when_running(member, member.life, receive)
+
+    # What clients and operators do.
+
+    def leader(self) -> SimulatedMember | None:
+        """Return the running leader of the highest term."""
+        leaders = [
+            member
+            for member in self.members.values()
+            if member.node is not None
+            and member.node.role == Role.LEADER
+            and member.paused_until <= self.time_ms
+        ]
+        return max(leaders, key=lambda member: member.node.term, default=None)
+
+    def propose(self, sequence: int | None = None) -> bool:
+        """Propose a command to every leader there is, as a client that resends."""
+        if sequence is None:
+            self.sequence += 1
+            sequence = self.sequence
+        origin = Origin("client", "session", sequence, max(1, self.sequence - 100))
+        accepted = False
+        for member in self.members.values():
+            node = member.node
+            if node is None or member.paused_until > self.time_ms:
+                continue
+            if node.role != Role.LEADER:
+                continue
+            wall_ms = int(self.time_ms + self.random.uniform(-500, 500))
+            outcome = steps.propose(
+                node, b"%d" % sequence, origin, max(0, wall_ms), self.now(member)
+            )
+            accepted = accepted or outcome.is_ok()
+            self.carry_out(member)
+        return accepted
+
+    def change(self, command: object) -> bool:
+        """Have the leader change the members."""
+        member = self.leader()
+        if member is None:
+            return False
+        outcome = steps.propose_change(
+            member.node, command, Origin(), int(self.time_ms), self.now(member)
+        )
+        self.carry_out(member)
+        return outcome.is_ok()
+
+    def compact(self, member: SimulatedMember, keep: int) -> None:
+        """Have a member take a snapshot."""
+        if member.node is None or member.node.applied <= member.node.log.snapshot.index:
+            return
+        data = encode_proposals(member.proposals)
+        steps.compact(member.node, data, keep)
+        self.carry_out(member)
+
+    def fill_disk(self, member: SimulatedMember) -> None:
+        """Have a disk refuse writes."""
+        if member.disk is None or member.node is None or member.full:
+            return
+        member.full = True
+        member.queue, member.waiting, member.busy = [], [], False
+        steps.storage_failed(member.node, self.now(member))
+        self.carry_out(member)
+
+    def free_disk(self, member: SimulatedMember) -> None:
+        """Have a full disk take writes again."""
+        if not member.full:
+            return
+        member.full = False
+        if member.node is not None:
+            steps.storage_recovered(member.node)
+            self.carry_out(member)
+
+
+def encode_proposals(proposals: AppliedProposals) -> bytes:
+    """Return what a member has applied, as the state of a snapshot."""
+    return encode(proposals.records())
+
+
+def decode_proposals(data: bytes) -> tuple:
+    """Return what :func:`encode_proposals` wrote."""
+    return decode(data, tuple[ProposerRecord, ...]) if data else ()
