Check documents strictly and whole, and remember withdrawn keys

cattrs turned "3" into 3, 1.5 into 1 and a text into a tuple of letters without a word, a document told only its first kind of fault, and a late resend of GiveKey revived a withdrawn key. Conversion is strict now for settings, documents and JSON, all faults come in one refusal with place, unit and nearest name, the first version must be 1, and withdrawing an unknown key is refused while a resend succeeds.

--- a/packages/mulberryledge-core/src/mulberryledge_core/codec.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/codec.py
@@ -8,13 +8,13 @@
 from typing import Any, TypeVar
 
 import cbor2
-from cattrs import ClassValidationError, transform_error
+from cattrs import ClassValidationError
 from cattrs.preconf.cbor2 import make_converter as make_cbor_converter
-from cattrs.preconf.json import make_converter as make_json_converter
 from result import Err, Ok, Result
 
 from mulberryledge_core.commands import Command, get_command_by_name
-from mulberryledge_core.outcomes import Code, Fault, Refusal
+from mulberryledge_core.conversion import PLAIN, conversion_faults, summary_of
+from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
     "decode",
@@ -28,7 +28,6 @@
 T = TypeVar("T")
 
 CBOR = make_cbor_converter()
-PLAIN = make_json_converter(forbid_extra_keys=True)
 
 
 def encode(value: object) -> bytes:
@@ -80,16 +79,10 @@
         return Ok(PLAIN.structure(value, kind))
     except ClassValidationError as error:
         return Err(_refusal(error))
-    except (TypeError, ValueError, KeyError) as error:
+    except ValueError as error:
         return Err(Refusal(Code.BAD_REQUEST, f"not a {kind.__name__}: {error}"))
 
 
 def _refusal(error: ClassValidationError) -> Refusal:
-    faults = tuple(_fault(line) for line in transform_error(error))
-    summary = "; ".join(f"{fault.place}: {fault.problem}" for fault in faults)
-    return Refusal(Code.BAD_REQUEST, summary, faults)
-
-
-def _fault(line: str) -> Fault:
-    problem, _, place = line.rpartition(" @ ")
-    return Fault(place.removeprefix("$.") or "$", problem)
+    faults = tuple(conversion_faults(error))
+    return Refusal(Code.BAD_REQUEST, summary_of(faults), faults)
--- a/packages/mulberryledge-core/src/mulberryledge_core/documents.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/documents.py
@@ -7,14 +7,30 @@
 
 import tomllib
 from collections.abc import Iterator
+from dataclasses import dataclass
+from difflib import unified_diff
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from mulberryledge_core.codec import from_plain
+from mulberryledge_core.conversion import summary_of
 from mulberryledge_core.model.services import ServiceDocument
 from mulberryledge_core.outcomes import Code, Fault, Refusal
 
-__all__ = ["NAME_RULE", "RANGES", "document_faults", "is_name", "parse_document"]
+__all__ = [
+    "NAME_RULE",
+    "RANGES",
+    "Reading",
+    "document_diff",
+    "invalid_document",
+    "is_in_range",
+    "is_name",
+    "parse_document",
+    "read_document",
+]
+
+MAX_DOCUMENT_CHARS = 65_536
+MS_PER_S = 1_000
 
 NAME_RULE = "use 1 to 64 lower-case letters, digits and hyphens"
 MAX_NAME_CHARS = 64
@@ -35,6 +51,9 @@
     ("availability", "min_hosts_serving", 0, 100_000),
     ("availability", "outage_minutes", 0, 10_000_000),
     ("availability", "window_days", 1, 366),
+    ("objective", "success_share", 0.5, 0.99999),
+    ("objective", "latency_ms", 0, 120_000),
+    ("objective", "window_days", 1, 90),
 )
 
 
@@ -43,6 +62,54 @@
     return 0 < len(text) <= MAX_NAME_CHARS and NAME_CHARS.issuperset(text)
 
 
+def is_in_range(value: object, least: float, most: float) -> bool:
+    """Return whether a value is out of no range; values of a wrong kind pass."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return True
+    return least <= value <= most
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """
+    What was read from the text of a document.
+
+    Attributes
+    ----------
+    plain : dict
+        The TOML values, empty if the text is no TOML.
+    document : ServiceDocument or None
+        The document if every value is of the right kind.
+    faults : tuple of Fault
+        Every fault that the document has on its own.
+    """
+
+    plain: dict[str, object]
+    document: ServiceDocument | None
+    faults: tuple[Fault, ...]
+
+    def section(self, name: str) -> dict[str, object]:
+        """Return the values of a section, empty if it is missing or no section."""
+        value = self.plain.get(name)
+        return value if isinstance(value, dict) else {}
+
+
+def read_document(text: str) -> Reading:
+    """Read a service document, collecting every fault with its place."""
+    if len(text) > MAX_DOCUMENT_CHARS:
+        problem = f"{len(text)} characters; use {MAX_DOCUMENT_CHARS} at most"
+        return Reading({}, None, (Fault("(whole)", problem),))
+    try:
+        plain = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return Reading({}, None, (Fault("(whole)", f"not TOML: {error}"),))
+    parsed = from_plain(plain, ServiceDocument)
+    document = parsed.ok_value if isinstance(parsed, Ok) else None
+    kinds = () if isinstance(parsed, Ok) else parsed.err_value.faults
+    draft = Reading(plain, document, ())
+    return Reading(plain, document, (*kinds, *document_faults(draft)))
+
+
 def parse_document(text: str) -> Result[ServiceDocument, Refusal]:
     """
     Parse and check one service document.
@@ -57,38 +124,59 @@
     Result of ServiceDocument and Refusal
         The refusal holds every fault with its place.
     """
-    try:
-        plain = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return Err(Refusal(Code.INVALID_DOCUMENT, f"not TOML: {error}"))
-    parsed = from_plain(plain, ServiceDocument)
-    if isinstance(parsed, Err):
-        refusal = parsed.err_value
-        return Err(Refusal(Code.INVALID_DOCUMENT, refusal.message, refusal.faults))
-    faults = tuple(document_faults(parsed.ok_value))
-    if faults:
-        summary = "; ".join(f"{fault.place}: {fault.problem}" for fault in faults)
-        return Err(Refusal(Code.INVALID_DOCUMENT, summary, faults))
-    return parsed
+    reading = read_document(text)
+    if reading.faults or reading.document is None:
+        return Err(invalid_document(reading.faults))
+    return Ok(reading.document)
+
+
+def invalid_document(faults: tuple[Fault, ...]) -> Refusal:
+    """Return the refusal of a document with faults."""
+    return Refusal(Code.INVALID_DOCUMENT, summary_of(faults), faults)
+
+
+def document_diff(old: str, new: str, old_name: str, new_name: str) -> str:
+    """Return the unified difference of two texts, empty if they are equal."""
+    lines = unified_diff(
+        old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
+    )
+    return "\n".join(lines)
 
 
-def document_faults(document: ServiceDocument) -> Iterator[Fault]:
+def document_faults(reading: Reading) -> Iterator[Fault]:
     """Yield every fault that the document has on its own."""
+    section = reading.section("service")
     for field in ("name", "team", "pool"):
-        value = getattr(document.service, field)
-        if not is_name(value):
+        value = section.get(field)
+        if isinstance(value, str) and not is_name(value):
             yield Fault(f"service.{field}", f"{value!r} is no name: {NAME_RULE}")
-    if document.calls is None and document.queue is None:
+    if "calls" not in reading.plain and "queue" not in reading.plain:
         yield Fault("calls", "missing: a service has [calls], [queue] or both")
-    yield from _range_faults(document)
-
-
-def _range_faults(document: ServiceDocument) -> Iterator[Fault]:
-    for section_name, field, least, most in RANGES:
-        section = getattr(document, section_name)
-        if section is None:
-            continue
-        value = getattr(section, field)
-        if not least <= value <= most:
-            place = f"{section_name}.{field}"
-            yield Fault(place, f"{value} is out of range: use {least} to {most}")
+    yield from _range_faults(reading)
+    if reading.document is not None:
+        yield from _contradictions(reading.document)
+
+
+def _range_faults(reading: Reading) -> Iterator[Fault]:
+    for section, field, least, most in RANGES:
+        value = reading.section(section).get(field, least)
+        if not is_in_range(value, least, most):
+            problem = f"{value} is out of range: use {least} to {most}"
+            yield Fault(f"{section}.{field}", problem)
+
+
+def _contradictions(document: ServiceDocument) -> Iterator[Fault]:
+    calls, queue = document.calls, document.queue
+    if queue is not None and queue.lease_ms > queue.max_run_s * MS_PER_S:
+        yield Fault(
+            "queue.lease_ms",
+            f"{queue.lease_ms} ms is longer than the longest run, queue.max_run_s"
+            f" {queue.max_run_s} s: use {queue.max_run_s * MS_PER_S} at most",
+        )
+    latency_ms = document.objective.latency_ms
+    if calls is not None and latency_ms > calls.deadline_ms:
+        yield Fault(
+            "objective.latency_ms",
+            f"{latency_ms} ms is longer than calls.deadline_ms {calls.deadline_ms}:"
+            f" use {calls.deadline_ms} at most",
+        )
--- a/packages/mulberryledge-core/src/mulberryledge_core/keys.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/keys.py
@@ -11,11 +11,23 @@
 
 from mulberryledge_core.model.teams import TeamKey
 
-__all__ = ["KEY_BYTES", "NewKey", "digest_secret", "make_key", "matches", "split_key"]
+__all__ = [
+    "KEY_BYTES",
+    "KEY_ID_RULE",
+    "NewKey",
+    "digest_secret",
+    "is_key_id",
+    "make_key",
+    "matches",
+    "split_key",
+]
 
 ID_BYTES = 6
 SALT_BYTES = 16
 SECRET_BYTES = 24
+MAX_KEY_ID_CHARS = 64
+KEY_ID_RULE = "use 1 to 64 lower-case letters, digits and hyphens"
+KEY_ID_CHARS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
 KEY_BYTES = ID_BYTES + SALT_BYTES + SECRET_BYTES
 
 
@@ -53,6 +65,11 @@
     return hashlib.blake2b(secret.encode(), salt=salt, digest_size=32).digest()
 
 
+def is_key_id(text: str) -> bool:
+    """Return whether the text may identify a key."""
+    return 0 < len(text) <= MAX_KEY_ID_CHARS and KEY_ID_CHARS.issuperset(text)
+
+
 def split_key(text: str) -> tuple[str, str]:
     """Split a key into identifier and secret, both empty if it is malformed."""
     parts = text.split("_")
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AvailabilitySection",
     "CallsSection",
+    "ObjectiveSection",
     "QueueSection",
     "Service",
     "ServiceDocument",
@@ -112,6 +113,27 @@
     window_days: int = 28
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectiveSection:
+    """
+    The service-level objective of a service.
+
+    Attributes
+    ----------
+    success_share : float
+        Share of calls that must be answered whole and in time.
+    latency_ms : int
+        Time within which an answer counts as in time, in milliseconds; zero
+        stands for the deadline of the calls.
+    window_days : int
+        Length of the window of the error budget, in days.
+    """
+
+    success_share: float = 0.999
+    latency_ms: int = 0
+    window_days: int = 28
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceDocument:
     """A whole service document."""
@@ -121,6 +143,7 @@
     queue: QueueSection | None = None
     size: Resources = Resources()
     availability: AvailabilitySection = AvailabilitySection()
+    objective: ObjectiveSection = ObjectiveSection()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -75,9 +75,7 @@
     if present is not None and present.pool != command.pool:
         text = f"host {command.name!r} belongs to pool {present.pool!r}: move it"
         return refuse(Code.EXISTS, text)
-    if present is not None:
-        return ok(ctx.index, "present")
-    state.hosts[command.name] = Host(
+    host = Host(
         name=command.name,
         pool=command.pool,
         region=command.region,
@@ -86,7 +84,17 @@
         resources=command.resources,
         phase_since_ms=ctx.now_ms,
     )
-    return ok(ctx.index)
+    if present is None:
+        state.hosts[host.name] = host
+        return ok(ctx.index)
+    if _declared(present) != _declared(host):
+        text = f"host {host.name!r} exists with other values: remove it first"
+        return refuse(Code.EXISTS, text)
+    return ok(ctx.index, "present")
+
+
+def _declared(host: Host) -> tuple[object, ...]:
+    return (host.region, host.availability_zone, host.rack, host.resources)
 
 
 def remove_host(state: ClusterState, command: RemoveHost, ctx: Context) -> ApplyResult:
@@ -107,6 +115,8 @@
         return missing("host", command.name)
     if command.pool not in state.pools:
         return missing("pool", command.pool)
+    if host.pool == command.pool:
+        return ok(ctx.index, "present")
     if host.pool != command.expected_pool:
         text = (
             f"host {host.name!r} belongs to pool {host.pool!r},"
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -5,6 +5,7 @@
 Appliers of the commands on teams, keys and service documents.
 """
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from result import Err
@@ -18,16 +19,20 @@
     SetTeamQuota,
     WithdrawKey,
 )
-from mulberryledge_core.documents import is_name, parse_document
+from mulberryledge_core.documents import invalid_document, is_name, read_document
+from mulberryledge_core.keys import KEY_ID_RULE, is_key_id
 from mulberryledge_core.model.services import Service, ServiceDocument, ServiceVersion
 from mulberryledge_core.model.teams import Team, TeamKey
-from mulberryledge_core.outcomes import ApplyResult, Code, Fault, Refusal
+from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.references import reference_faults
 from mulberryledge_core.state.tables import ClusterState, Context
 
-__all__ = ["APPLIERS", "HISTORY_VERSIONS"]
+__all__ = ["APPLIERS", "HISTORY_VERSIONS", "next_version"]
 
 HISTORY_VERSIONS = 20
+FIRST_VERSION = 1
+WITHDRAWN_KEYS = 10_000
 
 
 def create_team(state: ClusterState, command: CreateTeam, ctx: Context) -> ApplyResult:
@@ -70,61 +75,106 @@
             text = f"team {command.name!r} owns service {service.name!r}"
             return refuse(Code.IN_USE, text)
     del state.teams[command.name]
-    kept = {k: key for k, key in state.keys.items() if key.team != command.name}
-    state.keys = kept
+    gone = [one.key_id for one in state.keys.values() if one.team == command.name]
+    for key_id in gone:
+        del state.keys[key_id]
+    _remember_withdrawn(state, gone, ctx)
     return ok(ctx.index)
 
 
 def give_key(state: ClusterState, command: GiveKey, ctx: Context) -> ApplyResult:
-    """Store a new key."""
+    """Store a new key; a late resend does not revive a withdrawn one."""
+    if not is_key_id(command.key_id):
+        return refuse(Code.BAD_REQUEST, f"key {command.key_id!r}: {KEY_ID_RULE}")
+    if command.key_id in state.withdrawn_keys:
+        return refuse(Code.CONFLICT, f"key {command.key_id!r} was withdrawn")
     if command.team not in state.teams:
         return missing("team", command.team)
-    present = state.keys.get(command.key_id)
-    if present is not None and present.digest != command.digest:
-        return refuse(Code.EXISTS, f"key {command.key_id!r} exists")
-    state.keys[command.key_id] = TeamKey(
+    key = TeamKey(
         command.key_id, command.team, command.salt, command.digest, ctx.now_ms
     )
-    return ok(ctx.index, command.key_id)
+    present = state.keys.get(command.key_id)
+    if present is None:
+        state.keys[key.key_id] = key
+        return ok(ctx.index, key.key_id)
+    if replace(present, given_ms=key.given_ms) != key:
+        return refuse(Code.EXISTS, f"key {command.key_id!r} exists")
+    return ok(ctx.index, key.key_id)
 
 
 def withdraw_key(
     state: ClusterState, command: WithdrawKey, ctx: Context
 ) -> ApplyResult:
-    """Withdraw a key."""
-    state.keys.pop(command.key_id, None)
-    return ok(ctx.index, command.key_id)
+    """Withdraw a key; an identifier that never was a key is refused."""
+    key_id = command.key_id
+    if key_id in state.keys:
+        del state.keys[key_id]
+        _remember_withdrawn(state, (key_id,), ctx)
+        return ok(ctx.index, key_id)
+    if key_id in state.withdrawn_keys:
+        return ok(ctx.index, key_id)
+    return missing("key", key_id)
+
+
+def _remember_withdrawn(
+    state: ClusterState, key_ids: Iterable[str], ctx: Context
+) -> None:
+    withdrawn = dict(state.withdrawn_keys)
+    withdrawn.update((key_id, ctx.now_ms) for key_id in key_ids)
+    excess = max(0, len(withdrawn) - WITHDRAWN_KEYS)
+    state.withdrawn_keys = dict(list(withdrawn.items())[excess:])
 
 
 def apply_document(
     state: ClusterState, command: ApplyDocument, ctx: Context
 ) -> ApplyResult:
     """Put a service document in force."""
-    parsed = parse_document(command.text)
-    if isinstance(parsed, Err):
-        return parsed
-    document = parsed.ok_value
-    faults = _reference_faults(state, document)
-    if faults:
-        summary = "; ".join(f"{fault.place}: {fault.problem}" for fault in faults)
-        return Err(Refusal(Code.INVALID_DOCUMENT, summary, faults))
-    name = document.service.name
-    present = state.services.get(name)
-    if present is None:
-        return _accept(state, document, command, (), ctx)
-    for past in present.history:
-        if past.version == command.version and past.text == command.text:
-            return ok(past.index, "present")
-    if command.version != present.version + 1:
-        text = (
-            f"service {name!r} is at version {present.version}, so the next is"
-            f" {present.version + 1}, not {command.version}; in force:\n{present.text}"
-        )
+    reading = read_document(command.text)
+    name = reading.section("service").get("name")
+    present = state.services.get(name) if isinstance(name, str) else None
+    history = present.history if present is not None else ()
+    for past in history:
+        if (past.version, past.text) == (command.version, command.text):
+            return ok(past.index, _resend_detail(command, history))
+    faults = (*reading.faults, *reference_faults(state, reading))
+    if faults or reading.document is None:
+        return Err(invalid_document(faults))
+    if command.version != next_version(present):
+        return refuse(Code.CONFLICT, _version_conflict(name, command, history))
+    if present is not None and _owner(reading.document) != _owner(present.document):
+        text = f"service.team: {name!r} is owned by {_owner(present.document)!r}"
         return refuse(Code.CONFLICT, text)
-    if document.service.team != present.document.service.team:
-        owner = present.document.service.team
-        return refuse(Code.CONFLICT, f"service.team: {name!r} is owned by {owner!r}")
-    return _accept(state, document, command, present.history, ctx)
+    return _accept(state, reading.document, command, history, ctx)
+
+
+def next_version(service: Service | None) -> int:
+    """Return the number that the next text of a service takes."""
+    return FIRST_VERSION if service is None else service.version + 1
+
+
+def _resend_detail(command: ApplyDocument, history: tuple[ServiceVersion, ...]) -> str:
+    latest = history[-1].version
+    return "present" if command.version == latest else f"superseded by {latest}"
+
+
+def _version_conflict(
+    name: str, command: ApplyDocument, history: tuple[ServiceVersion, ...]
+) -> str:
+    if not history:
+        return (
+            f"service {name!r} does not exist, so its first version is"
+            f" {FIRST_VERSION}, not {command.version}"
+        )
+    latest = history[-1].version
+    taken = "; another text won it" if command.version <= latest else ""
+    return (
+        f"service {name!r} is at version {latest}, so the next is {latest + 1},"
+        f" not {command.version}{taken}"
+    )
+
+
+def _owner(document: ServiceDocument) -> str:
+    return document.service.team
 
 
 def remove_service(
@@ -155,18 +205,6 @@
     return None
 
 
-def _reference_faults(
-    state: ClusterState, document: ServiceDocument
-) -> tuple[Fault, ...]:
-    section = document.service
-    faults = []
-    if section.team not in state.teams:
-        faults.append(Fault("service.team", f"team {section.team!r} does not exist"))
-    if section.pool not in state.pools:
-        faults.append(Fault("service.pool", f"pool {section.pool!r} does not exist"))
-    return tuple(faults)
-
-
 def _accept(
     state: ClusterState,
     document: ServiceDocument,
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/references.py
@@ -0,0 +1,72 @@
+"""
+mulberryledge_core.state.references
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks of a service document against teams, pools and hosts.
+"""
+
+from collections.abc import Iterator
+from difflib import get_close_matches
+
+from mulberryledge_core.documents import Reading, is_name
+from mulberryledge_core.model.hosts import Host, Resources
+from mulberryledge_core.outcomes import Fault
+from mulberryledge_core.state.tables import ClusterState
+
+__all__ = ["reference_faults"]
+
+SIZES = ("processors", "memory_mb", "accelerators")
+
+
+def reference_faults(state: ClusterState, reading: Reading) -> tuple[Fault, ...]:
+    """
+    Return the faults of a document that need the state to be seen.
+
+    Hosts of a spare pool count for every pool. A pool without hosts is not held
+    against a document, because hosts may be assigned later.
+    """
+    section = reading.section("service")
+    return (
+        *_missing_name("team", section.get("team"), state.teams),
+        *_missing_name("pool", section.get("pool"), state.pools),
+        *_unmet_limits(reading, _usable_hosts(state, section.get("pool"))),
+    )
+
+
+def _missing_name(kind: str, name: object, table: dict) -> Iterator[Fault]:
+    if not isinstance(name, str) or not is_name(name) or name in table:
+        return
+    near = get_close_matches(name, table, n=1)
+    hint = f"did you mean {near[0]!r}?" if near else f"create the {kind} first"
+    yield Fault(f"service.{kind}", f"{kind} {name!r} does not exist; {hint}")
+
+
+def _usable_hosts(state: ClusterState, pool: object) -> tuple[Host, ...]:
+    pools = {name for name, one in state.pools.items() if one.spare} | {pool}
+    if not any(host.pool == pool for host in state.hosts.values()):
+        return ()
+    return tuple(host for host in state.hosts.values() if host.pool in pools)
+
+
+def _unmet_limits(reading: Reading, hosts: tuple[Host, ...]) -> Iterator[Fault]:
+    if not hosts or reading.document is None:
+        return
+    least = reading.document.availability.min_hosts_serving
+    if least > len(hosts):
+        yield Fault(
+            "availability.min_hosts_serving",
+            f"{least} can't be met: the pool and the spare pools hold {len(hosts)}"
+            f" hosts; use {len(hosts)} at most",
+        )
+    yield from _oversize(reading.document.size, hosts)
+
+
+def _oversize(size: Resources, hosts: tuple[Host, ...]) -> Iterator[Fault]:
+    if any(host.resources == Resources() for host in hosts):
+        return  # a host of undeclared capacity may fit anything
+    for field in SIZES:
+        wanted = getattr(size, field)
+        largest = max(getattr(host.resources, field) for host in hosts)
+        if wanted > largest:
+            problem = f"{wanted} is above every host; use {largest} at most"
+            yield Fault(f"size.{field}", problem)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
@@ -42,6 +42,8 @@
         Highest log time seen, in milliseconds.
     reservations : dict of str to Reservation
         Keyed by :func:`reservation_id`.
+    withdrawn_keys : dict of str to int
+        Log times, in milliseconds, of the last withdrawals.
     sessions : dict of str to Session
         Keyed by session identifier.
     """
@@ -53,6 +55,7 @@
     targets: dict[str, Target] = field(default_factory=dict)
     teams: dict[str, Team] = field(default_factory=dict)
     keys: dict[str, TeamKey] = field(default_factory=dict)
+    withdrawn_keys: dict[str, int] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     reservations: dict[str, Reservation] = field(default_factory=dict)
