--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -119,10 +119,10 @@
 def _remember_withdrawn(
     state: ClusterState, key_ids: Iterable[str], ctx: Context
 ) -> None:
-    withdrawn = dict(state.withdrawn_keys)
-    withdrawn.update((key_id, ctx.now_ms) for key_id in key_ids)
-    excess = max(0, len(withdrawn) - WITHDRAWN_KEYS)
-    state.withdrawn_keys = dict(list(withdrawn.items())[excess:])
+    for key_id in key_ids:
+        state.withdrawn_keys[key_id] = ctx.now_ms
+    while len(state.withdrawn_keys) > WITHDRAWN_KEYS:
+        del state.withdrawn_keys[next(iter(state.withdrawn_keys))]
 
 
 def apply_document(
