--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -25,6 +25,7 @@
 from mulberryledge_core.model.teams import Team, TeamKey
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.limits import team_in_use
 from mulberryledge_core.state.references import reference_faults
 from mulberryledge_core.state.tables import ClusterState, Context
 
@@ -74,6 +75,12 @@
         if service.document.service.team == command.name:
             text = f"team {command.name!r} owns service {service.name!r}"
             return refuse(Code.IN_USE, text)
+    for job in state.jobs.values():
+        if job.team == command.name and job.ended_ms == 0:
+            text = f"team {command.name!r} has unfinished job {job.job_id!r}"
+            return refuse(Code.IN_USE, text)
+    if team_in_use(state, command.name):
+        return refuse(Code.IN_USE, f"team {command.name!r} has running calls")
     del state.teams[command.name]
     gone = [one.key_id for one in state.keys.values() if one.team == command.name]
     for key_id in gone:
