Add the operators' commands, reports, metrics and strict settings

It has a group for each matter now, stable exit codes, a client that resends and tries the next entry, progress while a change is not yet in force, and settings from flags, environment and file. Settings are checked whole.

--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
@@ -5,7 +5,15 @@
 Commands of the operators' command line, one module a group.
 """
 
-from mulberryledge_cli.commands import fleet, maintenance, services, teams
+from mulberryledge_cli.commands import (
+    fleet,
+    jobs,
+    maintenance,
+    report,
+    services,
+    status,
+    teams,
+)
 
 __all__ = ["COMMANDS"]
 
@@ -13,5 +21,8 @@
     *fleet.COMMANDS,
     *teams.COMMANDS,
     *services.COMMANDS,
+    *jobs.COMMANDS,
     *maintenance.COMMANDS,
+    *status.COMMANDS,
+    *report.COMMANDS,
 )
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/fleet.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/fleet.py
@@ -2,23 +2,42 @@
 mulberryledge_cli.commands.fleet
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Commands on pools and hosts.
+Commands on pools, hosts and targets.
 """
 
 from cleo.helpers import argument, option
+from result import Err
 
 from mulberryledge_cli.commands.base import COMMON_OPTIONS, OperatorCommand
-from mulberryledge_core.commands.fleet import AddHost, CreatePool, MoveHost
-from mulberryledge_core.model.hosts import Resources
+from mulberryledge_cli.commands.tables import make_list_command, make_show_command
+from mulberryledge_core.commands.fleet import (
+    AddHost,
+    CreatePool,
+    MoveHost,
+    RemoveHost,
+    RemovePool,
+    SetHostPhase,
+)
+from mulberryledge_core.model.hosts import HostPhase, Resources
 
 __all__ = ["COMMANDS"]
 
+LAST_MINUTE = 1_439
+MAX_PROCESSORS = 65_536
+MAX_MEMORY_MB = 1_000_000_000
+MAX_ACCELERATORS = 1_024
+
 
 class PoolCreate(OperatorCommand):
     """Create a pool."""
 
     name = "pool create"
     description = "Creates a pool."
+    help = (
+        "Example, quiet from 22:00 to 02:00 UTC:"
+        " <c1>mulberryledge pool create interior"
+        " --quiet-start 1320 --quiet-end 120</c1>"
+    )
     arguments = [argument("pool", "Name of the pool.")]
     options = [
         *COMMON_OPTIONS,
@@ -31,8 +50,8 @@
         """Create the pool."""
         command = CreatePool(
             self.argument("pool"),
-            int(self.option("quiet-start")),
-            int(self.option("quiet-end")),
+            self.whole_number("quiet-start", 0, LAST_MINUTE),
+            self.whole_number("quiet-end", 0, LAST_MINUTE),
             self.option("spare"),
         )
         return self.show(
@@ -40,11 +59,29 @@
         )
 
 
+class PoolRemove(OperatorCommand):
+    """Remove a pool."""
+
+    name = "pool remove"
+    description = "Removes an empty pool that no service names."
+    help = "Example: <c1>mulberryledge pool remove interior</c1>"
+    arguments = [argument("pool", "Name of the pool.")]
+
+    def handle(self) -> int:
+        """Remove the pool."""
+        command = RemovePool(self.argument("pool"))
+        return self.show(self.client().propose(command), f"pool {command.name} is gone")
+
+
 class HostAdd(OperatorCommand):
     """Assign a new host to a pool."""
 
     name = "host add"
     description = "Assigns a new host to a pool."
+    help = (
+        "Example: <c1>mulberryledge host add host-1 interior --zone nizwa"
+        " --rack n1 --processors 64 --memory-mb 131072</c1>"
+    )
     arguments = [argument("host", "Name."), argument("pool", "Pool.")]
     options = [
         *COMMON_OPTIONS,
@@ -65,9 +102,9 @@
             availability_zone=self.option("zone"),
             rack=self.option("rack"),
             resources=Resources(
-                float(self.option("processors")),
-                int(self.option("memory-mb")),
-                int(self.option("accelerators")),
+                self.number("processors", 0, MAX_PROCESSORS),
+                self.whole_number("memory-mb", 0, MAX_MEMORY_MB),
+                self.whole_number("accelerators", 0, MAX_ACCELERATORS),
             ),
         )
         text = f"host {command.name} belongs to pool {command.pool}"
@@ -79,6 +116,7 @@
 
     name = "host move"
     description = "Moves a host if it still belongs to the expected pool."
+    help = "Example: <c1>mulberryledge host move host-1 office interior</c1>"
     arguments = [
         argument("host", "Name."),
         argument("expected-pool", "Pool that the host belongs to."),
@@ -96,4 +134,85 @@
         return self.show(self.client().propose(command), text)
 
 
-COMMANDS = (PoolCreate, HostAdd, HostMove)
+class HostRemove(OperatorCommand):
+    """Remove a host."""
+
+    name = "host remove"
+    description = "Removes a host that runs no target."
+    help = "Example: <c1>mulberryledge host remove host-1</c1>"
+    arguments = [argument("host", "Name.")]
+
+    def handle(self) -> int:
+        """Remove the host."""
+        command = RemoveHost(self.argument("host"))
+        return self.show(self.client().propose(command), f"host {command.name} is gone")
+
+
+def make_phase_command(
+    verb: str, what: str, expected: HostPhase, phase: HostPhase
+) -> type[OperatorCommand]:
+    """Return a command that changes the phase of a host."""
+
+    class PhaseCommand(OperatorCommand):
+        name = f"host {verb}"
+        description = what
+        help = f"Example: <c1>mulberryledge host {verb} host-1</c1>"
+        arguments = [argument("host", "Name.")]
+
+        def handle(self) -> int:
+            """Change the phase."""
+            command = SetHostPhase(
+                self.argument("host"), expected, phase, f"operator: {verb}"
+            )
+            text = f"host {command.name} is {phase}"
+            return self.show(self.client().propose(command), text)
+
+    return PhaseCommand
+
+
+class HostShow(make_show_command("host", "hosts")):
+    """Show a host and the targets on it."""
+
+    def handle(self) -> int:
+        """Show the host's fields and its targets."""
+        client = self.client()
+        name = self.argument("name")
+        found = client.table("hosts", name)
+        targets = client.table("targets")
+        for one in (found, targets):
+            if isinstance(one, Err):
+                return self.fail(one.err_value)
+        on_host = [
+            f"{target} ({row['phase']})"
+            for target, row in sorted(targets.ok_value.items())
+            if row["host"] == name
+        ]
+        return self.show_fields(found.ok_value[name] | {"targets": on_host})
+
+
+COMMANDS = (
+    PoolCreate,
+    make_list_command("pool", "pools", ("quiet_start_min", "quiet_end_min", "spare")),
+    PoolRemove,
+    HostAdd,
+    make_list_command(
+        "host", "hosts", ("pool", "availability_zone", "rack", "phase", "maintained_ms")
+    ),
+    HostShow,
+    HostMove,
+    make_phase_command(
+        "cordon",
+        "Gives a serving host no new work.",
+        HostPhase.SERVING,
+        HostPhase.CORDONED,
+    ),
+    make_phase_command(
+        "uncordon",
+        "Gives a cordoned host work again.",
+        HostPhase.CORDONED,
+        HostPhase.SERVING,
+    ),
+    HostRemove,
+    make_list_command("target", "targets", ("host", "service", "phase", "slots")),
+    make_show_command("target", "targets"),
+)
--- /dev/null
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/jobs.py
@@ -0,0 +1,82 @@
+"""
+mulberryledge_cli.commands.jobs
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands on queued and running jobs.
+"""
+
+from cleo.helpers import argument, option
+from result import Err
+
+from mulberryledge_cli.commands.base import COMMON_OPTIONS, OperatorCommand
+from mulberryledge_cli.commands.tables import make_show_command
+from mulberryledge_cli.figures import time_text
+from mulberryledge_core.commands.work import CancelJobs
+
+__all__ = ["COMMANDS"]
+
+
+class JobList(OperatorCommand):
+    """List jobs."""
+
+    name = "job list"
+    description = "Lists jobs, the newest last."
+    help = "Example: <c1>mulberryledge job list --service ledgers --phase queued</c1>"
+    options = [
+        *COMMON_OPTIONS,
+        option("service", None, "Only this queue.", flag=False, default=""),
+        option("team", None, "Only this team.", flag=False, default=""),
+        option("phase", None, "Only this phase.", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """List the jobs that match every given option."""
+        found = self.client().table("jobs")
+        if isinstance(found, Err):
+            return self.fail(found.err_value)
+        wanted = {
+            name: value
+            for name in ("service", "team", "phase")
+            if (value := self.option(name))
+        }
+        jobs = {
+            job_id: job
+            for job_id, job in found.ok_value.items()
+            if all(job[name] == value for name, value in wanted.items())
+        }
+        ordered = sorted(jobs.values(), key=lambda job: job["submitted_ms"])
+        rows = [
+            (
+                job["job_id"],
+                job["service"],
+                job["team"],
+                job["phase"],
+                job["attempt"],
+                job["target"] or "-",
+                time_text(job["submitted_ms"]),
+            )
+            for job in ordered
+        ]
+        headers = ("job", "service", "team", "phase", "attempt", "target", "submitted")
+        return self.show_rows(headers, rows, jobs)
+
+
+class JobCancel(OperatorCommand):
+    """Cancel jobs."""
+
+    name = "job cancel"
+    description = "Cancels jobs of one team; running ones are asked to stop."
+    help = "Example: <c1>mulberryledge job cancel accounts 3f2a 77b0</c1>"
+    arguments = [
+        argument("team", "Team of the jobs."),
+        argument("jobs", "Identifiers of the jobs.", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        """Cancel the jobs."""
+        command = CancelJobs(self.argument("team"), tuple(self.argument("jobs")))
+        text = f"cancelled or asked to stop: {', '.join(command.job_ids)}"
+        return self.show(self.client().propose(command), text)
+
+
+COMMANDS = (JobList, make_show_command("job", "jobs"), JobCancel)
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/teams.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/teams.py
@@ -8,20 +8,36 @@
 import secrets
 
 from cleo.helpers import argument, option
-from result import Ok
-
-from mulberryledge_cli.commands.base import COMMON_OPTIONS, OperatorCommand
-from mulberryledge_core.commands.teams import CreateTeam, GiveKey, WithdrawKey
+from result import Err, Ok
+
+from mulberryledge_cli.commands.base import (
+    COMMON_OPTIONS,
+    OperatorCommand,
+)
+from mulberryledge_cli.commands.tables import make_list_command
+from mulberryledge_cli.figures import time_text
+from mulberryledge_core.commands.teams import (
+    CreateTeam,
+    GiveKey,
+    RemoveTeam,
+    SetTeamQuota,
+    WithdrawKey,
+)
 from mulberryledge_core.keys import KEY_BYTES, make_key
 
 __all__ = ["COMMANDS"]
 
+LEAST_SHARE = 0.001
+MOST_SHARE = 1_000_000.0
+MOST_LIMIT = 1_000_000
+
 
 class TeamCreate(OperatorCommand):
     """Create a team."""
 
     name = "team create"
     description = "Creates a team with a share and an upper limit."
+    help = "Example: <c1>mulberryledge team create dispatch --share 2 --limit 40</c1>"
     arguments = [argument("team", "Name of the team.")]
     options = [
         *COMMON_OPTIONS,
@@ -33,36 +49,117 @@
         """Create the team."""
         command = CreateTeam(
             self.argument("team"),
-            float(self.option("share")),
-            int(self.option("limit")),
+            self.number("share", LEAST_SHARE, MOST_SHARE),
+            self.whole_number("limit", 0, MOST_LIMIT),
         )
         return self.show(
             self.client().propose(command), f"team {command.name} is there"
         )
 
 
+class TeamSet(OperatorCommand):
+    """Change a team's quota."""
+
+    name = "team set"
+    description = "Changes a team's share, its upper limit, or both."
+    help = "Example: <c1>mulberryledge team set dispatch --limit 60</c1>"
+    arguments = [argument("team", "Name of the team.")]
+    options = [
+        *COMMON_OPTIONS,
+        option("share", None, "Weight when all is full.", flag=False),
+        option("limit", None, "Calls and jobs at once.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Change what was given and keep the rest."""
+        name = self.argument("team")
+        client = self.client()
+        found = client.table("teams", name)
+        if isinstance(found, Err):
+            return self.fail(found.err_value)
+        team = found.ok_value[name]
+        share, limit = team["share"], team["upper_limit"]
+        if self.option("share") is not None:
+            share = self.number("share", LEAST_SHARE, MOST_SHARE)
+        if self.option("limit") is not None:
+            limit = self.whole_number("limit", 0, MOST_LIMIT)
+        text = f"team {name} has share {share:g} and upper limit {limit}"
+        return self.show(client.propose(SetTeamQuota(name, share, limit)), text)
+
+
+class TeamRemove(OperatorCommand):
+    """Remove a team."""
+
+    name = "team remove"
+    description = "Removes a team that owns no service, with its keys."
+    help = "Example: <c1>mulberryledge team remove dispatch</c1>"
+    arguments = [argument("team", "Name of the team.")]
+
+    def handle(self) -> int:
+        """Remove the team."""
+        command = RemoveTeam(self.argument("team"))
+        return self.show(self.client().propose(command), f"team {command.name} is gone")
+
+
 class KeyGive(OperatorCommand):
     """Give a team a new key."""
 
     name = "key give"
     description = "Gives a team a new key, shown once."
+    help = (
+        "Example: <c1>mulberryledge key give dispatch</c1>\n"
+        "Older keys of the team stay good until they are withdrawn."
+    )
     arguments = [argument("team", "Name of the team.")]
 
     def handle(self) -> int:
-        """Give the key."""
+        """Give the key; the same key is sent again after a lost answer."""
         key = make_key(secrets.token_bytes(KEY_BYTES))
         command = GiveKey(key.key_id, self.argument("team"), key.salt, key.digest)
         outcome = self.client().propose(command)
         if isinstance(outcome, Ok):
             outcome = Ok(outcome.ok_value | {"key": key.text})
+        elif outcome.err_value.code == "unknown-outcome":
+            text = f"if 'key list' shows {key.key_id}, withdraw it: its text is lost"
+            self.line_error(text)
         return self.show(outcome, key.text)
 
 
+class KeyList(OperatorCommand):
+    """List keys."""
+
+    name = "key list"
+    description = "Lists the identifiers of the keys in force."
+    help = "Example: <c1>mulberryledge key list --team dispatch</c1>"
+    options = [
+        *COMMON_OPTIONS,
+        option("team", None, "Only keys of this team.", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """List the keys, oldest first."""
+        found = self.client().table("keys")
+        if isinstance(found, Err):
+            return self.fail(found.err_value)
+        team = self.option("team")
+        keys = {
+            key_id: row
+            for key_id, row in found.ok_value.items()
+            if team in ("", row["team"])
+        }
+        ordered = sorted(keys.items(), key=lambda item: item[1]["given_ms"])
+        rows = [
+            (key_id, row["team"], time_text(row["given_ms"])) for key_id, row in ordered
+        ]
+        return self.show_rows(("key", "team", "given"), rows, keys)
+
+
 class KeyWithdraw(OperatorCommand):
     """Withdraw a key."""
 
     name = "key withdraw"
     description = "Withdraws a key by its identifier, the middle part of the key."
+    help = "Example: <c1>mulberryledge key withdraw 0095227ab60f</c1>"
     arguments = [argument("key-id", "Identifier of the key.")]
 
     def handle(self) -> int:
@@ -72,4 +169,12 @@
         return self.show(self.client().propose(command), text)
 
 
-COMMANDS = (TeamCreate, KeyGive, KeyWithdraw)
+COMMANDS = (
+    TeamCreate,
+    TeamSet,
+    make_list_command("team", "teams", ("share", "upper_limit")),
+    TeamRemove,
+    KeyGive,
+    KeyList,
+    KeyWithdraw,
+)
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/main.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/main.py
@@ -5,16 +5,51 @@
 Entry point of the operators' command line.
 """
 
+from importlib.metadata import version
+
 from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.input import Input
+from cleo.io.io import IO
+from cleo.io.outputs.output import Output
 
 from mulberryledge_cli.commands import COMMANDS
+from mulberryledge_cli.commands.base import EXIT_INVALID
 
 __all__ = ["main", "make_application"]
 
 
+class OperatorApplication(Application):
+    """An application whose usage errors have an exit code of their own."""
+
+    def __init__(self):
+        super().__init__("mulberryledge", version("mulberryledge-cli"))
+        self.auto_exits(False)
+        self.usage_error = False
+
+    def run(
+        self,
+        input: Input | None = None,
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Run one command and return its exit code."""
+        self.usage_error = False
+        code = super().run(input, output, error_output)
+        return EXIT_INVALID if self.usage_error else code
+
+    def render_error(self, error: Exception, io: IO) -> None:
+        """Show an error; remember whether it is one of usage."""
+        if not isinstance(error, CleoError):
+            super().render_error(error, io)
+            return
+        self.usage_error = True
+        io.write_error_line(str(error))
+
+
 def make_application() -> Application:
     """Return the application with every command."""
-    application = Application("mulberryledge", "0.1.0")
+    application = OperatorApplication()
     for command in COMMANDS:
         application.add(command())
     return application
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/burn/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_daemon.burn
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The counts behind the report on service-level burn: cause, recorder and file.
+"""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -8,18 +8,26 @@
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from importlib.metadata import version
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
 from mulberryledge_core.commands.work import CloseSession, OpenSession
+from mulberryledge_daemon.accounting import Accounting
 from mulberryledge_daemon.entry.calls import Calls
 from mulberryledge_daemon.entry.client import AgentClient
 from mulberryledge_daemon.entry.loans import Loans
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
+from mulberryledge_daemon.http.reports import (
+    DaemonIdentity,
+    ReportInterface,
+    report_routes,
+)
 from mulberryledge_daemon.http.routing import Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.journal import Journal
@@ -30,6 +38,7 @@
 from mulberryledge_daemon.log.single import open_single_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon.settings_checks import Reload, plan_reload
 
 __all__ = ["Daemon", "open_daemon"]
 
@@ -65,18 +74,37 @@
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
+        self.accounting = Accounting(log, name, settings.daemon.data_folder)
+        self.reports = ReportInterface(
+            log,
+            DaemonIdentity(
+                name,
+                settings.daemon.region,
+                settings.daemon.availability_zone,
+                version("mulberryledge-daemon"),
+            ),
+            self.journal,
+            self.accounting.burn,
+            self.is_ready,
+        )
 
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
         await self.log.propose(OpenSession(self.settings.daemon.name, self.session))
         routes = (
-            *health_routes(self.is_ready),
+            *health_routes(self.is_ready, self.accounting.metrics.text),
             *caller_routes(self.callers),
             *target_routes(self.targets),
         )
         self.listen(listen.callers_port, routes)
-        self.listen(listen.operators_port, operator_routes(self.operators))
+        self.listen(
+            listen.operators_port,
+            (
+                *operator_routes(self.operators),
+                *report_routes(self.reports, self.operators),
+            ),
+        )
         for task in (
             self.entry_tick,
             self.leader_tick,
@@ -112,6 +140,7 @@
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
         await self.loans.return_idle(everything=self.stopping)
+        self.accounting.tick()
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
@@ -121,6 +150,33 @@
         await self.jobs.tick()
         await self.maintenance.tick()
 
+    def log_position(self) -> dict[str, int]:
+        """Return the term, where the log has terms, and the applied index."""
+        position = {"index": self.log.state.applied_index}
+        if hasattr(self.log, "term"):
+            position["term"] = self.log.term
+        return position
+
+    def reload(self, settings: Settings) -> Reload:
+        """Take over what may change without a restart."""
+        planned = plan_reload(self.settings, settings)
+        self.settings = replace(
+            self.settings,
+            operator=settings.operator,
+            platform=settings.platform,
+            timing=replace(
+                self.settings.timing,
+                target_lease_s=settings.timing.target_lease_s,
+                stop_timeout_s=settings.timing.stop_timeout_s,
+            ),
+            logs=settings.logs,
+        )
+        self.operators.set_key(settings.operator)
+        self.platform.url = settings.platform.url
+        self.leases.lease_s = settings.timing.target_lease_s
+        self.targets.lease_s = settings.timing.target_lease_s
+        return planned
+
     async def stop(self) -> int:
         """
         Stop gracefully.
@@ -144,6 +200,7 @@
             )
         for port in self.ports:
             await maybeDeferred(port.stopListening)
+        self.accounting.save()
         await self.client.close()
         await self.platform.close()
         await self.log.stop()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/health.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/health.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 from twisted.web.http import Request
 
 from mulberryledge_daemon.http.routing import Reply, Route
@@ -15,7 +15,9 @@
 __all__ = ["health_routes"]
 
 
-def health_routes(ready: Callable[[], bool]) -> tuple[Route, ...]:
+def health_routes(
+    ready: Callable[[], bool], metrics_text: Callable[[], bytes]
+) -> tuple[Route, ...]:
     """Return the routes for balancer and monitoring."""
 
     async def livez(request: Request) -> Reply:
@@ -27,7 +29,7 @@
         return Reply(503, b"not ready\n", "text/plain")
 
     async def metrics(request: Request) -> Reply:
-        return Reply(200, generate_latest(REGISTRY), CONTENT_TYPE_LATEST)
+        return Reply(200, metrics_text(), CONTENT_TYPE_LATEST)
 
     return (
         Route("GET", "/livez", livez),
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -5,14 +5,23 @@
 The operators' HTTP interface: typed commands, and tables of the state.
 """
 
+from collections.abc import Awaitable, Callable
+
 from result import Err, Ok, Result
 from twisted.web.http import Request
 
 from mulberryledge_core.codec import from_plain, to_plain
-from mulberryledge_core.commands import fleet, maintenance, teams
+from mulberryledge_core.commands import fleet, maintenance, teams, work
+from mulberryledge_core.documents import (
+    document_diff,
+    invalid_document,
+    read_document,
+)
 from mulberryledge_core.keys import matches, split_key
+from mulberryledge_core.model.jobs import Job
 from mulberryledge_core.model.teams import TeamKey
 from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.state.references import reference_faults
 from mulberryledge_daemon.http.routing import (
     Reply,
     Route,
@@ -37,6 +46,7 @@
         fleet.MoveHost,
         fleet.SetHostPhase,
         *teams.COMMANDS,
+        work.CancelJobs,
         maintenance.StartWave,
         maintenance.SetWavePhase,
     )
@@ -52,6 +62,7 @@
     "permits",
 )
 IN_FORCE_TIMEOUT_S = 8.0
+MAX_ROWS = 2_000
 
 
 class OperatorInterface:
@@ -59,12 +70,11 @@
 
     def __init__(self, log: ReplicatedLog, operator: OperatorSection):
         self.log = log
-        self.key = TeamKey(
-            operator.key_id,
-            "",
-            bytes.fromhex(operator.salt),
-            bytes.fromhex(operator.digest),
-        )
+        self.key = operator_key(operator)
+
+    def set_key(self, operator: OperatorSection) -> None:
+        """Change the operators' key."""
+        self.key = operator_key(operator)
 
     def admit(self, request: Request) -> Result[None, Refusal]:
         """Check the operators' key."""
@@ -74,23 +84,34 @@
             return Ok(None)
         return Err(Refusal(Code.BAD_KEY, "the operators' key is wrong or missing"))
 
+    def guarded(self, handler: Callable[..., Awaitable[Reply]]) -> Callable:
+        """Return a handler that first checks the operators' key."""
+
+        async def admitted(request: Request, **fields: str) -> Reply:
+            admission = self.admit(request)
+            if isinstance(admission, Err):
+                return refusal_reply(admission.err_value)
+            return await handler(request, **fields)
+
+        return admitted
+
     async def command(self, request: Request, name: str) -> Reply:
         """Propose a command and wait until it is in force everywhere."""
-        admitted = self.admit(request)
-        if isinstance(admitted, Err):
-            return refusal_reply(admitted.err_value)
         kind = OPERATOR_COMMANDS.get(name)
         if kind is None:
             text = f"command {name!r}: use one of {', '.join(OPERATOR_COMMANDS)}"
             return refusal_reply(Refusal(Code.NOT_FOUND, text))
+        wait_s = wait_of(request)
         body = json_body(request).and_then(lambda plain: from_plain(plain, kind))
-        if isinstance(body, Err):
-            return refusal_reply(body.err_value)
-        outcome = await self.log.propose(body.ok_value)
+        for checked in (wait_s, body):
+            if isinstance(checked, Err):
+                return refusal_reply(checked.err_value)
+        command = body.ok_value
+        outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
-            return refusal_reply(outcome.err_value)
+            return refusal_reply(self.explained(command, outcome.err_value))
         applied = outcome.ok_value
-        in_force = await self.log.in_force(applied.index, IN_FORCE_TIMEOUT_S)
+        in_force = await self.log.in_force(applied.index, wait_s.ok_value)
         return json_reply(
             {
                 "index": applied.index,
@@ -99,36 +120,113 @@
             }
         )
 
+    def explained(self, command: object, refusal: Refusal) -> Refusal:
+        """Add the difference to the winner to a conflict of documents."""
+        if refusal.code != Code.CONFLICT or not isinstance(
+            command, teams.ApplyDocument
+        ):
+            return refusal
+        name = read_document(command.text).section("service").get("name")
+        service = self.log.state.services.get(name)
+        if service is None:
+            return refusal
+        won = next(
+            (one for one in service.history if one.version == command.version),
+            service.history[-1],
+        )
+        diff = document_diff(won.text, command.text, f"version {won.version}", "yours")
+        text = f"{refusal.message}\n{diff or 'your text is the one in force'}"
+        return Refusal(refusal.code, text, refusal.faults)
+
+    async def in_force(self, request: Request, index: str) -> Reply:
+        """Wait until an index is in force, and name who is waited for."""
+        wait_s = wait_of(request)
+        if isinstance(wait_s, Err):
+            return refusal_reply(wait_s.err_value)
+        if not (index.isascii() and index.isdigit()):
+            text = f"index {index!r} is not a whole number"
+            return refusal_reply(Refusal(Code.BAD_REQUEST, text))
+        found = await self.log.in_force(int(index), wait_s.ok_value)
+        return json_reply({"index": int(index), "waiting": list(found.waiting)})
+
+    async def check(self, request: Request) -> Reply:
+        """Check a service document against the state, changing nothing."""
+        text = request.content.read().decode("utf-8", "replace")
+        reading = read_document(text)
+        faults = (*reading.faults, *reference_faults(self.log.state, reading))
+        if faults:
+            return refusal_reply(invalid_document(faults))
+        return json_reply({"index": self.log.state.applied_index, "detail": "good"})
+
     async def table(self, request: Request, table: str) -> Reply:
-        """Return one table of the state, or one row of it."""
-        admitted = self.admit(request)
-        if isinstance(admitted, Err):
-            return refusal_reply(admitted.err_value)
-        if table == "keys":
-            return json_reply(self.keys())
-        if table not in TABLES:
-            text = f"table {table!r}: use one of {', '.join((*TABLES, 'keys'))}"
+        """Return one table of the state, or one row of it, with the index."""
+        if not self.log.is_fresh() and query_of(request, "stale") != "1":
+            text = "this entry may be out of date: try another, or add stale=1"
+            return refusal_reply(Refusal(Code.NOT_FRESH, text))
+        rows = self.rows(table)
+        if rows is None:
+            names = ", ".join((*TABLES, "keys", "jobs"))
+            text = f"table {table!r}: use one of {names}"
             return refusal_reply(Refusal(Code.NOT_FOUND, text))
-        rows = getattr(self.log.state, table)
         name = query_of(request, "name")
         if name and name not in rows:
             text = f"{table}: {name!r} does not exist"
             return refusal_reply(Refusal(Code.NOT_FOUND, text))
         if name:
-            return json_reply(to_plain(rows[name]))
-        return json_reply({key: to_plain(row) for key, row in rows.items()})
+            rows = {name: rows[name]}
+        shown = dict(list(rows.items())[-MAX_ROWS:])
+        return json_reply(
+            {
+                "index": self.log.state.applied_index,
+                "total": len(rows),
+                "rows": {key: plain_row(row) for key, row in shown.items()},
+            }
+        )
+
+    def rows(self, table: str) -> dict[str, object] | None:
+        """Return the rows that operators may see, or None for an unknown table."""
+        if table in (*TABLES, "jobs", "keys"):
+            return getattr(self.log.state, table)
+        return None
+
+
+def operator_key(operator: OperatorSection) -> TeamKey:
+    """Return the operators' key as it is stored."""
+    salt, digest = bytes.fromhex(operator.salt), bytes.fromhex(operator.digest)
+    return TeamKey(operator.key_id, "", salt, digest)
+
+
+def plain_row(row: object) -> dict[str, object]:
+    """Return a row for operators: no salt, no hash, no body of a job."""
+    if isinstance(row, TeamKey):
+        return {"team": row.team, "given_ms": row.given_ms}
+    if isinstance(row, Job):
+        sizes = {"body_bytes": len(row.body), "result_bytes": len(row.result)}
+        plain = to_plain(row)
+        kept = {name: plain[name] for name in plain if name not in ("body", "result")}
+        return kept | sizes
+    return to_plain(row)
+
 
-    def keys(self) -> dict[str, object]:
-        """Return the keys without salt and hash."""
-        return {
-            key.key_id: {"team": key.team, "given_ms": key.given_ms}
-            for key in self.log.state.keys.values()
-        }
+def wait_of(request: Request) -> Result[float, Refusal]:
+    """Return how long a request may wait for its index, in seconds."""
+    text = query_of(request, "wait_s", str(IN_FORCE_TIMEOUT_S))
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = -1.0
+    if 0 <= wait_s <= IN_FORCE_TIMEOUT_S:
+        return Ok(wait_s)
+    message = f"wait_s {text!r} is out of range: use 0 to {IN_FORCE_TIMEOUT_S:g}"
+    return Err(Refusal(Code.BAD_REQUEST, message))
 
 
 def operator_routes(interface: OperatorInterface) -> tuple[Route, ...]:
     """Return the operators' routes."""
+    guarded = interface.guarded
     return (
-        Route("POST", "/v1/commands/{name}", interface.command),
-        Route("GET", "/v1/tables/{table}", interface.table),
+        Route("POST", "/v1/commands/{name}", guarded(interface.command)),
+        Route("GET", "/v1/in-force/{index}", guarded(interface.in_force)),
+        Route("POST", "/v1/checks/service", guarded(interface.check)),
+        Route("GET", "/v1/tables/{table}", guarded(interface.table)),
     )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
@@ -2,19 +2,34 @@
 mulberryledge_daemon.logs
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Logging as JSON lines on standard error.
+Logging as JSON lines on standard error, without secrets and with bounded repeats.
 """
 
 import json
 import logging
+import re
+import time
+from collections import OrderedDict
+from collections.abc import Callable
 
-__all__ = ["JsonFormatter", "configure_logging"]
+__all__ = ["JsonFormatter", "LogPosition", "RepeatFilter", "configure_logging"]
 
 STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+KEY_TEXT = re.compile(r"\bmlk_([a-z0-9-]+)_[A-Za-z0-9]+")
+HIDDEN_KEY = r"mlk_\1_..."
+REPEAT_INTERVAL_S = 10.0
+REPEATS_ALLOWED = 5
+MAX_TRACKED = 1_000
+
+LogPosition = Callable[[], dict[str, int]]
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats a record, with the fields given as ``extra``, as one JSON object."""
+    """
+    Formats a record, with the fields given as ``extra``, as one JSON object.
+
+    The secret part of every key is left out, and bytes are shown as their number.
+    """
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record as a line."""
@@ -26,15 +41,72 @@
         }
         for name, value in vars(record).items():
             if name not in STANDARD_FIELDS:
-                line[name] = value
+                line[name] = shown(value)
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str)
+        return KEY_TEXT.sub(HIDDEN_KEY, json.dumps(line, default=str))
+
+
+def shown(value: object) -> object:
+    """Return a value for the log; content of requests and answers stays out."""
+    if isinstance(value, bytes | bytearray | memoryview):
+        return f"{len(value)} bytes"
+    return value
+
+
+class RepeatFilter(logging.Filter):
+    """
+    Lets a message through a few times an interval, and counts the rest.
+
+    The first record of the next interval carries the number in ``suppressed``.
+    Records above WARNING always pass.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        super().__init__()
+        self.clock = clock
+        self.seen: OrderedDict[tuple[str, str], list[float]] = OrderedDict()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether the record is written."""
+        if record.levelno > logging.WARNING:
+            return True
+        key = (record.name, str(record.msg))
+        now = self.clock()
+        began, count = self.seen.get(key, (now, 0))
+        if now - began >= REPEAT_INTERVAL_S:
+            if count > REPEATS_ALLOWED:
+                record.suppressed = int(count - REPEATS_ALLOWED)
+            began, count = now, 0
+        self.seen[key] = [began, count + 1]
+        self.seen.move_to_end(key)
+        if len(self.seen) > MAX_TRACKED:
+            self.seen.popitem(last=False)
+        return count < REPEATS_ALLOWED
+
+
+def configure_logging(
+    daemon: str,
+    level: int = logging.INFO,
+    position: LogPosition = dict,
+) -> None:
+    """
+    Send all logs to standard error as JSON lines.
+
+    Parameters
+    ----------
+    position : callable
+        Returns the log's term and index, which each line carries.
+    """
 
+    def add_context(record: logging.LogRecord) -> bool:
+        record.daemon = daemon
+        for name, value in position().items():
+            setattr(record, name, value)
+        return True
 
-def configure_logging(daemon: str, level: int = logging.INFO) -> None:
-    """Send all logs to standard error as JSON lines that name the daemon."""
     handler = logging.StreamHandler()
     handler.setFormatter(JsonFormatter())
-    handler.addFilter(lambda record: setattr(record, "daemon", daemon) or True)
+    handler.addFilter(RepeatFilter())
+    handler.addFilter(add_context)
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -5,6 +5,8 @@
 The command line of the daemon.
 """
 
+import logging
+import secrets
 import signal
 from pathlib import Path
 
@@ -15,50 +17,88 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from mulberryledge_core.keys import KEY_BYTES, make_key
+from mulberryledge_core.outcomes import Refusal
 from mulberryledge_daemon.daemon import Daemon, open_daemon
 from mulberryledge_daemon.logs import configure_logging
 from mulberryledge_daemon.settings import load_settings
 
 __all__ = ["main"]
 
+EXIT_INVALID = 2
+
+logger = logging.getLogger(__name__)
+
 
 class CheckSettingsCommand(Command):
     """Check a settings file."""
 
     name = "check-settings"
     description = "Checks a settings file and names every fault."
+    help = "Example: <c1>mulberryledged check-settings settings.toml</c1>"
     arguments = [argument("path", "The settings file.")]
 
     def handle(self) -> int:
         """Check the file."""
         loaded = load_settings(Path(self.argument("path")))
         if isinstance(loaded, Err):
-            self.line_error(loaded.err_value.message)
-            return 2
+            show_faults(self, loaded.err_value)
+            return EXIT_INVALID
         self.line("good")
         return 0
 
 
+class MakeKeyCommand(Command):
+    """Make an operators' key."""
+
+    name = "make-key"
+    description = "Makes an operators' key and its section of the settings."
+    help = "Example: <c1>mulberryledged make-key</c1>"
+
+    def handle(self) -> int:
+        """Print the key, which is kept nowhere, and what the settings need."""
+        key = make_key(secrets.token_bytes(KEY_BYTES))
+        self.line("# Keep this key; it is shown once and stored nowhere:")
+        self.line(f"# {key.text}")
+        self.line("")
+        self.line("[operator]")
+        self.line(f'key_id = "{key.key_id}"')
+        self.line(f'salt = "{key.salt.hex()}"')
+        self.line(f'digest = "{key.digest.hex()}"')
+        return 0
+
+
 class RunCommand(Command):
     """Run a daemon."""
 
     name = "run"
-    description = "Runs the daemon until SIGTERM."
+    description = "Runs the daemon until SIGTERM; SIGHUP reads the settings again."
+    help = "Example: <c1>mulberryledged run settings.toml</c1>"
     arguments = [argument("path", "The settings file.")]
 
     def handle(self) -> int:
         """Run until a signal stops the daemon."""
-        loaded = load_settings(Path(self.argument("path")))
+        path = Path(self.argument("path"))
+        loaded = load_settings(path)
         if isinstance(loaded, Err):
-            self.line_error(loaded.err_value.message)
-            return 2
+            show_faults(self, loaded.err_value)
+            return EXIT_INVALID
         settings = loaded.ok_value
-        configure_logging(settings.daemon.name)
         with open_daemon(reactor, settings) as daemon:
-            return run(daemon)
+            level = settings.logs.level.upper()
+            configure_logging(settings.daemon.name, level, daemon.log_position)
+            return run(daemon, path)
+
+
+def show_faults(command: Command, refusal: Refusal) -> None:
+    """Print each fault on a line of its own."""
+    if not refusal.faults:
+        command.line_error(refusal.message)
+    for fault in refusal.faults:
+        command.line_error(f"{fault.place}: {fault.problem}")
 
 
-def run(daemon: Daemon) -> int:
+def run(daemon: Daemon, path: Path) -> int:
     """Run a daemon on the reactor; return the process's exit code."""
     codes = []
 
@@ -69,6 +109,10 @@
     def on_signal(number, frame) -> None:
         reactor.callFromThread(Deferred.fromCoroutine, stop())
 
+    def on_hangup(number, frame) -> None:
+        reactor.callFromThread(reload_settings, daemon, path)
+
+    signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     reactor.callWhenRunning(Deferred.fromCoroutine, daemon.start())
@@ -76,9 +120,23 @@
     return codes[0] if codes else 1
 
 
+def reload_settings(daemon: Daemon, path: Path) -> None:
+    """Read the settings again; a file with faults changes nothing."""
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        extra = {"why": loaded.err_value.message}
+        logger.error("settings not reloaded", extra=extra)
+        return
+    done = daemon.reload(loaded.ok_value)
+    logging.getLogger().setLevel(loaded.ok_value.logs.level.upper())
+    extra = {"applied": done.applied, "needs_restart": done.needs_restart}
+    logger.info("settings reloaded", extra=extra)
+
+
 def main() -> int:
     """Run the command line."""
     application = Application("mulberryledged", "0.1.0")
     application.add(CheckSettingsCommand())
+    application.add(MakeKeyCommand())
     application.add(RunCommand())
     return application.run()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -7,16 +7,20 @@
 
 import tomllib
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from mulberryledge_core.codec import from_plain
+from mulberryledge_core.conversion import summary_of
 from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_daemon.settings_checks import settings_faults
 
 __all__ = [
     "DaemonSection",
     "ListenSection",
+    "LogsSection",
     "OperatorSection",
     "PeerSection",
     "PlatformSection",
@@ -26,6 +30,15 @@
 ]
 
 
+class LogLevel(StrEnum):
+    """Least level that is written to the log."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonSection:
     """
@@ -107,6 +120,13 @@
     stop_timeout_s: float = 130.0
 
 
+@dataclass(frozen=True, slots=True)
+class LogsSection:
+    """Level of the log: ``debug``, ``info``, ``warning`` or ``error``."""
+
+    level: LogLevel = LogLevel.INFO
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon."""
@@ -116,6 +136,7 @@
     operator: OperatorSection = OperatorSection()
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
+    logs: LogsSection = LogsSection()
     peers: tuple[PeerSection, ...] = field(default=())
 
 
@@ -132,6 +153,12 @@
         plain = tomllib.loads(path.read_text())
     except OSError as error:
         return Err(Refusal(Code.BAD_REQUEST, f"{path}: {error.strerror}"))
-    except tomllib.TOMLDecodeError as error:
+    except ValueError as error:
         return Err(Refusal(Code.BAD_REQUEST, f"{path}: not TOML: {error}"))
-    return from_plain(plain, Settings)
+    parsed = from_plain(plain, Settings)
+    kinds = () if isinstance(parsed, Ok) else parsed.err_value.faults
+    faults = (*kinds, *settings_faults(plain))
+    if faults:
+        text = f"{path}: {summary_of(faults)}"
+        return Err(Refusal(Code.BAD_REQUEST, text, faults))
+    return parsed
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings_checks.py
@@ -0,0 +1,187 @@
+"""
+mulberryledge_daemon.settings_checks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks of the settings beyond the kinds of their values, and what a reload may change.
+"""
+
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from ipaddress import ip_address
+from urllib.parse import urlsplit
+
+from mulberryledge_core.documents import NAME_RULE, is_in_range, is_name
+from mulberryledge_core.keys import KEY_ID_RULE, is_key_id
+from mulberryledge_core.outcomes import Fault
+
+__all__ = ["Reload", "plan_reload", "settings_faults"]
+
+MAX_PORT = 65_535
+DIGEST_CHARS = 64
+MAX_SALT_CHARS = 32
+TICKS_PER_LEASE = 5
+
+RANGES = (
+    ("listen", "callers_port", 0, MAX_PORT),
+    ("listen", "operators_port", 0, MAX_PORT),
+    ("listen", "peers_port", 0, MAX_PORT),
+    ("timing", "target_lease_s", 0.5, 3_600),
+    ("timing", "tick_s", 0.01, 10),
+    ("timing", "probation_s", 0, 86_400),
+    ("timing", "stop_timeout_s", 0.1, 3_600),
+)
+RELOADABLE = frozenset(
+    (
+        "operator.key_id",
+        "operator.salt",
+        "operator.digest",
+        "platform.url",
+        "timing.stop_timeout_s",
+        "timing.target_lease_s",
+        "logs.level",
+    )
+)
+
+Section = dict[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """
+    What a reload of the settings changes.
+
+    Attributes
+    ----------
+    applied : tuple of str
+        Places that change at once.
+    needs_restart : tuple of str
+        Places that keep their old value until the next start.
+    """
+
+    applied: tuple[str, ...]
+    needs_restart: tuple[str, ...]
+
+
+def plan_reload(old: object, new: object) -> Reload:
+    """Compare two settings place by place."""
+    before, after = dict(places(asdict(old))), dict(places(asdict(new)))
+    changed = sorted(
+        place
+        for place in before.keys() | after.keys()
+        if before.get(place) != after.get(place)
+    )
+    return Reload(
+        applied=tuple(place for place in changed if place in RELOADABLE),
+        needs_restart=tuple(place for place in changed if place not in RELOADABLE),
+    )
+
+
+def places(sections: Section) -> Iterator[tuple[str, object]]:
+    """Yield each value with its dotted place."""
+    for section, value in sections.items():
+        if isinstance(value, dict):
+            yield from ((f"{section}.{name}", one) for name, one in value.items())
+        else:
+            yield section, value
+
+
+def settings_faults(plain: Section) -> Iterator[Fault]:
+    """
+    Yield every fault of TOML settings whose kinds are checked elsewhere.
+
+    Values of a wrong kind are passed over here.
+    """
+    yield from _range_faults(plain)
+    yield from _daemon_faults(_section(plain, "daemon"))
+    yield from _listen_faults(_section(plain, "listen"))
+    yield from _operator_faults(_section(plain, "operator"))
+    yield from _platform_faults(_section(plain, "platform"))
+    yield from _timing_faults(_section(plain, "timing"))
+
+
+def _section(plain: Section, name: str) -> Section:
+    value = plain.get(name)
+    return value if isinstance(value, dict) else {}
+
+
+def _text(section: Section, name: str) -> str:
+    value = section.get(name)
+    return value if isinstance(value, str) else ""
+
+
+def _range_faults(plain: Section) -> Iterator[Fault]:
+    for section, field, least, most in RANGES:
+        value = _section(plain, section).get(field, least)
+        if not is_in_range(value, least, most):
+            problem = f"{value} is out of range: use {least} to {most}"
+            yield Fault(f"{section}.{field}", problem)
+
+
+def _daemon_faults(daemon: Section) -> Iterator[Fault]:
+    name = daemon.get("name")
+    if isinstance(name, str) and not is_name(name):
+        yield Fault("daemon.name", f"{name!r} is no name: {NAME_RULE}")
+
+
+def _listen_faults(listen: Section) -> Iterator[Fault]:
+    address = _text(listen, "address")
+    if address and not _is_ip(address):
+        problem = f"{address!r} is no IP number: use for example 10.0.0.7"
+        yield Fault("listen.address", problem)
+    ports = ("callers_port", "operators_port", "peers_port")
+    taken: dict[object, str] = {}
+    for field in ports:
+        port = listen.get(field)
+        if port and port in taken:
+            problem = f"{port} is {taken[port]} as well: use another port"
+            yield Fault(f"listen.{field}", problem)
+        taken[port] = field
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _operator_faults(operator: Section) -> Iterator[Fault]:
+    hint = 'make one with "mulberryledged make-key"'
+    if not operator:
+        return
+    if not is_key_id(_text(operator, "key_id")):
+        yield Fault("operator.key_id", f"no identifier: {KEY_ID_RULE}")
+    salt, digest = _text(operator, "salt"), _text(operator, "digest")
+    if not _is_hex(salt) or not 0 < len(salt) <= MAX_SALT_CHARS:
+        problem = f"not 2 to {MAX_SALT_CHARS} hexadecimal digits: {hint}"
+        yield Fault("operator.salt", problem)
+    if not _is_hex(digest) or len(digest) != DIGEST_CHARS:
+        problem = f"not {DIGEST_CHARS} hexadecimal digits: {hint}"
+        yield Fault("operator.digest", problem)
+
+
+def _is_hex(text: str) -> bool:
+    try:
+        bytes.fromhex(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _platform_faults(platform: Section) -> Iterator[Fault]:
+    url = _text(platform, "url")
+    parts = urlsplit(url)
+    if url and (parts.scheme not in ("http", "https") or not parts.netloc):
+        problem = f"{url!r} is no URL: use for example http://10.0.0.9:8080"
+        yield Fault("platform.url", problem)
+
+
+def _timing_faults(timing: Section) -> Iterator[Fault]:
+    lease_s, tick_s = timing.get("target_lease_s", 10.0), timing.get("tick_s", 0.1)
+    if not all(isinstance(one, int | float) for one in (lease_s, tick_s)):
+        return
+    if lease_s < TICKS_PER_LEASE * tick_s:
+        least = TICKS_PER_LEASE * tick_s
+        problem = f"{lease_s} is under {TICKS_PER_LEASE} ticks: use {least:g} or more"
+        yield Fault("timing.target_lease_s", problem)
