--- a/features/operations/environment.py
+++ b/features/operations/environment.py
@@ -1,6 +1,8 @@
 """Starts the reactor once, and a daemon for each scenario that is tagged so."""
 
+import sys
 import tempfile
+from pathlib import Path
 
 from behave import fixture, use_fixture
 from mulberryledge_testing.reactor_thread import (
@@ -15,6 +17,8 @@
 from mulberryledge_daemon import open_daemon
 from mulberryledge_daemon.settings import DaemonSection, OperatorSection, Settings
 
+sys.path.insert(0, str(Path(__file__).parent))
+
 SALT = bytes(16)
 OPERATOR_KEY = "mlk_operator_test"
 
--- a/features/operations/steps/documents.py
+++ b/features/operations/steps/documents.py
@@ -5,11 +5,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from result import Err, Ok
+from steps_common import run
 
 from mulberryledge_core.commands.fleet import AddHost, CreatePool
 from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam
 from mulberryledge_core.model.hosts import Resources
-from mulberryledge_core.state import ClusterState, Context, apply
+from mulberryledge_core.state import ClusterState
 
 SECTIONS = {
     "service": {"name": '"route-plans"', "team": '"dispatch"', "pool": '"interior"'},
@@ -22,11 +23,6 @@
 )
 
 
-def run(state, command):
-    index = state.applied_index + 1
-    return apply(state, command, Context(index, index))
-
-
 def document(section, line):
     sections = {name: dict(fields) for name, fields in SECTIONS.items()}
     field, _, value = line.partition(" = ")
--- /dev/null
+++ b/features/operations/steps_common.py
@@ -0,0 +1,45 @@
+"""Small fakes and helpers that the steps share."""
+
+import logging
+from contextlib import contextmanager
+
+from mulberryledge_core.state import Context, apply
+
+
+def run(state, command):
+    """Apply a command at the next index."""
+    index = state.applied_index + 1
+    return apply(state, command, Context(index, index))
+
+
+class LogFake:
+    """A log of one state with a fixed time."""
+
+    def __init__(self, state, now_ms):
+        self.state = state
+        self.now_ms = now_ms
+
+    def time_ms(self):
+        return self.now_ms
+
+    def is_fresh(self):
+        return True
+
+    def is_leader(self):
+        return True
+
+
+@contextmanager
+def capture_logs(logger, formatter=None, filters=()):
+    """Collect the formatted lines of a logger."""
+    lines = []
+    handler = logging.Handler()
+    handler.setFormatter(formatter or logging.Formatter())
+    for one in filters:
+        handler.addFilter(one)
+    handler.emit = lambda record: lines.append(handler.format(record))
+    logger.addHandler(handler)
+    try:
+        yield lines
+    finally:
+        logger.removeHandler(handler)
