--- a/features/operations/steps/burn.py
+++ b/features/operations/steps/burn.py
@@ -147,8 +147,8 @@
 @then("all {calls:d} calls are in at most {most:d} buckets")
 def step_buckets(context, calls, most):
     context.burn.fold(context.now_ms)
-    buckets = context.burn.buckets()
-    assert sum(one.counts.total for one in buckets) == calls
+    (buckets,) = context.burn.series.values()
+    assert sum(map(sum, buckets.values())) == calls
     assert len(buckets) <= most, len(buckets)
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/burn.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/burn.py
@@ -9,7 +9,6 @@
 from enum import StrEnum
 
 __all__ = [
-    "Bucket",
     "BurnReport",
     "Cause",
     "Counts",
@@ -76,17 +75,6 @@
 FIELDS = fields(Counts)
 
 
-@dataclass(frozen=True, slots=True)
-class Bucket:
-    """Counts of one service and team in one interval of ``length_ms``."""
-
-    service: str
-    team: str
-    start_ms: int
-    length_ms: int
-    counts: Counts
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceObjective:
     """The objective that a service's document states."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/accounting.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/accounting.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from mulberryledge_daemon.burn.recorder import BurnRecorder
-from mulberryledge_daemon.burn.store import StoredCounts, load_counts, save_counts
+from mulberryledge_daemon.burn.store import load_counts, save_counts
 from mulberryledge_daemon.metrics import Metrics
 from mulberryledge_daemon.observations import CallObservation
 from mulberryledge_daemon.ports import ReplicatedLog
@@ -39,7 +39,7 @@
         self.saved_ms = now_ms
         stored = load_counts(self.folder) if self.folder else None
         if stored is not None:
-            self.burn.restore(stored.buckets, stored.since_ms)
+            self.burn.restore(stored)
 
     def observe(self, seen: CallObservation) -> None:
         """Count one finished call."""
@@ -58,8 +58,7 @@
         if self.folder is None or not self.burn.changed:
             return
         self.burn.fold(self.log.time_ms())
-        counts = StoredCounts(self.burn.since_ms, self.burn.buckets())
-        saved = save_counts(self.folder, counts)
+        saved = save_counts(self.folder, self.burn.stored())
         if isinstance(saved, Err):
             self.burn.changed = True
             extra = {"why": saved.err_value}
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/burn/recorder.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/burn/recorder.py
@@ -5,13 +5,14 @@
 Counts calls in buckets that grow coarser with age, so that memory is bounded.
 """
 
+import struct
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from itertools import chain
 
 from mulberryledge_core.burn import S_PER_DAY, WINDOWS_S
 from mulberryledge_core.model.burn import (
-    Bucket,
     BurnReport,
     Cause,
     Counts,
@@ -22,6 +23,7 @@
 )
 from mulberryledge_core.state import ClusterState
 from mulberryledge_daemon.burn.causes import cause_of
+from mulberryledge_daemon.burn.store import StoredCounts, StoredSeries
 from mulberryledge_daemon.observations import CallObservation
 
 __all__ = ["OTHER_TEAMS", "BurnRecorder"]
@@ -61,7 +63,7 @@
         For each pair of service and team, counts by cause for each pair of length
         and start of a bucket, in milliseconds.
     changed : bool
-        Whether there are counts that :meth:`buckets` has not handed out yet.
+        Whether there are counts that :meth:`stored` has not handed out yet.
     """
 
     def __init__(self, daemon: str, state: ClusterState, since_ms: int):
@@ -99,22 +101,24 @@
         for key in [key for key, buckets in self.series.items() if not buckets]:
             del self.series[key]
 
-    def buckets(self) -> tuple[Bucket, ...]:
+    def stored(self) -> StoredCounts:
         """Return all counts for the file."""
         self.changed = False
-        return tuple(
-            Bucket(service, team, start_ms, length_ms, Counts(*counts))
+        series = tuple(
+            StoredSeries(service, team, pack(buckets))
             for (service, team), buckets in self.series.items()
-            for (length_ms, start_ms), counts in buckets.items()
         )
+        return StoredCounts(self.since_ms, CAUSES, series)
 
-    def restore(self, buckets: Iterable[Bucket], since_ms: int) -> None:
+    def restore(self, stored: StoredCounts) -> None:
         """Add the counts of an earlier life of this daemon."""
-        self.since_ms = min(self.since_ms, since_ms)
-        for one in buckets:
-            counts = self.counts_at(one.service, one.team, one.length_ms, one.start_ms)
-            for position, cause in enumerate(CAUSES):
-                counts[position] += getattr(one.counts, cause)
+        self.since_ms = min(self.since_ms, stored.since_ms)
+        for one in stored.series:
+            for length_ms, start_ms, *values in unpack(one.values, stored.causes):
+                counts = self.counts_at(one.service, one.team, length_ms, start_ms)
+                for cause, value in zip(stored.causes, values, strict=True):
+                    if cause in CAUSES:  # a newer release may know more
+                        counts[CAUSES.index(cause)] += value
 
     def report(self, now_ms: int) -> BurnReport:
         """Return the counts over every window."""
@@ -158,6 +162,17 @@
         )
 
 
+def pack(buckets: dict[tuple[int, int], list[int]]) -> bytes:
+    """Return the buckets of one series for the file."""
+    values = [value for key, counts in buckets.items() for value in chain(key, counts)]
+    return struct.pack(f">{len(values)}q", *values)
+
+
+def unpack(values: bytes, causes: tuple[str, ...]) -> Iterator[tuple[int, ...]]:
+    """Yield length, start and counts of each bucket that :func:`pack` wrote."""
+    return struct.iter_unpack(f">{len(causes) + 2}q", values)
+
+
 def fold_tier(
     buckets: dict[tuple[int, int], list[int]],
     tier: Tier,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/burn/store.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/burn/store.py
@@ -14,9 +14,8 @@
 from result import Err, Ok, Result
 
 from mulberryledge_core.codec import decode, encode
-from mulberryledge_core.model.burn import Bucket
 
-__all__ = ["StoredCounts", "load_counts", "save_counts"]
+__all__ = ["StoredCounts", "StoredSeries", "load_counts", "save_counts"]
 
 FILE_NAME = "burn.cbor"
 DIGEST_BYTES = 16
@@ -24,12 +23,30 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class StoredSeries:
+    """
+    Counts of one service and team.
+
+    Attributes
+    ----------
+    values : bytes
+        Big-endian 64-bit integers; for each bucket its length and start in
+        milliseconds, then its counts by cause.
+    """
+
+    service: str
+    team: str
+    values: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class StoredCounts:
-    """What the file holds."""
+    """What the file holds; ``causes`` names the counts in their order."""
 
     since_ms: int = 0
-    buckets: tuple[Bucket, ...] = ()
+    causes: tuple[str, ...] = ()
+    series: tuple[StoredSeries, ...] = ()
 
 
 def load_counts(folder: Path) -> StoredCounts | None:
