--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -8,6 +8,8 @@
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from importlib.metadata import version
 
 from result import Err
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
@@ -15,6 +17,7 @@
 from twisted.web.server import Site
 
 from mulberryledge_core.commands.work import CloseSession, OpenSession
+from mulberryledge_daemon.accounting import Accounting
 from mulberryledge_daemon.entry.calls import Calls
 from mulberryledge_daemon.entry.client import AgentClient
 from mulberryledge_daemon.entry.loans import Loans
@@ -22,7 +25,12 @@
 from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
-from mulberryledge_daemon.http.routing import Router
+from mulberryledge_daemon.http.reports import (
+    DaemonIdentity,
+    ReportInterface,
+    report_routes,
+)
+from mulberryledge_daemon.http.routing import Route, Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
@@ -32,6 +40,7 @@
 from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon.settings_checks import Reload, plan_reload
 
 __all__ = ["Daemon", "open_daemon"]
 
@@ -68,20 +77,31 @@
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
+        self.accounting = Accounting(log, name, settings.daemon.data_folder)
+        self.reports = ReportInterface(
+            log,
+            DaemonIdentity(
+                name,
+                settings.daemon.region,
+                settings.daemon.availability_zone,
+                version("mulberryledge-daemon"),
+            ),
+            self.journal,
+            self.accounting.burn,
+            self.is_ready,
+        )
 
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
         await self.log.start()
         routes = (
-            *health_routes(self.is_ready),
+            *health_routes(self.is_ready, self.accounting.metrics.text),
             *caller_routes(self.callers),
             *target_routes(self.targets),
         )
         self.listen(listen.callers_port, routes)
-        cluster = cluster_routes(self.operators.admit, self.log.status)
-        operators = (*operator_routes(self.operators), *cluster)
-        self.listen(listen.operators_port, operators)
+        self.listen(listen.operators_port, self.operator_side())
         await self.open_session()
         for task in (
             self.entry_tick,
@@ -94,6 +114,14 @@
         extra = {"callers_port": self.callers_port, "session": self.session}
         logger.info("started", extra=extra)
 
+    def operator_side(self) -> tuple[Route, ...]:
+        """Return the routes for operators."""
+        return (
+            *operator_routes(self.operators),
+            *report_routes(self.reports, self.operators),
+            *cluster_routes(self.operators.admit, self.log.status),
+        )
+
     async def open_session(self) -> None:
         """Begin this life of the daemon as an entry, as soon as there is a leader."""
         command = OpenSession(self.settings.daemon.name, self.session)
@@ -132,6 +160,7 @@
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
         await self.loans.return_idle(everything=self.stopping)
+        self.accounting.tick()
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
@@ -141,6 +170,33 @@
         await self.jobs.tick()
         await self.maintenance.tick()
 
+    def log_position(self) -> dict[str, int]:
+        """Return the term, where the log has terms, and the applied index."""
+        position = {"index": self.log.state.applied_index}
+        if hasattr(self.log, "term"):
+            position["term"] = self.log.term
+        return position
+
+    def reload(self, settings: Settings) -> Reload:
+        """Take over what may change without a restart."""
+        planned = plan_reload(self.settings, settings)
+        self.settings = replace(
+            self.settings,
+            operator=settings.operator,
+            platform=settings.platform,
+            timing=replace(
+                self.settings.timing,
+                target_lease_s=settings.timing.target_lease_s,
+                stop_timeout_s=settings.timing.stop_timeout_s,
+            ),
+            logs=settings.logs,
+        )
+        self.operators.set_key(settings.operator)
+        self.platform.url = settings.platform.url
+        self.leases.lease_s = settings.timing.target_lease_s
+        self.targets.lease_s = settings.timing.target_lease_s
+        return planned
+
     async def stop(self) -> int:
         """
         Stop gracefully.
@@ -162,6 +218,7 @@
         await settled.addErrback(lambda failure: failure.trap(TimeoutError))
         for port in self.ports:
             await maybeDeferred(port.stopListening)
+        self.accounting.save()
         await self.client.close()
         await self.platform.close()
         await self.log.stop()
