--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SUITE_TIMEOUT_S := 480
 SUITES := $(notdir $(patsubst %/,%,$(wildcard features/*/)))
 
-.PHONY: setup demo test check format bench soak clean
+.PHONY: setup demo test check format bench bench-history soak clean
 
 setup: $(VENV)/.done
 
@@ -41,6 +41,10 @@
 bench: setup
 	$(BIN)/python -m mulberryledge_testing.bench
 
+bench-history: setup
+	$(BIN)/python -m mulberryledge_testing.bench --history docs/bench/history.jsonl \
+	  --commit $$(git rev-parse --short HEAD)
+
 soak: setup
 	$(BIN)/python -m mulberryledge_testing.soak
 
--- a/features/operations/documents.feature
+++ b/features/operations/documents.feature
@@ -36,10 +36,16 @@
       | section      | line                    | place                           | problem                         |
       | availability | min_hosts_serving = 4   | availability.min_hosts_serving  | hold 3 hosts; use 3 at most     |
       | size         | processors = 5          | size.processors                 | use 4.0 at most                 |
+      | size         | accelerators = 1        | size.accelerators               | use 0 at most                   |
       | queue        | lease_ms = 4000000      | queue.lease_ms                  | out of range: use 500 to 600000 |
       | queue        | max_run_s = 5           | queue.lease_ms                  | longer than the longest run     |
       | objective    | latency_ms = 20000      | objective.latency_ms            | longer than calls.deadline_ms   |
 
+  Scenario: A host of undeclared memory may fit anything
+    Given host "host-3" of pool "interior" declares 4 processors only
+    When a document with "memory_mb = 999999" in "size" is applied as version 1
+    Then it is accepted
+
   Scenario: All faults come in one answer
     When a document with all of these faults is applied:
       """
--- a/features/operations/steps/documents.py
+++ b/features/operations/steps/documents.py
@@ -42,6 +42,17 @@
         assert isinstance(run(context.state, command), Ok)
 
 
+@given('host "{host}" of pool "{pool}" declares {processors:d} processors only')
+def step_undeclared(context, host, pool, processors):
+    command = AddHost(host, pool, resources=Resources(float(processors)))
+    assert isinstance(run(context.state, command), Ok)
+
+
+@then("it is accepted")
+def step_accepted(context):
+    assert isinstance(context.outcome, Ok), context.outcome
+
+
 @given('team "{team}" exists')
 def step_team(context, team):
     run(context.state, CreateTeam(team))
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
@@ -18,6 +18,7 @@
 
     name = "wave start"
     description = "Starts the maintenance of hosts of one pool."
+    help = "Example: <c1>mulberryledge wave start monday interior host-1 host-2</c1>"
     arguments = [
         argument("wave", "Name of the wave."),
         argument("pool", "Pool of the hosts."),
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/references.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/references.py
@@ -62,11 +62,18 @@
 
 
 def _oversize(size: Resources, hosts: tuple[Host, ...]) -> Iterator[Fault]:
-    if any(host.resources == Resources() for host in hosts):
-        return  # a host of undeclared capacity may fit anything
     for field in SIZES:
+        if any(_is_undeclared(host.resources, field) for host in hosts):
+            continue  # such a host may fit anything
         wanted = getattr(size, field)
         largest = max(getattr(host.resources, field) for host in hosts)
         if wanted > largest:
             problem = f"{wanted} is above every host; use {largest} at most"
             yield Fault(f"size.{field}", problem)
+
+
+def _is_undeclared(resources: Resources, field: str) -> bool:
+    """Return whether zero means that nobody said; a host may lack accelerators."""
+    if field == "accelerators":
+        return resources == Resources()
+    return getattr(resources, field) == 0
