--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/maintenance.py
@@ -2,14 +2,27 @@
 mulberryledge_core.commands.maintenance
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Commands on maintenance waves and permits.
+Commands on maintenance waves and permits, on holds and on the count of losses.
 """
 
 from dataclasses import dataclass
 
-from mulberryledge_core.model.maintenance import MaintenanceStep, WavePhase
+from mulberryledge_core.model.maintenance import LongJobs, MaintenanceStep, WavePhase
 
-__all__ = ["COMMANDS", "AdvancePermit", "GrantPermit", "SetWavePhase", "StartWave"]
+__all__ = [
+    "COMMANDS",
+    "AdvancePermit",
+    "ClaimWave",
+    "ForgetWaves",
+    "GrantPermit",
+    "HoldHost",
+    "HoldService",
+    "ProveHost",
+    "ReleaseHost",
+    "ReplaceHost",
+    "SetWavePhase",
+    "StartWave",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,25 +33,44 @@
     pool: str
     hosts: tuple[str, ...]
     ignore_quiet: bool = False
+    long_jobs: LongJobs = LongJobs.WAIT
 
 
 @dataclass(frozen=True, slots=True)
 class SetWavePhase:
-    """Pause, resume, stop, finish or abandon a wave."""
+    """
+    Pause, resume, stop, finish or abandon a wave.
+
+    ``revision`` is the wave's revision that the sender saw; zero is not checked.
+    """
 
     name: str
     expected: WavePhase
     phase: WavePhase
     reason: str = ""
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWave:
+    """Make one daemon the only one that may drive the wave."""
+
+    name: str
+    holder: str
 
 
 @dataclass(frozen=True, slots=True)
 class GrantPermit:
-    """Take one host out, if every availability budget allows it."""
+    """
+    Take one host out, if every availability budget allows it.
+
+    ``epoch`` is the claim under which the sender drives the wave.
+    """
 
     permit_id: str
     wave: str
     host: str
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +80,69 @@
     permit_id: str
     expected: MaintenanceStep
     step: MaintenanceStep
+    epoch: int = 0
+    reason: str = ""
+
 
+@dataclass(frozen=True, slots=True)
+class ProveHost:
+    """Count a host as serving again after a loss that no permit covered."""
+
+    host: str
+    service: str
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceHost:
+    """Move a host of a spare pool to the pool of a lost host, once for each loss."""
+
+    host: str
+    spare: str
+    spare_pool: str
 
-COMMANDS = (StartWave, SetWavePhase, GrantPermit, AdvancePermit)
+
+@dataclass(frozen=True, slots=True)
+class ReleaseHost:
+    """Count a host for a service no longer, although it has not come back."""
+
+    host: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldHost:
+    """Hold a host out of maintenance; an empty reason ends the hold."""
+
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldService:
+    """Hold a service's hosts out of maintenance; an empty reason ends the hold."""
+
+    service: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetWaves:
+    """Drop finished waves, with their permits, that began before ``before_ms``."""
+
+    before_ms: int
+
+
+COMMANDS = (
+    StartWave,
+    SetWavePhase,
+    ClaimWave,
+    GrantPermit,
+    AdvancePermit,
+    ProveHost,
+    ReplaceHost,
+    ReleaseHost,
+    HoldHost,
+    HoldService,
+    ForgetWaves,
+)
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/calendar.py
@@ -0,0 +1,83 @@
+"""
+mulberryledge_core.decisions.calendar
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+When each host is due, and which wave to start so that none is late.
+"""
+
+from collections.abc import Iterable
+
+from mulberryledge_core.commands.maintenance import StartWave
+from mulberryledge_core.decisions.quiet import in_quiet
+from mulberryledge_core.model.hosts import Host, HostPhase, Pool
+from mulberryledge_core.model.maintenance import Wave, WavePhase
+from mulberryledge_core.state.absences import DAY_MS
+from mulberryledge_core.state.tables import ClusterState
+
+__all__ = ["CYCLE_DAYS", "due_hosts", "due_waves", "overdue_hosts", "pool_phase_days"]
+
+CYCLE_DAYS = 56
+LEAD_DAYS = 14
+ACTIVE = (WavePhase.RUNNING, WavePhase.PAUSED, WavePhase.STOPPED)
+
+
+def pool_phase_days(pool: Pool, pools: Iterable[str]) -> int:
+    """Return the day of the cycle on which a pool begins, spread over all pools."""
+    names = sorted(pools)
+    return names.index(pool.name) * (CYCLE_DAYS - LEAD_DAYS) // max(1, len(names))
+
+
+def due_hosts(state: ClusterState, pool: Pool, now_ms: int) -> tuple[Host, ...]:
+    """
+    Return the hosts of a pool to maintain now, the longest waiting first.
+
+    A host is due once its pool's turn in the cycle has come since its last
+    maintenance, and in any case within the last days of its cycle.
+    """
+    turn_day = turn_started_day(pool, state.pools, now_ms)
+    late_ms = now_ms - (CYCLE_DAYS - LEAD_DAYS) * DAY_MS
+    due = [
+        host
+        for host in state.hosts.values()
+        if host.pool == pool.name
+        and (host.maintained_ms // DAY_MS < turn_day or host.maintained_ms < late_ms)
+        and host.phase == HostPhase.SERVING
+        and not host.upkeep.hold
+    ]
+    return tuple(sorted(due, key=lambda host: (host.maintained_ms, host.name)))
+
+
+def turn_started_day(pool: Pool, pools: Iterable[str], now_ms: int) -> int:
+    """Return the day since the epoch on which the pool's last turn began."""
+    today = now_ms // DAY_MS
+    phase = pool_phase_days(pool, pools)
+    return today - (today - phase) % CYCLE_DAYS
+
+
+def due_waves(state: ClusterState, now_ms: int) -> tuple[StartWave, ...]:
+    """Return a wave for each pool in its quiet time that has hosts due and no wave."""
+    busy = {wave.pool for wave in state.waves.values() if is_active(wave)}
+    commands = []
+    for pool in state.pools.values():
+        if pool.name in busy or not in_quiet(pool, now_ms):
+            continue
+        due = due_hosts(state, pool, now_ms)
+        if due:
+            name = f"{pool.name}-{now_ms // DAY_MS}"[-64:]
+            hosts = tuple(host.name for host in due)
+            if name not in state.waves:
+                commands.append(StartWave(name, pool.name, hosts))
+    return tuple(commands)
+
+
+def is_active(wave: Wave) -> bool:
+    """Return whether a wave may still take hosts out."""
+    return wave.phase in ACTIVE
+
+
+def overdue_hosts(state: ClusterState, now_ms: int) -> tuple[Host, ...]:
+    """Return the hosts not maintained within the last cycle."""
+    before_ms = now_ms - CYCLE_DAYS * DAY_MS
+    return tuple(
+        host for host in state.hosts.values() if host.maintained_ms < before_ms
+    )
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/drains.py
@@ -0,0 +1,63 @@
+"""
+mulberryledge_core.decisions.drains
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+How far the drain of a host is, and which job holds it.
+"""
+
+from dataclasses import dataclass
+
+from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.state.limits import slots_in_use
+from mulberryledge_core.state.tables import ClusterState
+
+__all__ = ["Drain", "drain_of"]
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """
+    State of a drain, by the log alone.
+
+    Attributes
+    ----------
+    slots : int
+        Slots of the host that are lent to entries or in use by jobs.
+    job : str
+        Running job that is expected to end last, empty if none runs.
+    end_ms : int
+        Log time at which that job must have ended by its declared run time.
+    """
+
+    slots: int
+    job: str = ""
+    end_ms: int = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing runs on the host and nothing can begin there."""
+        return self.slots == 0
+
+
+def drain_of(state: ClusterState, host: str) -> Drain:
+    """Return the state of a host's drain."""
+    targets = {t.name for t in state.targets.values() if t.host == host}
+    slots = sum(slots_in_use(state, name) for name in targets)
+    if not slots:
+        return Drain(0)
+    jobs = [
+        job
+        for job in state.jobs.values()
+        if job.phase == JobPhase.RUNNING and job.target in targets
+    ]
+    if not jobs:
+        return Drain(slots)
+    last = max(jobs, key=lambda job: expected_end_ms(state, job))
+    return Drain(slots, last.job_id, expected_end_ms(state, last))
+
+
+def expected_end_ms(state: ClusterState, job: Job) -> int:
+    """Return the log time at which a job must have ended."""
+    service = state.services.get(job.service)
+    queue = service.document.queue if service is not None else None
+    return job.started_ms + (queue.max_run_s * 1_000 if queue is not None else 0)
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/hosts.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/hosts.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from mulberryledge_core.model.maintenance import Upkeep
+
 __all__ = ["Host", "HostPhase", "Pool", "Resources"]
 
 
@@ -85,6 +87,8 @@
         Log time at which the phase was entered, in milliseconds.
     maintained_ms : int
         Log time of the last completed maintenance, zero if never.
+    upkeep : Upkeep
+        What the availability budgets and the repair know of the host.
     """
 
     name: str
@@ -96,3 +100,4 @@
     phase: HostPhase = HostPhase.SERVING
     phase_since_ms: int = 0
     maintained_ms: int = 0
+    upkeep: Upkeep = Upkeep()
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
@@ -2,13 +2,24 @@
 mulberryledge_core.model.maintenance
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Maintenance waves and the single-use permits to take a host out.
+Maintenance waves, the single-use permits to take a host out, and each host's upkeep.
 """
 
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["MaintenanceStep", "Permit", "Wave", "WavePhase"]
+__all__ = [
+    "OPEN_STEPS",
+    "Absence",
+    "AbsenceCause",
+    "LongJobs",
+    "MaintenanceStep",
+    "OutageDay",
+    "Permit",
+    "Upkeep",
+    "Wave",
+    "WavePhase",
+]
 
 
 class WavePhase(StrEnum):
@@ -29,6 +40,97 @@
     PROBATION = "probation"
     DONE = "done"
     FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+OPEN_STEPS = frozenset(
+    (MaintenanceStep.DRAINING, MaintenanceStep.REBOOTING, MaintenanceStep.PROBATION)
+)
+
+
+class LongJobs(StrEnum):
+    """What a wave does with a host whose drain is held by a long job."""
+
+    WAIT = "wait"
+    SKIP = "skip"
+
+
+class AbsenceCause(StrEnum):
+    """Why a host counts as out for a service."""
+
+    PERMIT = "permit"
+    LOST = "lost"
+    LEFT = "left"
+    MOVED = "moved"
+
+
+@dataclass(frozen=True, slots=True)
+class Absence:
+    """
+    One service for which a host counts as out until it has proved itself.
+
+    Attributes
+    ----------
+    since_ms : int
+        Log time in milliseconds from which the host counts as out.
+    """
+
+    service: str
+    since_ms: int
+    cause: AbsenceCause
+
+
+@dataclass(frozen=True, slots=True)
+class OutageDay:
+    """
+    Ended absences of one host and service, added up by day.
+
+    Attributes
+    ----------
+    day : int
+        Days since the epoch, UTC, of the day on which the absences ended.
+    out_ms : int
+        Milliseconds out.
+    """
+
+    service: str
+    day: int
+    out_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Upkeep:
+    """
+    What the availability budgets and the repair know of one host.
+
+    Attributes
+    ----------
+    services : tuple of str
+        Services that the host counts for, whether or not it runs them now.
+    absences : tuple of Absence
+        Services for which the host counts as out.
+    outages : tuple of OutageDay
+        Ended absences within the longest window.
+    permit : str
+        Open permit of the host, empty if none.
+    losses : int
+        Unplanned losses that followed one another closely.
+    lost_ms : int
+        Log time of the last unplanned loss in milliseconds, zero if none.
+    hold : str
+        Why an operator holds the host out of maintenance, empty if not.
+    replacement : str
+        Host that was moved from the spare pool in place of this lost one.
+    """
+
+    services: tuple[str, ...] = ()
+    absences: tuple[Absence, ...] = ()
+    outages: tuple[OutageDay, ...] = ()
+    permit: str = ""
+    losses: int = 0
+    lost_ms: int = 0
+    hold: str = ""
+    replacement: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +148,8 @@
         Step reached.
     granted_ms, step_ms : int
         Log times in milliseconds of the grant and of the last step.
+    step_index : int
+        Log index of the last step.
     """
 
     permit_id: str
@@ -54,6 +158,7 @@
     step: MaintenanceStep = MaintenanceStep.DRAINING
     granted_ms: int = 0
     step_ms: int = 0
+    step_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +182,20 @@
         Whether the wave may run outside the pool's quiet window.
     started_ms : int
         Log time of the start in milliseconds.
+    long_jobs : LongJobs
+        What to do when a long job holds a drain.
+    index : int
+        Log index of the start, which makes permit identifiers unique.
+    epoch : int
+        Log index of the last claim by a leader; older leaders are refused.
+    holder : str
+        Session of the daemon that holds the claim.
+    revision : int
+        Number of changes of phase.
+    open : int
+        Permits that are not over.
+    streak : int
+        Hosts done since the start or the last stop; the wave widens with it.
     """
 
     name: str
@@ -86,3 +205,14 @@
     reason: str = ""
     ignore_quiet: bool = False
     started_ms: int = 0
+    long_jobs: LongJobs = LongJobs.WAIT
+    index: int = 0
+    epoch: int = 0
+    holder: str = ""
+    revision: int = 0
+    open: int = 0
+    streak: int = 0
+
+    def permit_id(self, host: str) -> str:
+        """Return the identifier of the one permit that the wave may hold for a host."""
+        return f"{self.name}.{self.index}.{host}"
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
@@ -99,7 +99,8 @@
     min_hosts_serving : int
         Hosts that must go on serving.
     outage_minutes : int
-        Host minutes of planned outage allowed in a window; zero for no bound.
+        Host minutes, planned and unplanned together, beyond which a window allows
+        no further planned outage; zero for no bound.
     window_days : int
         Length of that window in days.
     """
@@ -135,11 +136,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service: its document in force and its recent history, oldest first."""
+    """
+    A service: its document in force and its recent history, oldest first.
+
+    Attributes
+    ----------
+    hold : str
+        Why an operator holds its hosts out of maintenance, empty if not.
+    """
 
     name: str
     document: ServiceDocument
     history: tuple[ServiceVersion, ...]
+    hold: str = ""
 
     @property
     def version(self) -> int:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
@@ -5,13 +5,20 @@
 Appliers by command, one module a group of commands.
 """
 
-from mulberryledge_core.state.appliers import fleet, jobs, loans, maintenance, teams
+from mulberryledge_core.state.appliers import (
+    fleet,
+    jobs,
+    loans,
+    maintenance,
+    teams,
+    upkeep,
+)
 
 __all__ = ["get_applier_by_command"]
 
 APPLIERS = {
     command: applier
-    for module in (fleet, teams, jobs, loans, maintenance)
+    for module in (fleet, teams, jobs, loans, maintenance, upkeep)
     for command, applier in module.APPLIERS.items()
 }
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -19,15 +19,25 @@
     SetHostPhase,
 )
 from mulberryledge_core.documents import is_name
-from mulberryledge_core.model.hosts import Host, Pool
+from mulberryledge_core.model.hosts import Host, HostPhase, Pool
+from mulberryledge_core.model.maintenance import AbsenceCause
 from mulberryledge_core.model.targets import Target, TargetPhase
 from mulberryledge_core.outcomes import ApplyResult, Code
+from mulberryledge_core.state.absences import (
+    note_announced,
+    note_dropped,
+    note_host_lost,
+    note_moved,
+    open_absence,
+)
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
+from mulberryledge_core.state.budgets import budget_refusal
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["APPLIERS"]
 
 DAY_MIN = 1_440
+PLANNED_PHASES = (HostPhase.CORDONED, HostPhase.DRAINING, HostPhase.REBOOTING)
 
 
 def create_pool(state: ClusterState, command: CreatePool, ctx: Context) -> ApplyResult:
@@ -90,9 +100,12 @@
 
 
 def remove_host(state: ClusterState, command: RemoveHost, ctx: Context) -> ApplyResult:
-    """Remove a host that runs no target."""
-    if command.name not in state.hosts:
+    """Remove a host that runs no target; it counts for its services no longer."""
+    host = state.hosts.get(command.name)
+    if host is None:
         return missing("host", command.name)
+    if host.upkeep.permit:
+        return _in_maintenance(host)
     for target in state.targets.values():
         if target.host == command.name and target.phase != TargetPhase.LOST:
             return refuse(Code.IN_USE, f"host {command.name!r} runs {target.name!r}")
@@ -113,7 +126,14 @@
             f" not to {command.expected_pool!r}"
         )
         return refuse(Code.CONFLICT, text)
+    if host.upkeep.permit:
+        return _in_maintenance(host)
+    if command.pool != host.pool and host.phase == HostPhase.SERVING:
+        refusal = budget_refusal(state, host, keeps_pool=command.pool)
+        if refusal is not None:
+            return refuse(Code.BUDGET, refusal)
     state.hosts[host.name] = replace(host, pool=command.pool)
+    note_moved(state, host.name, ctx)
     return ok(ctx.index)
 
 
@@ -129,12 +149,25 @@
     if host.phase != command.expected:
         text = f"host {host.name!r} is {host.phase}, not {command.expected}"
         return refuse(Code.CONFLICT, text)
+    if host.upkeep.permit:
+        return _in_maintenance(host)
+    if host.phase == HostPhase.SERVING and command.phase in PLANNED_PHASES:
+        refusal = budget_refusal(state, host)
+        if refusal is not None:
+            return refuse(Code.BUDGET, refusal)
     state.hosts[host.name] = replace(
         host, phase=command.phase, phase_since_ms=ctx.now_ms
     )
+    if command.phase == HostPhase.LOST:
+        note_host_lost(state, host.name, ctx)
     return ok(ctx.index)
 
 
+def _in_maintenance(host: Host) -> ApplyResult:
+    text = f"host {host.name!r} is in maintenance under {host.upkeep.permit!r}"
+    return refuse(Code.IN_USE, text)
+
+
 def announce_target(
     state: ClusterState, command: AnnounceTarget, ctx: Context
 ) -> ApplyResult:
@@ -165,6 +198,7 @@
     if present is not None and _renewed(present, ctx) == target:
         return ok(present.generation, "present")
     state.targets[target.name] = target
+    note_announced(state, target, present, ctx)
     return ok(ctx.index)
 
 
@@ -180,6 +214,9 @@
     if target is None or target.generation != command.generation:
         return missing("target", command.name)
     state.targets[target.name] = replace(target, phase=TargetPhase.LEAVING)
+    if target.host in state.hosts:
+        cause = AbsenceCause.LEFT
+        open_absence(state, target.host, target.service, cause, ctx)
     return ok(ctx.index)
 
 
@@ -192,6 +229,7 @@
         state.targets[target.name] = replace(target, phase=TargetPhase.LOST)
     else:
         del state.targets[target.name]
+    note_dropped(state, target, command.lost, ctx)
     return ok(ctx.index)
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -25,6 +25,7 @@
 )
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context, reservation_id
 
@@ -81,7 +82,7 @@
     service = state.services[job.service]
     if key is None or key.team != service.document.service.team:
         return refuse(Code.BAD_KEY, f"key {command.key!r} may not take this work")
-    if slots_in_use(state, target.name) >= target.slots:
+    if slots_in_use(state, target.name) >= usable_slots(state, target):
         return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
     if team_headroom(state, job.team) < 1:
         return refuse(Code.LIMIT, f"team {job.team!r} is at its upper limit")
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -18,6 +18,7 @@
 from mulberryledge_core.model.sessions import Session, SlotGrant, TeamGrant
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context
 
@@ -57,7 +58,7 @@
             return missing("target", grant.target)
         if not state.target_serves(target.name):
             return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
-        if slots_in_use(state, target.name) + grant.slots > target.slots:
+        if slots_in_use(state, target.name) + grant.slots > usable_slots(state, target):
             return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
     for grant in command.permits:
         if team_headroom(state, grant.team) < grant.permits:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -9,57 +9,97 @@
 
 from mulberryledge_core.commands.maintenance import (
     AdvancePermit,
+    ClaimWave,
+    ForgetWaves,
     GrantPermit,
     SetWavePhase,
     StartWave,
 )
+from mulberryledge_core.decisions.quiet import in_quiet
 from mulberryledge_core.documents import is_name
-from mulberryledge_core.model.hosts import HostPhase
+from mulberryledge_core.model.hosts import Host, HostPhase
 from mulberryledge_core.model.maintenance import (
+    OPEN_STEPS,
+    AbsenceCause,
     MaintenanceStep,
     Permit,
     Wave,
     WavePhase,
 )
 from mulberryledge_core.outcomes import ApplyResult, Code
+from mulberryledge_core.state.absences import (
+    absence_of,
+    close_absence,
+    note_host_lost,
+    open_absence,
+    serving_target,
+)
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
-from mulberryledge_core.state.budgets import budget_refusal
+from mulberryledge_core.state.budgets import Ledger
+from mulberryledge_core.state.limits import slots_in_use
 from mulberryledge_core.state.tables import ClusterState, Context
 
-__all__ = ["APPLIERS"]
+__all__ = ["APPLIERS", "GROWTH", "width"]
 
+GROWTH = 4
 STEP_PHASES = {
     MaintenanceStep.DRAINING: HostPhase.DRAINING,
     MaintenanceStep.REBOOTING: HostPhase.REBOOTING,
     MaintenanceStep.PROBATION: HostPhase.PROBATION,
     MaintenanceStep.DONE: HostPhase.SERVING,
     MaintenanceStep.FAILED: HostPhase.LOST,
+    MaintenanceStep.CANCELLED: HostPhase.SERVING,
+}
+NEXT_STEPS = {
+    MaintenanceStep.DRAINING: (
+        MaintenanceStep.REBOOTING,
+        MaintenanceStep.CANCELLED,
+        MaintenanceStep.FAILED,
+    ),
+    MaintenanceStep.REBOOTING: (MaintenanceStep.PROBATION, MaintenanceStep.FAILED),
+    MaintenanceStep.PROBATION: (MaintenanceStep.DONE, MaintenanceStep.FAILED),
+}
+NEXT_PHASES = {
+    WavePhase.RUNNING: frozenset(WavePhase) - {WavePhase.RUNNING},
+    WavePhase.PAUSED: (WavePhase.RUNNING, WavePhase.STOPPED, WavePhase.ABANDONED),
+    WavePhase.STOPPED: (WavePhase.RUNNING, WavePhase.ABANDONED),
+    WavePhase.DONE: (),
+    WavePhase.ABANDONED: (),
 }
-OPEN_STEPS = frozenset(STEP_PHASES) - {MaintenanceStep.DONE, MaintenanceStep.FAILED}
+
+
+def width(wave: Wave) -> int:
+    """Return how many hosts the wave may have out: a canary first, then growing."""
+    return 1 + (GROWTH - 1) * wave.streak
 
 
 def start_wave(state: ClusterState, command: StartWave, ctx: Context) -> ApplyResult:
     """Start a wave over hosts of one pool."""
     if not is_name(command.name):
         return bad_name("wave", command.name)
+    present = state.waves.get(command.name)
+    if present is not None:
+        if (present.pool, present.hosts) == (command.pool, command.hosts):
+            return ok(present.index, "present")
+        return refuse(Code.EXISTS, f"wave {command.name!r} exists with other hosts")
+    if not command.hosts:
+        return refuse(Code.BAD_REQUEST, f"wave {command.name!r} names no host")
+    if len(set(command.hosts)) < len(command.hosts):
+        return refuse(Code.BAD_REQUEST, f"wave {command.name!r} names a host twice")
     for name in command.hosts:
         host = state.hosts.get(name)
         if host is None or host.pool != command.pool:
             return missing(f"host of pool {command.pool!r}", name)
-    present = state.waves.get(command.name)
-    wave = Wave(
+    state.waves[command.name] = Wave(
         name=command.name,
         pool=command.pool,
         hosts=command.hosts,
         ignore_quiet=command.ignore_quiet,
         started_ms=ctx.now_ms,
+        long_jobs=command.long_jobs,
+        index=ctx.index,
     )
-    if present is None:
-        state.waves[wave.name] = wave
-        return ok(ctx.index)
-    if (present.pool, present.hosts) == (wave.pool, wave.hosts):
-        return ok(ctx.index, "present")
-    return refuse(Code.EXISTS, f"wave {wave.name!r} exists with other hosts")
+    return ok(ctx.index)
 
 
 def set_wave_phase(
@@ -71,42 +111,124 @@
         return missing("wave", command.name)
     if wave.phase == command.phase:
         return ok(ctx.index, "present")
-    if wave.phase != command.expected:
-        return refuse(Code.CONFLICT, f"wave {wave.name!r} is {wave.phase}")
-    state.waves[wave.name] = replace(wave, phase=command.phase, reason=command.reason)
+    stale = command.revision and command.revision != wave.revision
+    allowed = command.phase in NEXT_PHASES[wave.phase]
+    if wave.phase != command.expected or stale or not allowed:
+        reason = f" ({wave.reason})" if wave.reason else ""
+        text = f"wave {wave.name!r} is {wave.phase}{reason}, revision {wave.revision}"
+        return refuse(Code.CONFLICT, text)
+    if command.phase == WavePhase.DONE and wave.open:
+        return refuse(Code.CONFLICT, f"wave {wave.name!r} has {wave.open} hosts out")
+    enter_wave_phase(state, wave, command.phase, command.reason)
     return ok(ctx.index)
 
 
+def enter_wave_phase(
+    state: ClusterState, wave: Wave, phase: WavePhase, reason: str
+) -> None:
+    """Replace the phase; a wave that goes on after a stop begins with a canary."""
+    streak = 0 if wave.phase == WavePhase.STOPPED else wave.streak
+    state.waves[wave.name] = replace(
+        wave, phase=phase, reason=reason, revision=wave.revision + 1, streak=streak
+    )
+
+
+def claim_wave(state: ClusterState, command: ClaimWave, ctx: Context) -> ApplyResult:
+    """Make one daemon the only one that may drive the wave."""
+    wave = state.waves.get(command.name)
+    if wave is None:
+        return missing("wave", command.name)
+    if wave.holder != command.holder:
+        state.waves[wave.name] = replace(wave, holder=command.holder, epoch=ctx.index)
+    return ok(state.waves[wave.name].epoch, "claimed")
+
+
 def grant_permit(
     state: ClusterState, command: GrantPermit, ctx: Context
 ) -> ApplyResult:
-    """Take one host out if the wave runs and every budget allows it."""
+    """Take one host out if the wave may go on and every budget allows it."""
     if command.permit_id in state.permits:
         return ok(ctx.index, "present")
     wave = state.waves.get(command.wave)
     if wave is None or command.host not in wave.hosts:
         return missing("wave", command.wave)
-    if wave.phase != WavePhase.RUNNING:
-        return refuse(Code.CONFLICT, f"wave {wave.name!r} is {wave.phase}")
     host = state.hosts.get(command.host)
     if host is None:
         return missing("host", command.host)
-    if host.phase != HostPhase.SERVING:
-        return refuse(Code.CONFLICT, f"host {host.name!r} is {host.phase}")
-    refusal = budget_refusal(state, host)
+    refusal = wave_refusal(state, wave, command, ctx) or host_refusal(state, wave, host)
     if refusal is not None:
-        return refuse(Code.BUDGET, refusal)
+        return refusal
     state.permits[command.permit_id] = Permit(
         permit_id=command.permit_id,
-        wave=command.wave,
-        host=command.host,
+        wave=wave.name,
+        host=host.name,
         granted_ms=ctx.now_ms,
         step_ms=ctx.now_ms,
+        step_index=ctx.index,
+    )
+    state.waves[wave.name] = replace(wave, open=wave.open + 1)
+    state.hosts[host.name] = replace(
+        host, upkeep=replace(host.upkeep, permit=command.permit_id)
     )
-    _enter(state, host.name, HostPhase.DRAINING, ctx)
+    for service in host.upkeep.services:
+        open_absence(state, host.name, service, AbsenceCause.PERMIT, ctx)
+    enter_phase(state, host.name, HostPhase.DRAINING, ctx)
+    assert_within_budgets(state, state.hosts[host.name])
     return ok(ctx.index, command.permit_id)
 
 
+def wave_refusal(
+    state: ClusterState, wave: Wave, command: GrantPermit, ctx: Context
+) -> ApplyResult | None:
+    """Return why the wave may take no further host out now, or None."""
+    if wave.epoch != command.epoch:
+        return refuse(Code.STALE, f"wave {wave.name!r} is driven by {wave.holder!r}")
+    if wave.phase != WavePhase.RUNNING:
+        return refuse(Code.CONFLICT, f"wave {wave.name!r} is {wave.phase}")
+    if wave.open >= width(wave):
+        text = f"wave {wave.name!r} may have {width(wave)} hosts out for now"
+        return refuse(Code.LIMIT, text)
+    if not wave.ignore_quiet and not in_quiet(state.pools[wave.pool], ctx.now_ms):
+        return refuse(Code.CONFLICT, f"pool {wave.pool!r} is not in its quiet time")
+    permit_id = wave.permit_id(command.host)
+    for name in (permit_id, f"{wave.name}.{command.host}"):
+        if name in state.permits:
+            text = f"wave {wave.name!r} has used its permit for {command.host!r}"
+            return refuse(Code.CONFLICT, text)
+    return None
+
+
+def host_refusal(state: ClusterState, wave: Wave, host: Host) -> ApplyResult | None:
+    """Return why the host may not be taken out now, or None."""
+    if host.pool != wave.pool:
+        return refuse(Code.CONFLICT, f"host {host.name!r} moved to {host.pool!r}")
+    if host.phase != HostPhase.SERVING or host.upkeep.permit:
+        return refuse(Code.CONFLICT, f"host {host.name!r} is {host.phase}")
+    if host.upkeep.hold:
+        return refuse(Code.CONFLICT, f"host {host.name!r}: {host.upkeep.hold}")
+    ledger = Ledger(state, host.upkeep.services)
+    for name, count in ledger.counts.items():
+        if count.service.hold:
+            return refuse(Code.CONFLICT, f"service {name!r}: {count.service.hold}")
+    found = ledger.fresh_loss(host) or ledger.binding(host)
+    if found is not None:
+        return refuse(Code.BUDGET, found.text())
+    return None
+
+
+def assert_within_budgets(state: ClusterState, host: Host) -> None:
+    """Check, by a count of its own, that a permit has broken no budget."""
+    ledger = Ledger(state, host.upkeep.services)
+    for count in ledger.counts.values():
+        budget = count.budget
+        zone = count.zones[host.availability_zone]
+        rack = count.racks[host.availability_zone, host.rack]
+        assert count.out <= budget.max_hosts_out, (host, budget)
+        assert zone <= budget.max_hosts_out_per_zone, (host, budget)
+        assert rack <= budget.max_hosts_out_per_rack, (host, budget)
+        assert count.members - count.out >= budget.min_hosts_serving, (host, budget)
+
+
 def advance_permit(
     state: ClusterState, command: AdvancePermit, ctx: Context
 ) -> ApplyResult:
@@ -116,27 +238,108 @@
         return missing("permit", command.permit_id)
     if permit.step == command.step:
         return ok(ctx.index, "present")
-    if permit.step != command.expected:
+    if permit.step != command.expected or permit.step not in OPEN_STEPS:
         return refuse(Code.CONFLICT, f"permit {permit.permit_id!r} is {permit.step}")
+    if command.step not in NEXT_STEPS[permit.step]:
+        text = (
+            f"permit {permit.permit_id!r} goes from {permit.step} to no {command.step}"
+        )
+        return refuse(Code.BAD_REQUEST, text)
+    wave = state.waves[permit.wave]
+    if wave.epoch != command.epoch:
+        return refuse(Code.STALE, f"wave {wave.name!r} is driven by {wave.holder!r}")
+    refusal = step_refusal(state, permit, command.step)
+    if refusal is not None:
+        return refusal
     state.permits[permit.permit_id] = replace(
-        permit, step=command.step, step_ms=ctx.now_ms
+        permit, step=command.step, step_ms=ctx.now_ms, step_index=ctx.index
     )
-    _enter(state, permit.host, STEP_PHASES[command.step], ctx)
-    if command.step == MaintenanceStep.DONE:
-        host = state.hosts[permit.host]
-        state.hosts[host.name] = replace(host, maintained_ms=ctx.now_ms)
+    enter_phase(state, permit.host, STEP_PHASES[command.step], ctx)
+    if command.step not in OPEN_STEPS:
+        close_permit(state, permit, command, ctx)
     return ok(ctx.index)
 
 
-def _enter(state: ClusterState, name: str, phase: HostPhase, ctx: Context) -> None:
-    host = state.hosts.get(name)
-    if host is not None:
-        state.hosts[name] = replace(host, phase=phase, phase_since_ms=ctx.now_ms)
+def step_refusal(
+    state: ClusterState, permit: Permit, step: MaintenanceStep
+) -> ApplyResult | None:
+    """Return why the host may not take the step yet, or None."""
+    if step == MaintenanceStep.REBOOTING:
+        for target in state.targets.values():
+            if target.host == permit.host and slots_in_use(state, target.name):
+                return refuse(Code.IN_USE, f"target {target.name!r} has slots in use")
+    if step == MaintenanceStep.DONE:
+        for service in state.hosts[permit.host].upkeep.services:
+            if serving_target(state, permit.host, service) is None:
+                text = f"host {permit.host!r} does not serve {service!r} yet"
+                return refuse(Code.CONFLICT, text)
+    return None
+
+
+def close_permit(
+    state: ClusterState, permit: Permit, command: AdvancePermit, ctx: Context
+) -> None:
+    """End a permit: the host is done, lost, or was never touched."""
+    host = state.hosts[permit.host]
+    assert host.upkeep.permit == permit.permit_id, "one open permit a host"
+    upkeep = replace(host.upkeep, permit="")
+    done = command.step == MaintenanceStep.DONE
+    maintained_ms = ctx.now_ms if done else host.maintained_ms
+    state.hosts[host.name] = replace(host, upkeep=upkeep, maintained_ms=maintained_ms)
+    wave = state.waves[permit.wave]
+    wave = replace(wave, open=wave.open - 1, streak=wave.streak + done)
+    assert wave.open >= 0, wave
+    state.waves[wave.name] = wave
+    if command.step == MaintenanceStep.FAILED:
+        note_host_lost(state, host.name, ctx)
+        stop_wave(state, wave, f"host {host.name!r}: {command.reason or 'failed'}")
+        return
+    for service in upkeep.services:
+        if done or serving_target(state, host.name, service) is not None:
+            close_planned(state, host.name, service, ctx)
+
+
+def close_planned(state: ClusterState, name: str, service: str, ctx: Context) -> None:
+    """End the absence that a permit opened."""
+    absence = absence_of(state.hosts[name], service)
+    if absence is not None and absence.cause == AbsenceCause.PERMIT:
+        close_absence(state, name, service, ctx)
+
+
+def stop_wave(state: ClusterState, wave: Wave, reason: str) -> None:
+    """Stop a wave until an operator lets it go on."""
+    if wave.phase in (WavePhase.RUNNING, WavePhase.PAUSED):
+        enter_wave_phase(state, wave, WavePhase.STOPPED, reason)
+
+
+def forget_waves(
+    state: ClusterState, command: ForgetWaves, ctx: Context
+) -> ApplyResult:
+    """Drop finished waves and their permits."""
+    over = (WavePhase.DONE, WavePhase.ABANDONED)
+    dropped = {
+        wave.name
+        for wave in state.waves.values()
+        if wave.phase in over and not wave.open and wave.started_ms < command.before_ms
+    }
+    state.waves = {n: wave for n, wave in state.waves.items() if n not in dropped}
+    state.permits = {
+        n: permit for n, permit in state.permits.items() if permit.wave not in dropped
+    }
+    return ok(ctx.index, str(len(dropped)))
+
+
+def enter_phase(state: ClusterState, name: str, phase: HostPhase, ctx: Context) -> None:
+    """Replace the phase of a host."""
+    host = state.hosts[name]
+    state.hosts[name] = replace(host, phase=phase, phase_since_ms=ctx.now_ms)
 
 
 APPLIERS = {
     StartWave: start_wave,
     SetWavePhase: set_wave_phase,
+    ClaimWave: claim_wave,
     GrantPermit: grant_permit,
     AdvancePermit: advance_permit,
+    ForgetWaves: forget_waves,
 }
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -22,6 +22,7 @@
 from mulberryledge_core.model.services import Service, ServiceDocument, ServiceVersion
 from mulberryledge_core.model.teams import Team, TeamKey
 from mulberryledge_core.outcomes import ApplyResult, Code, Fault, Refusal
+from mulberryledge_core.state.absences import forget_service
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
 from mulberryledge_core.state.tables import ClusterState, Context
 
@@ -144,6 +145,7 @@
                 Code.IN_USE, f"service {command.name!r} has job {job.job_id!r}"
             )
     del state.services[command.name]
+    forget_service(state, command.name, ctx)
     return ok(ctx.index)
 
 
@@ -177,7 +179,8 @@
     accepted = ServiceVersion(command.version, command.text, ctx.index, ctx.now_ms)
     kept = (*history, accepted)[-HISTORY_VERSIONS:]
     name = document.service.name
-    state.services[name] = Service(name, document, kept)
+    hold = state.services[name].hold if name in state.services else ""
+    state.services[name] = Service(name, document, kept, hold)
     return ok(ctx.index, name)
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/budgets.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/budgets.py
@@ -5,67 +5,236 @@
 Availability budgets: one count of planned and unplanned loss a service.
 """
 
+from collections import Counter
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
 from mulberryledge_core.model.hosts import Host, HostPhase
-from mulberryledge_core.model.services import Service
-from mulberryledge_core.model.targets import TargetPhase
+from mulberryledge_core.model.maintenance import AbsenceCause
+from mulberryledge_core.model.services import AvailabilitySection, Service
+from mulberryledge_core.model.targets import Target
+from mulberryledge_core.state.absences import DAY_MS, absence_of
 from mulberryledge_core.state.tables import ClusterState
 
-__all__ = ["budget_refusal", "is_out", "service_hosts"]
+__all__ = [
+    "EXPECTED_OUTAGE_MS",
+    "LOSS_SETTLE_MS",
+    "TRIAL_SLOTS",
+    "Binding",
+    "Ledger",
+    "ServiceCount",
+    "budget_refusal",
+    "is_out",
+    "service_hosts",
+    "usable_slots",
+]
+
+EXPECTED_OUTAGE_MS = 300_000
+LOSS_SETTLE_MS = 600_000
+MINUTE_MS = 60_000
+TRIAL_SLOTS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Binding:
+    """
+    The budget that forbids taking one host out.
+
+    Attributes
+    ----------
+    field : str
+        Name in the section ``[availability]``, or ``unplanned_loss``.
+    bound, value : int
+        Allowed value, and the value that would come about.
+    """
+
+    service: str
+    field: str
+    bound: int
+    value: int
+
+    def text(self) -> str:
+        """Return a sentence for people."""
+        return (
+            f"service {self.service!r}: {self.field} is {self.bound},"
+            f" {self.value} would be reached"
+        )
+
+
+@dataclass(slots=True)
+class ServiceCount:
+    """
+    Hosts of one service, and how many of them are out.
+
+    Attributes
+    ----------
+    zones, racks : Counter
+        Hosts out by availability zone, and by zone and rack.
+    outage_ms : int
+        Host milliseconds out in the window.
+    loss_ms : int
+        Log time of the newest unplanned loss that has not proved itself.
+    """
+
+    service: Service
+    members: int = 0
+    out: int = 0
+    zones: Counter[str] = field(default_factory=Counter)
+    racks: Counter[tuple[str, str]] = field(default_factory=Counter)
+    outage_ms: int = 0
+    loss_ms: int = 0
+
+    @property
+    def budget(self) -> AvailabilitySection:
+        """Budget in force."""
+        return self.service.document.availability
+
+    def take(self, host: Host) -> None:
+        """Count a host as out."""
+        self.out += 1
+        self.zones[host.availability_zone] += 1
+        self.racks[host.availability_zone, host.rack] += 1
+
+    def give(self, host: Host) -> None:
+        """Count a host as serving again."""
+        self.out -= 1
+        self.zones[host.availability_zone] -= 1
+        self.racks[host.availability_zone, host.rack] -= 1
+
+
+class Ledger:
+    """
+    The losses of some services, counted in one pass over the hosts.
 
+    Parameters
+    ----------
+    state : ClusterState
+        State to count in.
+    services : collection of str or None
+        Services to count; all if None.
+    """
 
-def is_out(state: ClusterState, host: Host, service: str) -> bool:
+    def __init__(self, state: ClusterState, services: Collection[str] | None = None):
+        self.now_ms = state.now_ms
+        names = state.services if services is None else services
+        self.counts = {
+            name: ServiceCount(state.services[name])
+            for name in names
+            if name in state.services
+        }
+        for host in state.hosts.values():
+            for name in host.upkeep.services:
+                if name in self.counts:
+                    self.add(host, self.counts[name])
+
+    def add(self, host: Host, count: ServiceCount) -> None:
+        """Count one host for one service."""
+        count.members += 1
+        if is_out(host, count.service.name):
+            count.take(host)
+        count.outage_ms += outage_ms(host, count.service, self.now_ms)
+        absence = absence_of(host, count.service.name)
+        if absence is not None and absence.cause == AbsenceCause.LOST:
+            count.loss_ms = max(count.loss_ms, host.upkeep.lost_ms)
+
+    def binding(self, host: Host) -> Binding | None:
+        """Return the first budget that forbids taking the host out, or None."""
+        for name in host.upkeep.services:
+            count = self.counts.get(name)
+            if count is None or is_out(host, name):
+                continue
+            for found in self.bindings(host, count):
+                return found
+        return None
+
+    def bindings(self, host: Host, count: ServiceCount) -> Iterable[Binding]:
+        """Yield the budgets of one service that forbid taking the host out."""
+        budget = count.budget
+        name = count.service.name
+        zone = count.zones[host.availability_zone] + 1
+        rack = count.racks[host.availability_zone, host.rack] + 1
+        checks = (
+            ("max_hosts_out", budget.max_hosts_out, count.out + 1),
+            ("max_hosts_out_per_zone", budget.max_hosts_out_per_zone, zone),
+            ("max_hosts_out_per_rack", budget.max_hosts_out_per_rack, rack),
+        )
+        for bound_name, bound, value in checks:
+            if value > bound:
+                yield Binding(name, bound_name, bound, value)
+        serving = count.members - count.out - 1
+        if serving < budget.min_hosts_serving:
+            yield Binding(name, "min_hosts_serving", budget.min_hosts_serving, serving)
+        minutes = -(-(count.outage_ms + EXPECTED_OUTAGE_MS) // MINUTE_MS)
+        if budget.outage_minutes and minutes > budget.outage_minutes:
+            yield Binding(name, "outage_minutes", budget.outage_minutes, minutes)
+
+    def fresh_loss(self, host: Host) -> Binding | None:
+        """Return the recent unplanned loss that makes waves wait, or None."""
+        for name in host.upkeep.services:
+            count = self.counts.get(name)
+            if count is None or not count.loss_ms:
+                continue
+            age_ms = self.now_ms - count.loss_ms
+            if age_ms < LOSS_SETTLE_MS:
+                return Binding(name, "unplanned_loss", LOSS_SETTLE_MS, age_ms)
+        return None
+
+    def take(self, host: Host) -> None:
+        """Count a host as out for all its services."""
+        for name in host.upkeep.services:
+            if name in self.counts and not is_out(host, name):
+                self.counts[name].take(host)
+
+    def give(self, host: Host) -> None:
+        """Undo :meth:`take`."""
+        for name in host.upkeep.services:
+            if name in self.counts and not is_out(host, name):
+                self.counts[name].give(host)
+
+
+def is_out(host: Host, service: str) -> bool:
     """Return whether the host counts as out for the service."""
-    if host.phase != HostPhase.SERVING:
-        return True
-    return not any(
-        target.host == host.name
-        and target.service == service
-        and target.phase == TargetPhase.SERVING
-        for target in state.targets.values()
+    return host.phase != HostPhase.SERVING or absence_of(host, service) is not None
+
+
+def outage_ms(host: Host, service: Service, now_ms: int) -> int:
+    """Return for how long the host was out within the service's window."""
+    first_day = now_ms // DAY_MS - service.document.availability.window_days
+    total = sum(
+        outage.out_ms
+        for outage in host.upkeep.outages
+        if outage.service == service.name and outage.day > first_day
     )
+    absence = absence_of(host, service.name)
+    return total + (now_ms - absence.since_ms if absence is not None else 0)
 
 
-def service_hosts(state: ClusterState, service: Service) -> tuple[Host, ...]:
-    """Return the hosts that run, or ran until they were lost, the service."""
-    names = {
-        target.host
-        for target in state.targets.values()
-        if target.service == service.name
-    }
-    return tuple(state.hosts[name] for name in sorted(names) if name in state.hosts)
-
-
-def budget_refusal(state: ClusterState, host: Host) -> str | None:
-    """Return why taking the host out would break a budget, or None."""
-    for service in state.services.values():
-        hosts = service_hosts(state, service)
-        if host not in hosts:
-            continue
-        reason = _service_refusal(state, service, hosts, host)
-        if reason is not None:
-            return reason
-    return None
-
-
-def _service_refusal(
-    state: ClusterState, service: Service, hosts: tuple[Host, ...], host: Host
-) -> str | None:
-    budget = service.document.availability
-    out = [one for one in hosts if one == host or is_out(state, one, service.name)]
-    zone = [one for one in out if one.availability_zone == host.availability_zone]
-    rack = [one for one in zone if one.rack == host.rack]
-    checks = (
-        ("max_hosts_out", len(out), budget.max_hosts_out),
-        ("max_hosts_out_per_zone", len(zone), budget.max_hosts_out_per_zone),
-        ("max_hosts_out_per_rack", len(rack), budget.max_hosts_out_per_rack),
+def service_hosts(state: ClusterState, service: str) -> tuple[Host, ...]:
+    """Return the hosts that count for the service, whether or not they run it now."""
+    return tuple(
+        host for host in state.hosts.values() if service in host.upkeep.services
     )
-    for field, count, bound in checks:
-        if count > bound:
-            return f"service {service.name!r}: {field} is {bound}, {count} would be out"
-    serving = len(hosts) - len(out)
-    if serving < budget.min_hosts_serving:
-        return (
-            f"service {service.name!r}: min_hosts_serving is"
-            f" {budget.min_hosts_serving}, {serving} would serve"
-        )
-    return None
+
+
+def budget_refusal(state: ClusterState, host: Host, keeps_pool: str = "") -> str | None:
+    """
+    Return why taking the host out would break a budget, or None.
+
+    Services of the pool ``keeps_pool`` lose nothing and are not asked.
+    """
+    services = [
+        name
+        for name in host.upkeep.services
+        if name in state.services
+        and state.services[name].document.service.pool != keeps_pool
+    ]
+    found = Ledger(state, services).binding(host)
+    return found.text() if found is not None else None
+
+
+def usable_slots(state: ClusterState, target: Target) -> int:
+    """Return the slots of a target that may be used; few while on probation."""
+    host = state.hosts.get(target.host)
+    if host is not None and host.phase == HostPhase.PROBATION:
+        return min(TRIAL_SLOTS, target.slots)
+    return target.slots
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -28,6 +28,8 @@
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
+from mulberryledge_daemon.leader.repair import Repair
 from mulberryledge_daemon.log.single import open_single_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
@@ -60,9 +62,25 @@
         )
         self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
         self.lender = Lender(log, log)
-        self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
+        self.repair = Repair(
+            reactor,
+            log,
+            self.platform,
+            repair_policy(timing),
+            timing.target_lease_s,
+            self.journal.note,
+        )
+        self.leases = TargetLeases(
+            reactor, log, log, timing.target_lease_s, self.repair.witness
+        )
         self.jobs = Jobs(reactor, log, log)
-        self.maintenance = Maintenance(log, self.platform, timing.probation_s)
+        self.maintenance = Maintenance(
+            log,
+            self.platform,
+            maintenance_policy(timing),
+            self.session,
+            self.journal.note,
+        )
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
@@ -117,9 +135,11 @@
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
+            self.repair.step_down()
             return
         await self.leases.tick()
         await self.jobs.tick()
+        await self.repair.tick()
         await self.maintenance.tick()
 
     async def stop(self) -> int:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -39,6 +39,9 @@
         *teams.COMMANDS,
         maintenance.StartWave,
         maintenance.SetWavePhase,
+        maintenance.HoldHost,
+        maintenance.HoldService,
+        maintenance.ReleaseHost,
     )
 }
 TABLES = (
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -5,6 +5,8 @@
 Leases of targets: a target that is silent for a whole lease is lost.
 """
 
+from collections.abc import Callable
+
 from result import Ok, Result
 from twisted.internet.interfaces import IReactorTime
 
@@ -26,16 +28,19 @@
         log: ReplicatedLog,
         channel: LeaderChannel,
         lease_s: float,
+        witness: Callable[[TargetsSeen], None] = lambda message: None,
     ):
         self.clock = clock
         self.log = log
         self.lease_s = lease_s
+        self.witness = witness
         self.seen: dict[tuple[str, int], float] = {}
         channel.serve(TargetsSeen, self.on_seen)
 
     async def on_seen(self, message: TargetsSeen) -> Result[object, Refusal]:
         """Renew the leases of targets that an entry heard from."""
         now = self.clock.seconds()
+        self.witness(message)
         for name in message.targets:
             target = self.log.state.targets.get(name)
             if target is not None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -12,6 +12,7 @@
 from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
 from mulberryledge_core.outcomes import Refusal
 from mulberryledge_core.state import ClusterState
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
 
@@ -58,7 +59,7 @@
     targets.sort(key=lambda target: far(state, target.host, zone))
     left, grants = demand.wanted, []
     for target in targets:
-        free = min(left, target.slots - slots_in_use(state, target.name))
+        free = min(left, usable_slots(state, target) - slots_in_use(state, target.name))
         if free > 0:
             grants.append(SlotGrant(target.name, target.generation, free))
             left -= free
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -5,105 +5,319 @@
 Carries running waves forward: permit, drain, reboot, probation, done.
 """
 
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from result import Ok
+from twisted.internet.defer import ensureDeferred
 
 from mulberryledge_core.commands.maintenance import (
     AdvancePermit,
+    ClaimWave,
+    ForgetWaves,
     GrantPermit,
     SetWavePhase,
 )
+from mulberryledge_core.commands.work import EndJob
+from mulberryledge_core.decisions.drains import Drain, drain_of
+from mulberryledge_core.decisions.quiet import in_quiet
+from mulberryledge_core.decisions.waves import candidates, choose_hosts
+from mulberryledge_core.model.decisions import Decision, DecisionKind
+from mulberryledge_core.model.hosts import HostPhase
+from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.model.maintenance import (
+    OPEN_STEPS,
+    LongJobs,
     MaintenanceStep,
     Permit,
     Wave,
     WavePhase,
 )
-from mulberryledge_core.model.targets import TargetPhase
+from mulberryledge_core.model.targets import Target
 from mulberryledge_core.state import ClusterState
-from mulberryledge_core.state.limits import slots_in_use
-from mulberryledge_daemon.ports import Platform, RebootState, ReplicatedLog
+from mulberryledge_core.state.absences import serving_target
+from mulberryledge_daemon.ports import (
+    AppliedEvent,
+    Platform,
+    RebootState,
+    ReplicatedLog,
+)
+
+__all__ = ["Maintenance", "MaintenancePolicy"]
+
+PLAN_INTERVAL_MS = 500
+TRIAL_FAILURES = 2
+KEEP_WAVES_MS = 60 * 86_400_000
+FORGET_INTERVAL_MS = 3_600_000
 
-__all__ = ["Maintenance"]
 
-OVER = (MaintenanceStep.DONE, MaintenanceStep.FAILED)
+@dataclass(frozen=True, slots=True)
+class MaintenancePolicy:
+    """
+    Times that waves go by.
+
+    Attributes
+    ----------
+    probation_ms : int
+        Time for which a rebooted host must stay healthy.
+    slow_ms : int
+        Time after which a rebooting host is slow, and its wave stops.
+    timeout_ms : int
+        Time after which a rebooting host counts as lost.
+    long_drain_ms : int
+        Time after which a drain counts as held by a long job.
+    """
+
+    probation_ms: int = 5_000
+    slow_ms: int = 300_000
+    timeout_ms: int = 900_000
+    long_drain_ms: int = 30_000
 
 
 class Maintenance:
-    """Advances the permits of running waves."""
+    """
+    Advances the permits of waves.
+
+    Parameters
+    ----------
+    session : str
+        Session of this daemon, under which it claims the waves that it drives.
+    note : callable
+        Keeps a decision.
+    """
 
-    def __init__(self, log: ReplicatedLog, platform: Platform, probation_s: float):
+    def __init__(
+        self,
+        log: ReplicatedLog,
+        platform: Platform,
+        policy: MaintenancePolicy,
+        session: str,
+        note: Callable[[Decision], None],
+    ):
         self.log = log
         self.platform = platform
-        self.probation_ms = probation_s * 1_000
+        self.policy = policy
+        self.session = session
+        self.note = note
+        self.asking: set[str] = set()
+        self.answers: dict[str, RebootState] = {}
+        self.failures: Counter[str] = Counter()
+        self.plan_after_ms = 0
+        self.forget_after_ms = 0
         self.steps = {
             MaintenanceStep.DRAINING: self.drain,
             MaintenanceStep.REBOOTING: self.reboot,
             MaintenanceStep.PROBATION: self.prove,
         }
+        log.watch(self.on_applied)
 
     async def tick(self) -> None:
         """Advance each open permit, then grant what the budgets allow."""
-        for permit in list(self.log.state.permits.values()):
-            if permit.step not in OVER:
-                await self.steps[permit.step](permit)
-        for wave in list(self.log.state.waves.values()):
+        state = self.log.state
+        for wave in list(state.waves.values()):
+            if wave.open or wave.phase == WavePhase.RUNNING:
+                await self.claim(wave)
+        for permit in open_permits(state):
+            await self.steps[permit.step](permit)
+        now_ms = self.log.time_ms()
+        if now_ms < self.plan_after_ms:
+            return
+        self.plan_after_ms = now_ms + PLAN_INTERVAL_MS
+        for wave in list(state.waves.values()):
             if wave.phase == WavePhase.RUNNING:
                 await self.advance_wave(wave)
+        if now_ms >= self.forget_after_ms:
+            self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
+            await self.forget(now_ms)
+
+    async def claim(self, wave: Wave) -> None:
+        """Become the only daemon that drives the wave."""
+        if wave.holder != self.session:
+            await self.log.propose(ClaimWave(wave.name, self.session))
+
+    async def forget(self, now_ms: int) -> None:
+        """Drop waves that ended long ago."""
+        before_ms = now_ms - KEEP_WAVES_MS
+        over = (WavePhase.DONE, WavePhase.ABANDONED)
+        if any(
+            wave.phase in over and wave.started_ms < before_ms
+            for wave in self.log.state.waves.values()
+        ):
+            await self.log.propose(ForgetWaves(before_ms))
 
     async def advance_wave(self, wave: Wave) -> None:
-        """Ask for a permit for each host not yet permitted."""
-        for host in wave.hosts:
-            permit_id = f"{wave.name}.{host}"
-            if permit_id not in self.log.state.permits:
-                await self.log.propose(GrantPermit(permit_id, wave.name, host))
-        if wave_done(self.log.state, wave):
+        """Ask for permits for the hosts that go next."""
+        wave = self.log.state.waves[wave.name]
+        choice = choose_hosts(self.log.state, wave, self.log.time_ms())
+        for blocked in choice.blocked[:1]:
+            self.say(DecisionKind.HOLD, f"wave/{wave.name}", blocked.cause)
+        for host in choice.hosts:
+            permit_id = wave.permit_id(host)
+            command = GrantPermit(permit_id, wave.name, host, wave.epoch)
+            outcome = await self.log.propose(command)
+            if isinstance(outcome, Ok):
+                cause = f"wave {wave.name!r}: every budget allows it"
+                self.say(DecisionKind.PERMIT, f"host/{host}", cause)
+        wave = self.log.state.waves[wave.name]
+        if not wave.open and not candidates(self.log.state, wave):
             command = SetWavePhase(wave.name, WavePhase.RUNNING, WavePhase.DONE)
             await self.log.propose(command)
 
     async def drain(self, permit: Permit) -> None:
         """Go on to the reboot once nothing runs on the host."""
-        if not host_is_idle(self.log.state, permit.host):
+        state = self.log.state
+        wave = state.waves[permit.wave]
+        drain = drain_of(state, permit.host)
+        if wave.phase == WavePhase.ABANDONED:
+            await self.advance(permit, MaintenanceStep.CANCELLED, "wave abandoned")
+        elif drain.is_over:
+            await self.advance(permit, MaintenanceStep.REBOOTING)
+        else:
+            await self.wait_for_drain(wave, permit, drain)
+
+    async def wait_for_drain(self, wave: Wave, permit: Permit, drain: Drain) -> None:
+        """Tell the operator of a long job; skip the host where the wave says so."""
+        now_ms = self.log.time_ms()
+        pool = self.log.state.pools[wave.pool]
+        if not wave.ignore_quiet and not in_quiet(pool, now_ms):
+            reason = "the quiet time ended before the drain"
+            await self.advance(permit, MaintenanceStep.CANCELLED, reason)
+            return
+        if not drain.job or now_ms - permit.step_ms < self.policy.long_drain_ms:
             return
-        await self.advance(permit, MaintenanceStep.REBOOTING)
+        cause = f"job {drain.job!r} holds the drain, expected end {drain.end_ms} ms"
+        self.say(DecisionKind.HOLD, f"host/{permit.host}", cause)
+        if wave.long_jobs == LongJobs.SKIP:
+            await self.advance(permit, MaintenanceStep.CANCELLED, cause)
 
     async def reboot(self, permit: Permit) -> None:
         """Ask the platform for the reboot and wait for the host to announce."""
-        state = await self.platform.reboot(permit.host, permit.permit_id)
-        if state == RebootState.FAILED:
-            await self.advance(permit, MaintenanceStep.FAILED)
-        elif state == RebootState.UP and announced_since(self.log.state, permit):
+        answer = self.answers.get(permit.permit_id)
+        out_ms = self.log.time_ms() - permit.step_ms
+        if answer == RebootState.FAILED:
+            reason = "the platform failed to reboot it"
+            await self.advance(permit, MaintenanceStep.FAILED, reason)
+        elif answer == RebootState.UP and is_back(self.log.state, permit):
             await self.advance(permit, MaintenanceStep.PROBATION)
+        elif out_ms >= self.policy.timeout_ms:
+            reason = f"not back within {self.policy.timeout_ms} ms"
+            await self.advance(permit, MaintenanceStep.FAILED, reason)
+        else:
+            if out_ms >= self.policy.slow_ms:
+                await self.stop_slow(permit)
+            self.ask(permit)
+
+    async def stop_slow(self, permit: Permit) -> None:
+        """Stop a wave whose host comes back slowly."""
+        wave = self.log.state.waves[permit.wave]
+        if wave.phase == WavePhase.RUNNING:
+            reason = f"host {permit.host!r} is not back after {self.policy.slow_ms} ms"
+            await self.stop(wave, reason)
+
+    async def stop(self, wave: Wave, reason: str) -> None:
+        """Stop a wave until an operator lets it go on."""
+        command = SetWavePhase(wave.name, wave.phase, WavePhase.STOPPED, reason)
+        if isinstance(await self.log.propose(command), Ok):
+            self.say(DecisionKind.PAUSE, f"wave/{wave.name}", reason)
+
+    def ask(self, permit: Permit) -> None:
+        """Ask the platform without waiting; one question a permit at a time."""
+        if permit.permit_id not in self.asking:
+            self.asking.add(permit.permit_id)
+            ensureDeferred(self.exchange(permit.permit_id, permit.host))
+
+    async def exchange(self, permit_id: str, host: str) -> None:
+        """Ask for the reboot, which the platform carries out once a permit."""
+        try:
+            if self.is_current(permit_id):
+                answer = await self.platform.reboot(host, permit_id)
+                self.answers[permit_id] = answer
+        finally:
+            self.asking.discard(permit_id)
+
+    def is_current(self, permit_id: str) -> bool:
+        """Return whether this daemon still leads and still drives the permit."""
+        permit = self.log.state.permits.get(permit_id)
+        if permit is None or permit.step != MaintenanceStep.REBOOTING:
+            return False
+        holder = self.log.state.waves[permit.wave].holder
+        return self.log.is_leader() and holder == self.session
 
     async def prove(self, permit: Permit) -> None:
-        """Count the host as back once it stayed healthy for the probation."""
-        if self.log.time_ms() - permit.step_ms >= self.probation_ms:
+        """Count the host as back once it stayed healthy under trial work."""
+        if self.failures[permit.host] >= TRIAL_FAILURES:
+            reason = f"failed {self.failures[permit.host]} jobs on probation"
+            await self.advance(permit, MaintenanceStep.FAILED, reason)
+        elif not is_healthy(self.log.state, permit):
+            reason = "lost again on probation"
+            await self.advance(permit, MaintenanceStep.FAILED, reason)
+        elif self.log.time_ms() - permit.step_ms >= self.policy.probation_ms:
             await self.advance(permit, MaintenanceStep.DONE)
 
-    async def advance(self, permit: Permit, step: MaintenanceStep) -> bool:
+    async def advance(
+        self, permit: Permit, step: MaintenanceStep, reason: str = ""
+    ) -> None:
         """Record a step through the log."""
-        command = AdvancePermit(permit.permit_id, permit.step, step)
-        return isinstance(await self.log.propose(command), Ok)
+        wave = self.log.state.waves[permit.wave]
+        command = AdvancePermit(permit.permit_id, permit.step, step, wave.epoch, reason)
+        if not isinstance(await self.log.propose(command), Ok):
+            return
+        if step not in OPEN_STEPS:
+            self.answers.pop(permit.permit_id, None)
+            self.failures.pop(permit.host, None)
+        if step == MaintenanceStep.FAILED:
+            self.say(
+                DecisionKind.PAUSE, f"wave/{wave.name}", f"{permit.host}: {reason}"
+            )
+        elif reason:
+            self.say(DecisionKind.HOLD, f"host/{permit.host}", reason)
+
+    def on_applied(self, event: AppliedEvent) -> None:
+        """Count the jobs that fail on hosts on probation."""
+        command = event.command
+        if not isinstance(command, EndJob) or command.phase != JobPhase.FAILED:
+            return
+        job = self.log.state.jobs.get(command.job_id)
+        target = self.log.state.targets.get(job.target) if job else None
+        host = self.log.state.hosts.get(target.host) if target else None
+        if host is not None and host.phase == HostPhase.PROBATION:
+            self.failures[host.name] += 1
 
+    def say(self, kind: DecisionKind, subject: str, cause: str) -> None:
+        """Keep a decision with its cause."""
+        self.note(Decision(self.log.time_ms(), kind, subject, cause))
 
-def wave_done(state: ClusterState, wave: Wave) -> bool:
-    """Return whether each host of the wave has a finished permit."""
-    permits = (state.permits.get(f"{wave.name}.{host}") for host in wave.hosts)
-    return all(permit is not None and permit.step in OVER for permit in permits)
 
+def open_permits(state: ClusterState) -> list[Permit]:
+    """Return the permits of hosts that are out."""
+    return [permit for permit in state.permits.values() if permit.step in OPEN_STEPS]
 
-def host_is_idle(state: ClusterState, host: str) -> bool:
-    """Return whether no slot on the host is lent or in use by a job."""
-    return not any(
-        slots_in_use(state, target.name)
-        for target in state.targets.values()
-        if target.host == host
+
+def is_back(state: ClusterState, permit: Permit) -> bool:
+    """Return whether the host runs each of its services in a life after the reboot."""
+    return serves_all(state, permit) and all(
+        target.generation > permit.step_index
+        for target in targets_of(state, permit.host)
+    )
+
+
+def is_healthy(state: ClusterState, permit: Permit) -> bool:
+    """Return whether no target of the host was lost or restarted on probation."""
+    return serves_all(state, permit) and all(
+        target.generation < permit.step_index
+        for target in targets_of(state, permit.host)
     )
 
 
-def announced_since(state: ClusterState, permit: Permit) -> bool:
-    """Return whether every target of the host announced itself since the reboot."""
-    targets = [one for one in state.targets.values() if one.host == permit.host]
+def serves_all(state: ClusterState, permit: Permit) -> bool:
+    """Return whether the host serves each service that it counts for."""
     return all(
-        target.phase == TargetPhase.SERVING and target.announced_ms > permit.step_ms
-        for target in targets
+        serving_target(state, permit.host, service) is not None
+        for service in state.hosts[permit.host].upkeep.services
     )
+
+
+def targets_of(state: ClusterState, host: str) -> list[Target]:
+    """Return the targets on a host."""
+    return [target for target in state.targets.values() if target.host == host]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -99,12 +99,28 @@
         Time for which a rebooted host must stay healthy.
     stop_timeout_s : float
         Longest wait for running calls in a planned stop.
+    reboot_slow_s : float
+        Time after which a rebooting host stops its wave.
+    reboot_timeout_s : float
+        Time after which a rebooting host counts as lost.
+    long_drain_s : float
+        Time after which a drain counts as held by a long job.
+    repair_confirm_s : float
+        Silence of a host before it is cordoned.
+    repair_reboot_s, repair_replace_s : float
+        Silence before a host is rebooted, and before a spare takes its place.
     """
 
     target_lease_s: float = 10.0
     tick_s: float = 0.1
     probation_s: float = 5.0
     stop_timeout_s: float = 130.0
+    reboot_slow_s: float = 300.0
+    reboot_timeout_s: float = 900.0
+    long_drain_s: float = 30.0
+    repair_confirm_s: float = 30.0
+    repair_reboot_s: float = 300.0
+    repair_replace_s: float = 900.0
 
 
 @dataclass(frozen=True, slots=True)
