--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/fleet.py
@@ -62,11 +62,17 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveHost:
-    """Move a host between pools if it still belongs to ``expected_pool``."""
+    """
+    Move a host between pools if it still belongs to ``expected_pool``.
+
+    ``within_budgets`` refuses a move that a planned outage of the host would not be
+    allowed; without it, the move is an operator's own word.
+    """
 
     name: str
     expected_pool: str
     pool: str
+    within_budgets: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/drains.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/drains.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.model.jobs import Job
 from mulberryledge_core.state.limits import slots_in_use
 from mulberryledge_core.state.tables import ClusterState
 
@@ -41,15 +41,10 @@
 
 def drain_of(state: ClusterState, host: str) -> Drain:
     """Return the state of a host's drain."""
-    targets = {t.name for t in state.targets.values() if t.host == host}
-    slots = sum(slots_in_use(state, name) for name in targets)
-    if not slots:
-        return Drain(0)
-    jobs = [
-        job
-        for job in state.jobs.values()
-        if job.phase == JobPhase.RUNNING and job.target in targets
-    ]
+    names = [target.name for target in state.indexes.targets_by_host.rows(host)]
+    slots = sum(slots_in_use(state, name) for name in names)
+    running = state.indexes.running_by_target
+    jobs = [job for name in names for job in running.rows(name)]
     if not jobs:
         return Drain(slots)
     last = max(jobs, key=lambda job: expected_end_ms(state, job))
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/repair.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/repair.py
@@ -271,8 +271,7 @@
     """Return whether any slot on the host is lent or in use by a job."""
     return any(
         slots_in_use(state, target.name)
-        for target in state.targets.values()
-        if target.host == host
+        for target in state.indexes.targets_by_host.rows(host)
     )
 
 
@@ -310,8 +309,8 @@
 def has_serving_target(state: ClusterState, host: str) -> bool:
     """Return whether any target on the host has announced itself."""
     return any(
-        target.host == host and target.phase == TargetPhase.SERVING
-        for target in state.targets.values()
+        target.phase == TargetPhase.SERVING
+        for target in state.indexes.targets_by_host.rows(host)
     )
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/absences.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/absences.py
@@ -48,8 +48,8 @@
 def serving_target(state: ClusterState, host: str, service: str) -> Target | None:
     """Return a target of the service if all that the host has of it serve."""
     found = None
-    for target in state.targets.values():
-        if target.host != host or target.service != service:
+    for target in state.indexes.targets_by_host.rows(host):
+        if target.service != service:
             continue
         if target.phase != TargetPhase.SERVING:
             return None
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -265,8 +265,8 @@
 ) -> ApplyResult | None:
     """Return why the host may not take the step yet, or None."""
     if step == MaintenanceStep.REBOOTING:
-        for target in state.targets.values():
-            if target.host == permit.host and slots_in_use(state, target.name):
+        for target in state.indexes.targets_by_host.rows(permit.host):
+            if slots_in_use(state, target.name):
                 return refuse(Code.IN_USE, f"target {target.name!r} has slots in use")
     if step == MaintenanceStep.DONE:
         for service in state.hosts[permit.host].upkeep.services:
@@ -317,15 +317,16 @@
 ) -> ApplyResult:
     """Drop finished waves and their permits."""
     over = (WavePhase.DONE, WavePhase.ABANDONED)
-    dropped = {
+    dropped = [
         wave.name
         for wave in state.waves.values()
         if wave.phase in over and not wave.open and wave.started_ms < command.before_ms
-    }
-    state.waves = {n: wave for n, wave in state.waves.items() if n not in dropped}
-    state.permits = {
-        n: permit for n, permit in state.permits.items() if permit.wave not in dropped
-    }
+    ]
+    for name in dropped:
+        del state.waves[name]
+    for permit in list(state.permits.values()):
+        if permit.wave in dropped:
+            del state.permits[permit.permit_id]
     return ok(ctx.index, str(len(dropped)))
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -34,7 +34,6 @@
     Wave,
     WavePhase,
 )
-from mulberryledge_core.model.targets import Target
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.absences import serving_target
 from mulberryledge_daemon.ports import (
@@ -298,7 +297,7 @@
     """Return whether the host runs each of its services in a life after the reboot."""
     return serves_all(state, permit) and all(
         target.generation > permit.step_index
-        for target in targets_of(state, permit.host)
+        for target in state.indexes.targets_by_host.rows(permit.host)
     )
 
 
@@ -306,7 +305,7 @@
     """Return whether no target of the host was lost or restarted on probation."""
     return serves_all(state, permit) and all(
         target.generation < permit.step_index
-        for target in targets_of(state, permit.host)
+        for target in state.indexes.targets_by_host.rows(permit.host)
     )
 
 
@@ -316,8 +315,3 @@
         serving_target(state, permit.host, service) is not None
         for service in state.hosts[permit.host].upkeep.services
     )
-
-
-def targets_of(state: ClusterState, host: str) -> list[Target]:
-    """Return the targets on a host."""
-    return [target for target in state.targets.values() if target.host == host]
