--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
@@ -131,9 +131,11 @@
     return found
 
 
-def choose_hosts(state: ClusterState, wave: Wave, now_ms: int) -> Choice:
+def choose_hosts(
+    state: ClusterState, wave: Wave, now_ms: int, ledger: Ledger | None = None
+) -> Choice:
     """
-    Choose the hosts that may go out now.
+    Choose the hosts that may go out now, and count them as out in the ledger.
 
     Hosts of the service with most work left go first, since that service ends last;
     among them those whose failure domain has fewest hosts out, then the planned order.
@@ -146,8 +148,8 @@
     if not wave.ignore_quiet and left_ms < EXPECTED_OUTAGE_MS:
         cause = f"pool {wave.pool!r} has {left_ms} ms of quiet time left"
         return Choice(blocked=(Blocked(waiting[0].name, cause),))
-    services = {name for host in waiting for name in host.upkeep.services}
-    ledger = Ledger(state, services)
+    if ledger is None:
+        ledger = Ledger(state, services_of(waiting))
     chosen: list[str] = []
     blocked: list[Blocked] = []
     for host in by_urgency(waiting, ledger):
@@ -162,10 +164,17 @@
     return Choice(tuple(chosen), tuple(blocked))
 
 
+def services_of(hosts: Iterable[Host]) -> set[str]:
+    """Return the services that any of the hosts counts for."""
+    return {name for host in hosts for name in host.upkeep.services}
+
+
 def blocking_cause(ledger: Ledger, host: Host) -> str | None:
     """Return why the host may not go out now, or None."""
     if host.phase != HostPhase.SERVING or host.upkeep.permit:
         return f"host {host.name!r} is {host.phase}"
+    for absence in host.upkeep.absences:
+        return f"host {host.name!r} is out for {absence.service!r}: {absence.cause}"
     if host.upkeep.hold:
         return f"host {host.name!r} is held: {host.upkeep.hold}"
     for name in host.upkeep.services:
@@ -224,7 +233,7 @@
 def least_waves(state: ClusterState, hosts: Iterable[Host]) -> LeastWaves:
     """Return the least number of rounds that the budgets allow for the hosts."""
     hosts = list(hosts)
-    ledger = Ledger(state, {name for host in hosts for name in host.upkeep.services})
+    ledger = Ledger(state, services_of(hosts))
     least = LeastWaves(min(1, len(hosts)), "each host needs a round")
     for name, count in ledger.counts.items():
         mine = [host for host in hosts if name in host.upkeep.services]
@@ -262,7 +271,7 @@
     streak = wave.streak
     never: tuple[Blocked, ...] = ()
     while left:
-        ledger = Ledger(state, {n for host in left for n in host.upkeep.services})
+        ledger = Ledger(state, services_of(left))
         room = width(replace(wave, streak=streak))
         chosen, blocked = fill_round(ledger, left, room)
         if not chosen:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/absences.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/absences.py
@@ -68,12 +68,12 @@
 def open_absence(
     state: ClusterState, name: str, service: str, cause: AbsenceCause, ctx: Context
 ) -> None:
-    """Count a host as out for a service; a loss outweighs a planned absence."""
+    """Count a host as out for a service; a loss or a move outweighs what was before."""
     host = state.hosts[name]
     if service not in host.upkeep.services:
         return
     present = absence_of(host, service)
-    if present is not None and cause != AbsenceCause.LOST:
+    if present is not None and cause not in (AbsenceCause.LOST, AbsenceCause.MOVED):
         return
     since_ms = present.since_ms if present is not None else ctx.now_ms
     kept = (one for one in host.upkeep.absences if one.service != service)
@@ -164,6 +164,8 @@
     present = absence_of(host, target.service)
     if present is not None and present.cause == AbsenceCause.PERMIT:
         return
+    if present is not None and present.cause == AbsenceCause.MOVED:
+        release_service(state, host.name, target.service, ctx)
     open_absence(state, host.name, target.service, AbsenceCause.LOST, ctx)
     if target.announced_ms >= host.upkeep.lost_ms:
         add_loss(state, host.name, ctx)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -204,6 +204,9 @@
         return refuse(Code.CONFLICT, f"host {host.name!r} moved to {host.pool!r}")
     if host.phase != HostPhase.SERVING or host.upkeep.permit:
         return refuse(Code.CONFLICT, f"host {host.name!r} is {host.phase}")
+    for absence in host.upkeep.absences:
+        text = f"host {host.name!r} is out for {absence.service!r}: {absence.cause}"
+        return refuse(Code.CONFLICT, text)
     if host.upkeep.hold:
         return refuse(Code.CONFLICT, f"host {host.name!r}: {host.upkeep.hold}")
     ledger = Ledger(state, host.upkeep.services)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -36,6 +36,7 @@
 )
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.absences import serving_target
+from mulberryledge_core.state.budgets import Ledger
 from mulberryledge_daemon.ports import (
     AppliedEvent,
     Platform,
@@ -117,19 +118,28 @@
         for wave in list(state.waves.values()):
             if wave.open or wave.phase == WavePhase.RUNNING:
                 await self.claim(wave)
-        for permit in open_permits(state):
+        for permit in self.open_permits():
             await self.steps[permit.step](permit)
         now_ms = self.log.time_ms()
         if now_ms < self.plan_after_ms:
             return
         self.plan_after_ms = now_ms + PLAN_INTERVAL_MS
-        for wave in list(state.waves.values()):
-            if wave.phase == WavePhase.RUNNING:
-                await self.advance_wave(wave)
+        running = [w for w in state.waves.values() if w.phase == WavePhase.RUNNING]
+        if running:
+            ledger = Ledger(state)
+            for wave in running:
+                await self.advance_wave(wave, ledger)
         if now_ms >= self.forget_after_ms:
             self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
             await self.forget(now_ms)
 
+    def open_permits(self) -> list[Permit]:
+        """Return the permits of hosts that are out."""
+        state = self.log.state
+        if not any(wave.open for wave in state.waves.values()):
+            return []
+        return [one for one in state.permits.values() if one.step in OPEN_STEPS]
+
     async def claim(self, wave: Wave) -> None:
         """Become the only daemon that drives the wave."""
         if wave.holder != self.session:
@@ -145,10 +155,10 @@
         ):
             await self.log.propose(ForgetWaves(before_ms))
 
-    async def advance_wave(self, wave: Wave) -> None:
+    async def advance_wave(self, wave: Wave, ledger: Ledger) -> None:
         """Ask for permits for the hosts that go next."""
         wave = self.log.state.waves[wave.name]
-        choice = choose_hosts(self.log.state, wave, self.log.time_ms())
+        choice = choose_hosts(self.log.state, wave, self.log.time_ms(), ledger)
         for blocked in choice.blocked[:1]:
             self.say(DecisionKind.HOLD, f"wave/{wave.name}", blocked.cause)
         for host in choice.hosts:
@@ -288,11 +298,6 @@
         self.note(Decision(self.log.time_ms(), kind, subject, cause))
 
 
-def open_permits(state: ClusterState) -> list[Permit]:
-    """Return the permits of hosts that are out."""
-    return [permit for permit in state.permits.values() if permit.step in OPEN_STEPS]
-
-
 def is_back(state: ClusterState, permit: Permit) -> bool:
     """Return whether the host runs each of its services in a life after the reboot."""
     return serves_all(state, permit) and all(
