--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/calendar.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/calendar.py
@@ -14,33 +14,39 @@
 from mulberryledge_core.state.absences import DAY_MS
 from mulberryledge_core.state.tables import ClusterState
 
-__all__ = ["CYCLE_DAYS", "due_hosts", "due_waves", "overdue_hosts", "pool_phase_days"]
+__all__ = [
+    "CYCLE_DAYS",
+    "TURN_DAYS",
+    "due_hosts",
+    "due_waves",
+    "overdue_hosts",
+    "pool_phase_days",
+]
 
 CYCLE_DAYS = 56
-LEAD_DAYS = 14
+TURN_DAYS = 49  # leaves a week of nights for hosts that miss their pool's turn
 ACTIVE = (WavePhase.RUNNING, WavePhase.PAUSED, WavePhase.STOPPED)
 
 
 def pool_phase_days(pool: Pool, pools: Iterable[str]) -> int:
-    """Return the day of the cycle on which a pool begins, spread over all pools."""
+    """Return the day within each round of turns on which a pool's turn begins."""
     names = sorted(pools)
-    return names.index(pool.name) * (CYCLE_DAYS - LEAD_DAYS) // max(1, len(names))
+    return names.index(pool.name) * TURN_DAYS // max(1, len(names))
 
 
 def due_hosts(state: ClusterState, pool: Pool, now_ms: int) -> tuple[Host, ...]:
     """
     Return the hosts of a pool to maintain now, the longest waiting first.
 
-    A host is due once its pool's turn in the cycle has come since its last
-    maintenance, and in any case within the last days of its cycle.
+    A host is due once a turn of its pool has begun since its last maintenance, and
+    stays due until it is done.
     """
     turn_day = turn_started_day(pool, state.pools, now_ms)
-    late_ms = now_ms - (CYCLE_DAYS - LEAD_DAYS) * DAY_MS
     due = [
         host
         for host in state.hosts.values()
         if host.pool == pool.name
-        and (host.maintained_ms // DAY_MS < turn_day or host.maintained_ms < late_ms)
+        and host.maintained_ms // DAY_MS < turn_day
         and host.phase == HostPhase.SERVING
         and not host.upkeep.hold
     ]
@@ -51,7 +57,7 @@
     """Return the day since the epoch on which the pool's last turn began."""
     today = now_ms // DAY_MS
     phase = pool_phase_days(pool, pools)
-    return today - (today - phase) % CYCLE_DAYS
+    return today - (today - phase) % TURN_DAYS
 
 
 def due_waves(state: ClusterState, now_ms: int) -> tuple[StartWave, ...]:
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/repair.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/repair.py
@@ -291,9 +291,9 @@
     room -= sum(host.phase == HostPhase.PROBATION for host in hosts)
     for host in sorted(hosts, key=lambda one: one.upkeep.lost_ms):
         if host.phase == HostPhase.LOST:
-            wait_ms = host.upkeep.lost_ms + hold_out_ms(host, policy) - now_ms
-            if wait_ms > 0:
-                cause = f"lost {host.upkeep.losses} times, held out {wait_ms} ms more"
+            until_ms = host.upkeep.lost_ms + hold_out_ms(host, policy)
+            if until_ms > now_ms:
+                cause = f"lost {host.upkeep.losses} times, held out until {until_ms} ms"
                 yield Action(ActionKind.WAIT, host.name, cause)
             elif room > 0 and has_serving_target(state, host.name):
                 room -= 1
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
@@ -180,7 +180,7 @@
     for name in host.upkeep.services:
         if name in ledger.counts and ledger.counts[name].service.hold:
             return f"service {name!r} is held: {ledger.counts[name].service.hold}"
-    found: Binding | None = ledger.fresh_loss(host) or ledger.binding(host)
+    found: Binding | None = ledger.binding(host) or ledger.fresh_loss(host)
     return found.text() if found is not None else None
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -98,6 +98,7 @@
         started_ms=ctx.now_ms,
         long_jobs=command.long_jobs,
         index=ctx.index,
+        revision=1,
     )
     return ok(ctx.index)
 
@@ -213,7 +214,7 @@
     for name, count in ledger.counts.items():
         if count.service.hold:
             return refuse(Code.CONFLICT, f"service {name!r}: {count.service.hold}")
-    found = ledger.fresh_loss(host) or ledger.binding(host)
+    found = ledger.binding(host) or ledger.fresh_loss(host)
     if found is not None:
         return refuse(Code.BUDGET, found.text())
     return None
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
@@ -107,7 +107,7 @@
             carry_out = self.carry_out.get(action.kind)
             if carry_out is not None:
                 await carry_out(action)
-                self.say(action)
+            self.say(action)
 
     def step_down(self) -> None:
         """Forget what was heard, so that a later term gathers it anew."""
