--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -49,6 +49,9 @@
         work.CancelJobs,
         maintenance.StartWave,
         maintenance.SetWavePhase,
+        maintenance.HoldHost,
+        maintenance.HoldService,
+        maintenance.ReleaseHost,
     )
 }
 TABLES = (
