--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from mulberryledge_core.model.jobs import Answer, JobPhase, ReservationPhase
-from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
+from mulberryledge_core.model.sessions import ServiceSlots, SlotGrant, TeamGrant
 
 __all__ = [
     "COMMANDS",
@@ -16,9 +16,11 @@
     "CloseSession",
     "EndJob",
     "ExpireJob",
+    "ForgetAnswers",
     "ForgetWork",
     "Lend",
     "OpenSession",
+    "Recall",
     "Reserve",
     "ReturnLoan",
     "SettleReservation",
@@ -82,7 +84,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Reserve:
-    """Claim the one run of a request that must not be repeated."""
+    """
+    Claim the one run of a request that must not be repeated.
+
+    ``token`` is new for each claim; the same claim again is the same success.
+    """
 
     request_id: str
     team: str
@@ -90,17 +96,26 @@
     digest: bytes
     entry: str
     session: str
+    token: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class SettleReservation:
-    """Record what became of a reserved request."""
+    """Record what became of a reserved request; ``token`` names the claim."""
 
     request_id: str
     team: str
     session: str
     phase: ReservationPhase
     answer: Answer | None = None
+    token: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetAnswers:
+    """Drop the kept answers of what was reserved before ``before_ms``."""
+
+    before_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,11 +152,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnLoan:
-    """Lower what is lent to a session by the given amounts."""
+    """
+    Lower what is lent to a session by the given amounts.
+
+    A return with a ``sequence`` above zero takes effect once, however often it is
+    proposed; a session counts its returns up from one.
+    """
 
     session: str
     slots: tuple[SlotGrant, ...] = ()
     permits: tuple[TeamGrant, ...] = ()
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """Ask a session to return capacity as soon as its calls have ended."""
+
+    session: str
+    services: tuple[ServiceSlots, ...] = ()
+    permits: tuple[TeamGrant, ...] = ()
 
 
 COMMANDS = (
@@ -152,9 +182,11 @@
     CancelJobs,
     Reserve,
     SettleReservation,
+    ForgetAnswers,
     ForgetWork,
     OpenSession,
     CloseSession,
     Lend,
     ReturnLoan,
+    Recall,
 )
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_core.decisions
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Pure decisions over frozen data: what to lend, route, retry, refuse.
+"""
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -10,15 +10,14 @@
 __all__ = [
     "MESSAGES",
     "Acknowledged",
+    "CallDemand",
     "DemandReport",
     "JobLease",
     "NoJob",
     "RenewJob",
-    "ServiceDemand",
     "TakeJob",
     "TakenJob",
     "TargetsSeen",
-    "TeamDemand",
     "get_message_by_name",
 ]
 
@@ -29,37 +28,40 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServiceDemand:
-    """Target slots of one service that an entry could use now."""
+class CallDemand:
+    """Slots that the calls of one team to one service could use at an entry."""
 
     service: str
-    wanted: int
-
-
-@dataclass(frozen=True, slots=True)
-class TeamDemand:
-    """Permits of one team that an entry could use now."""
-
     team: str
     wanted: int
 
 
 @dataclass(frozen=True, slots=True)
 class DemandReport:
-    """What an entry could use beyond its loans; answered by log entries."""
+    """
+    Renews an entry's session and says what its calls could use.
+
+    Answered at once; capacity follows by log entries.
+    """
 
     session: str
     availability_zone: str
-    services: tuple[ServiceDemand, ...] = ()
-    teams: tuple[TeamDemand, ...] = ()
+    demands: tuple[CallDemand, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class TargetsSeen:
-    """Targets that renewed their leases at an entry since its last report."""
+    """
+    Targets that renewed their leases at an entry since its last report.
+
+    Attributes
+    ----------
+    gaps : tuple of int
+        Generations in rising order, each as the difference from the one before.
+    """
 
     daemon: str
-    targets: tuple[str, ...]
+    gaps: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
@@ -113,6 +113,8 @@
         Kept answer.
     reserved_ms : int
         Log time of the reservation in milliseconds.
+    token : str
+        Identifies the claim among several on the same request.
     """
 
     request_id: str
@@ -124,3 +126,4 @@
     phase: ReservationPhase = ReservationPhase.RUNNING
     answer: Answer | None = None
     reserved_ms: int = 0
+    token: str = ""
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/sessions.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/sessions.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Session", "SlotGrant", "TeamGrant"]
+__all__ = ["ServiceSlots", "Session", "SlotGrant", "TeamGrant"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +19,14 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceSlots:
+    """A number of slots of any targets of one service."""
+
+    service: str
+    slots: int
+
+
 @dataclass(frozen=True, slots=True)
 class TeamGrant:
     """Permits under one team's upper limit lent to one daemon."""
@@ -44,9 +52,12 @@
         Target slots on loan.
     permits : tuple of TeamGrant
         Team permits on loan.
+    returns : int
+        Sequence number of the last return that took effect.
     """
 
     daemon: str
     session: str
     slots: tuple[SlotGrant, ...] = ()
     permits: tuple[TeamGrant, ...] = ()
+    returns: int = 0
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -11,6 +11,7 @@
     CancelJobs,
     EndJob,
     ExpireJob,
+    ForgetAnswers,
     ForgetWork,
     Reserve,
     SettleReservation,
@@ -154,6 +155,9 @@
     if present is not None and present.digest != command.digest:
         text = f"request id {command.request_id!r} belongs to another request"
         return refuse(Code.CONFLICT, text)
+    if present is not None and command.token and present.token == command.token:
+        granted = present.phase == ReservationPhase.RUNNING
+        return ok(ctx.index, "granted" if granted else "present")
     if present is not None and present.phase != ReservationPhase.NOT_RUN:
         return ok(ctx.index, "present")
     if command.session not in state.sessions:
@@ -166,6 +170,7 @@
         entry=command.entry,
         session=command.session,
         reserved_ms=ctx.now_ms,
+        token=command.token,
     )
     return ok(ctx.index, "granted")
 
@@ -178,8 +183,8 @@
     present = state.reservations.get(name)
     if present is None:
         return missing("reservation", name)
-    if present.session != command.session:
-        return refuse(Code.STALE, f"reservation {name!r} is held by another session")
+    if (present.session, present.token) != (command.session, command.token):
+        return refuse(Code.STALE, f"reservation {name!r} is held by another claim")
     if present.phase != ReservationPhase.RUNNING:
         return refuse(Code.STALE, f"reservation {name!r} is {present.phase}")
     state.reservations[name] = replace(
@@ -188,6 +193,16 @@
     return ok(ctx.index)
 
 
+def forget_answers(
+    state: ClusterState, command: ForgetAnswers, ctx: Context
+) -> ApplyResult:
+    """Drop old kept answers; that the requests ran stays known."""
+    for name, item in list(state.reservations.items()):
+        if item.answer is not None and item.reserved_ms < command.before_ms:
+            state.reservations[name] = replace(item, answer=None)
+    return ok(ctx.index)
+
+
 def forget_work(state: ClusterState, command: ForgetWork, ctx: Context) -> ApplyResult:
     """Drop what ended before the given time."""
     before = command.before_ms
@@ -214,5 +229,6 @@
     CancelJobs: cancel_jobs,
     Reserve: reserve,
     SettleReservation: settle_reservation,
+    ForgetAnswers: forget_answers,
     ForgetWork: forget_work,
 }
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -12,6 +12,7 @@
     CloseSession,
     Lend,
     OpenSession,
+    Recall,
     ReturnLoan,
 )
 from mulberryledge_core.model.jobs import ReservationPhase
@@ -70,7 +71,18 @@
     refusal = _amount_refusal(command)
     if refusal is not None:
         return refusal
-    state.sessions[session.session] = _changed(session, command, sign=-1)
+    if command.sequence and command.sequence <= session.returns:
+        return ok(ctx.index, "present")
+    lowered = _changed(session, command, sign=-1)
+    returns = max(session.returns, command.sequence)
+    state.sessions[session.session] = replace(lowered, returns=returns)
+    return ok(ctx.index)
+
+
+def recall(state: ClusterState, command: Recall, ctx: Context) -> ApplyResult:
+    """Change nothing: the session sees the request as it applies it."""
+    if command.session not in state.sessions:
+        return missing("session", command.session)
     return ok(ctx.index)
 
 
@@ -136,4 +148,5 @@
     CloseSession: close_session,
     Lend: lend,
     ReturnLoan: return_loan,
+    Recall: recall,
 }
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -8,25 +8,31 @@
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from random import Random
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.server import Site
 
-from mulberryledge_core.commands.work import CloseSession, OpenSession
 from mulberryledge_daemon.entry.calls import Calls
-from mulberryledge_daemon.entry.client import AgentClient
+from mulberryledge_daemon.entry.client import PooledClient
+from mulberryledge_daemon.entry.demand import Demand
+from mulberryledge_daemon.entry.health import TargetHealth
 from mulberryledge_daemon.entry.loans import Loans
+from mulberryledge_daemon.entry.queues import Queues
+from mulberryledge_daemon.entry.reservations import Reservations
+from mulberryledge_daemon.entry.sessions import EntrySession
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
 from mulberryledge_daemon.http.routing import Router
+from mulberryledge_daemon.http.server import make_site
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.leader.sessions import SessionLeases
 from mulberryledge_daemon.log.single import open_single_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
@@ -45,31 +51,44 @@
         self.reactor = reactor
         self.settings = settings
         self.log = log
-        self.session = log.session
         self.stopping = False
         self.loops: list[LoopingCall] = []
         self.ports: list = []
+        self.routers: list[Router] = []
+        self.sites: list = []
+        self.hurried = False
         name = settings.daemon.name
         timing = settings.timing
         self.journal = Journal()
-        self.client = AgentClient(reactor)
+        zone = settings.daemon.availability_zone
+        self.client = PooledClient(reactor)
         self.platform = HttpPlatform(reactor, settings.platform.url)
-        self.loans = Loans(
-            reactor, log, log, self.session, settings.daemon.availability_zone
+        self.session = EntrySession(reactor, log, name, log.session)
+        self.loans = Loans(reactor, log, self.session, TargetHealth(), zone)
+        self.queues = Queues(reactor, log, self.loans)
+        self.demand = Demand(reactor, log, log, self.session, self.loans, self.queues)
+        self.reservations = Reservations(reactor, log, self.session)
+        self.calls = Calls(
+            reactor,
+            log,
+            self.queues,
+            self.reservations,
+            self.client,
+            Random(log.session).random,
         )
-        self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
-        self.lender = Lender(log, log)
+        self.sessions = SessionLeases(reactor, log)
+        self.lender = Lender(reactor, log, log, self.sessions)
         self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
         self.jobs = Jobs(reactor, log, log)
         self.maintenance = Maintenance(log, self.platform, timing.probation_s)
-        self.targets = TargetInterface(log, log, name, timing.target_lease_s)
+        self.targets = TargetInterface(reactor, log, log, name, timing.target_lease_s)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
 
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
-        await self.log.propose(OpenSession(self.settings.daemon.name, self.session))
+        await self.session.ensure_open()
         routes = (
             *health_routes(self.is_ready),
             *caller_routes(self.callers),
@@ -85,12 +104,15 @@
             loop.clock = self.reactor
             loop.start(self.settings.timing.tick_s).addErrback(log_failure)
             self.loops.append(loop)
-        extra = {"callers_port": self.callers_port, "session": self.session}
+        extra = {"callers_port": self.callers_port, "session": self.session.name}
         logger.info("started", extra=extra)
 
     def listen(self, port: int, routes: tuple) -> None:
         """Serve routes on a TCP port."""
-        site = Site(Router(routes))
+        router = Router(routes, lambda: self.stopping)
+        site = make_site(router, self.reactor)
+        self.routers.append(router)
+        self.sites.append(site)
         address = self.settings.listen.address
         self.ports.append(self.reactor.listenTCP(port, site, interface=address))
 
@@ -111,16 +133,28 @@
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
-        await self.loans.return_idle(everything=self.stopping)
+        await self.demand.tick(self.stopping)
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
+            self.sessions.resign()
             return
+        await self.sessions.tick()
+        await self.lender.tick()
         await self.leases.tick()
         await self.jobs.tick()
         await self.maintenance.tick()
 
+    def hurry(self) -> None:
+        """Cut short a stop that waits for running requests."""
+        self.hurried = True
+
+    def unfinished(self) -> int:
+        """Return how many requests, calls and settlements have not ended."""
+        requests = sum(router.running for router in self.routers)
+        return max(requests, self.loans.in_use(), self.reservations.unsettled)
+
     async def stop(self) -> int:
         """
         Stop gracefully.
@@ -128,26 +162,30 @@
         Returns
         -------
         int
-            Number of calls that the stop cut off.
+            Number of requests that the stop cut off.
         """
         self.stopping = True
         until = self.reactor.seconds() + self.settings.timing.stop_timeout_s
-        while self.loans.running() and self.reactor.seconds() < until:
+        while self.unfinished() and self.reactor.seconds() < until:
+            if self.hurried:
+                break
             await deferLater(self.reactor, STOP_POLL_S)
-        cut_off = self.loans.running()
+        cut_off = self.unfinished()
+        running = dict(self.calls.running)
         for loop in self.loops:
             loop.stop()
-        await self.loans.return_idle(everything=True)
+        if not self.hurried:
+            await self.demand.return_free(everything=True)
         if not cut_off:
-            await self.log.propose(
-                CloseSession(self.settings.daemon.name, self.session)
-            )
+            await self.session.close()
+        for site in self.sites:
+            site.close_idle()
         for port in self.ports:
             await maybeDeferred(port.stopListening)
         await self.client.close()
         await self.platform.close()
         await self.log.stop()
-        logger.info("stopped", extra={"cut_off": cut_off})
+        logger.info("stopped", extra={"cut_off": cut_off, "calls": running})
         return cut_off
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/loans.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/loans.py
@@ -2,47 +2,118 @@
 mulberryledge_daemon.entry.loans
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The capacity lent to this entry: who uses it, who waits, what goes back.
+The capacity lent to this entry, and what the running calls use of it.
 """
 
-import logging
-from collections import Counter, deque
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
-from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.commands.work import ReturnLoan
-from mulberryledge_core.messages import DemandReport, ServiceDemand, TeamDemand
-from mulberryledge_core.model.sessions import Session, SlotGrant, TeamGrant
+from mulberryledge_core.commands import Command
+from mulberryledge_core.commands.work import (
+    CancelJobs,
+    EndJob,
+    ExpireJob,
+    ForgetAnswers,
+    ForgetWork,
+    Recall,
+    Reserve,
+    SettleReservation,
+    StartJob,
+    SubmitJob,
+)
 from mulberryledge_core.model.targets import Target
-from mulberryledge_core.outcomes import Code, Refusal
-from mulberryledge_daemon.ports import AppliedEvent, LeaderChannel, ReplicatedLog
+from mulberryledge_daemon.entry.health import TargetHealth, TargetKey
+from mulberryledge_daemon.entry.sessions import EntrySession
+from mulberryledge_daemon.ports import AppliedEvent, ReplicatedLog
+
+__all__ = ["Claim", "LentPermits", "LentTarget", "Loans"]
+
+IRRELEVANT: tuple[type[Command], ...] = (
+    CancelJobs,
+    EndJob,
+    ExpireJob,
+    ForgetAnswers,
+    ForgetWork,
+    Recall,
+    Reserve,
+    SettleReservation,
+    StartJob,
+    SubmitJob,
+)
+
+
+@dataclass(slots=True)
+class LentTarget:
+    """
+    Slots of one target on loan.
+
+    Attributes
+    ----------
+    lent, used, returning : int
+        Slots on loan, used by calls, and on their way back.
+    serving : bool
+        Whether the target may be given new work.
+    near : bool
+        Whether it stands in this entry's availability zone.
+    """
+
+    target: Target
+    zone: str = ""
+    lent: int = 0
+    used: int = 0
+    returning: int = 0
+    serving: bool = False
+    near: bool = False
+
+    @property
+    def key(self) -> TargetKey:
+        """Name and generation."""
+        return (self.target.name, self.target.generation)
+
+    @property
+    def free(self) -> int:
+        """Slots that no call uses."""
+        return self.lent - self.used - self.returning
 
-__all__ = ["Claim", "Loans"]
 
-REPORT_INTERVAL_S = 0.05
-IDLE_RETURN_S = 1.0
+@dataclass(slots=True)
+class LentPermits:
+    """Permits of one team on loan, used by calls, and on their way back."""
 
-logger = logging.getLogger(__name__)
+    lent: int = 0
+    used: int = 0
+    returning: int = 0
 
+    @property
+    def free(self) -> int:
+        """Permits that no call uses."""
+        return self.lent - self.used - self.returning
 
-@dataclass(frozen=True, slots=True)
+
+@dataclass(frozen=True, slots=True, eq=False)
 class Claim:
     """One slot and one permit in use by a call."""
 
+    service: str
     team: str
-    target: Target
+    slot: LentTarget
+    permits: LentPermits
 
+    @property
+    def target(self) -> Target:
+        """Target whose slot it is."""
+        return self.slot.target
 
-@dataclass(frozen=True, slots=True)
-class Waiter:
-    """A call that waits for a slot and a permit."""
 
-    service: str
-    team: str
-    done: Deferred
+@dataclass(slots=True)
+class Index:
+    """The loans as they stand in the log, arranged for look-ups by service."""
+
+    state: object = None
+    lent: dict[str, list[LentTarget]] = field(default_factory=dict)
+    pools: dict[str, list[TargetKey]] = field(default_factory=dict)
 
 
 class Loans:
@@ -52,175 +123,137 @@
         self,
         clock: IReactorTime,
         log: ReplicatedLog,
-        channel: LeaderChannel,
-        session: str,
+        session: EntrySession,
+        health: TargetHealth,
         availability_zone: str,
     ):
         self.clock = clock
         self.log = log
-        self.channel = channel
         self.session = session
+        self.health = health
         self.availability_zone = availability_zone
-        self.slots_used: Counter[tuple[str, int]] = Counter()
-        self.permits_used: Counter[str] = Counter()
-        self.slots_returning: Counter[tuple[str, int]] = Counter()
-        self.permits_returning: Counter[str] = Counter()
-        self.waiters: deque[Waiter] = deque()
-        self.busy_at: dict[str, float] = {}
-        self.reporting = False
+        self.slots: dict[TargetKey, LentTarget] = {}
+        self.permits: dict[str, LentPermits] = {}
+        self.running: Counter[tuple[str, str]] = Counter()
+        self.index = Index()
+        self.stale = True
         log.watch(self.on_applied)
 
-    def lent(self) -> Session:
-        """Return the loans of this session as the log has them."""
-        empty = Session("", self.session)
-        return self.log.state.sessions.get(self.session, empty)
-
-    def acquire(self, service: str, team: str, timeout_s: float) -> Deferred:
+    def on_applied(self, event: AppliedEvent) -> None:
+        """Look at the loans anew if the command may have changed them."""
+        if not isinstance(event.command, IRRELEVANT):
+            self.stale = True
+
+    def refresh(self) -> Index:
+        """Return the index of the loans as they stand."""
+        if self.stale or self.index.state is not self.log.state:
+            self.rebuild()
+        return self.index
+
+    def rebuild(self) -> None:
+        """Read the loans from the log's state; counts of use stay."""
+        state = self.log.state
+        record = state.sessions.get(self.session.name)
+        for slot in self.slots.values():
+            slot.lent = 0
+            slot.serving = False
+        for permits in self.permits.values():
+            permits.lent = 0
+        for grant in record.slots if record else ():
+            self.read_slots(grant.target, grant.generation, grant.slots)
+        for grant in record.permits if record else ():
+            self.permits.setdefault(grant.team, LentPermits()).lent = grant.permits
+        self.slots = {
+            key: slot
+            for key, slot in self.slots.items()
+            if slot.lent or slot.used or slot.returning
+        }
+        self.index = Index(state)
+        for slot in self.slots.values():
+            if slot.serving:
+                self.index.lent.setdefault(slot.target.service, []).append(slot)
+        for target in state.targets.values():
+            if state.target_serves(target.name):
+                key = (target.name, target.generation)
+                self.index.pools.setdefault(target.service, []).append(key)
+        self.health.keep({key for pool in self.index.pools.values() for key in pool})
+        self.stale = False
+
+    def read_slots(self, name: str, generation: int, count: int) -> None:
+        """Take over one grant; slots of a target that has gone stay unusable."""
+        state = self.log.state
+        target = state.targets.get(name)
+        current = target is not None and target.generation == generation
+        slot = self.slots.get((name, generation))
+        if slot is None:
+            known = target if current else Target(name, "", "", "", 0, 0, 0, generation)
+            slot = self.slots[name, generation] = LentTarget(known)
+        slot.lent = count
+        if not current:
+            return
+        slot.target = target
+        host = state.hosts.get(target.host)
+        slot.zone = host.availability_zone if host else ""
+        slot.near = slot.zone == self.availability_zone
+        slot.serving = target.port != 0 and state.target_serves(name)
+
+    def may_use(self) -> bool:
+        """Return whether the loans may be used at all now."""
+        return self.log.is_fresh() and self.session.holds()
+
+    def pick(self, service: str, tried: tuple[LentTarget, ...] = ()) -> LentTarget:
         """
-        Wait for a slot of the service and a permit of the team.
+        Return the slot that a call should take, or None if none is free.
 
-        Returns
-        -------
-        Deferred of Result of Claim and Refusal
+        Targets that failed the call come last, then those of the zones in which
+        it failed; near ones go before far ones, and idle before busy ones.
         """
-        waiter = Waiter(service, team, Deferred())
-        self.waiters.append(waiter)
-        timer = self.clock.callLater(timeout_s, self.give_up, waiter)
-        waiter.done.addBoth(cancel_timer, timer)
-        self.serve_waiters()
-        return waiter.done
-
-    def give_up(self, waiter: Waiter) -> None:
-        """Refuse a waiter whose deadline has passed."""
-        self.waiters.remove(waiter)
-        text = f"no capacity for service {waiter.service!r} within the deadline"
-        waiter.done.callback(Err(Refusal(Code.OVERLOADED, text)))
-
-    def release(self, claim: Claim) -> None:
-        """Give a slot and a permit back to the entry."""
-        self.slots_used[claim.target.name, claim.target.generation] -= 1
-        self.permits_used[claim.team] -= 1
-        self.serve_waiters()
+        now_s = self.clock.seconds()
+        best, best_rank = None, None
+        zones = {slot.zone for slot in tried}
+        for slot in self.refresh().lent.get(service, ()):
+            free = slot.lent - slot.used - slot.returning
+            if free < 1 or not self.health.usable(slot.key, now_s):
+                continue
+            rank = (slot in tried, slot.zone in zones, not slot.near, -free)
+            if best is None or rank < best_rank:
+                best, best_rank = slot, rank
+        return best
 
-    def on_applied(self, event: AppliedEvent) -> None:
-        """Look at the waiters again after each change of state."""
-        if self.waiters:
-            self.serve_waiters()
-
-    def serve_waiters(self) -> None:
-        """Hand free slots and permits to waiters in order of arrival."""
-        for waiter in list(self.waiters):
-            claim = self.try_claim(waiter)
-            if claim is not None:
-                self.waiters.remove(waiter)
-                waiter.done.callback(Ok(claim))
-        if self.waiters and not self.reporting:
-            self.reporting = True
-            self.clock.callLater(0, self.start_report)
-
-    def try_claim(self, waiter: Waiter) -> Claim | None:
+    def claim(
+        self, service: str, team: str, tried: tuple[LentTarget, ...] = ()
+    ) -> Claim | None:
         """Take a slot and a permit if both are free."""
-        if self.free_permits(waiter.team) < 1:
+        index = self.refresh()
+        permits = self.permits.get(team)
+        if permits is None or permits.free < 1 or service not in index.lent:
             return None
-        target = self.pick_target(waiter.service)
-        if target is None:
+        slot = self.pick(service, tried)
+        if slot is None or not self.may_use():
             return None
-        self.slots_used[target.name, target.generation] += 1
-        self.permits_used[waiter.team] += 1
-        self.busy_at[target.name] = self.busy_at[waiter.team] = self.clock.seconds()
-        return Claim(waiter.team, target)
-
-    def free_permits(self, team: str) -> int:
-        """Return permits on loan that no call uses."""
-        lent = sum(g.permits for g in self.lent().permits if g.team == team)
-        return lent - self.permits_used[team] - self.permits_returning[team]
-
-    def free_slots(self, grant: SlotGrant) -> int:
-        """Return slots on loan that no call uses."""
-        key = (grant.target, grant.generation)
-        return grant.slots - self.slots_used[key] - self.slots_returning[key]
-
-    def pick_target(self, service: str) -> Target | None:
-        """Return the serving target of the service with most free slots."""
-        best, best_free = None, 0
-        for grant in self.lent().slots:
-            target = self.log.state.targets.get(grant.target)
-            if target is None or target.generation != grant.generation:
-                continue
-            if target.service != service or not self.log.state.target_serves(
-                target.name
-            ):
-                continue
-            free = self.free_slots(grant)
-            if free > best_free:
-                best, best_free = target, free
-        return best
+        slot.used += 1
+        permits.used += 1
+        self.running[service, team] += 1
+        assert slot.used + slot.returning <= slot.lent, "slots stay within the loan"
+        assert permits.used + permits.returning <= permits.lent, "permits too"
+        self.health.begin(slot.key, self.clock.seconds())
+        return Claim(service, team, slot, permits)
 
-    def start_report(self) -> None:
-        """Report the demand that the loans do not meet."""
-        ensureDeferred(self.report())
-
-    async def report(self) -> None:
-        """Ask the leader for more."""
-        services = Counter(waiter.service for waiter in self.waiters)
-        teams = Counter(waiter.team for waiter in self.waiters)
-        message = DemandReport(
-            self.session,
-            self.availability_zone,
-            tuple(ServiceDemand(name, n) for name, n in sorted(services.items())),
-            tuple(TeamDemand(name, n) for name, n in sorted(teams.items())),
+    def release(self, claim: Claim) -> None:
+        """Give a slot and a permit back to the entry."""
+        claim.slot.used -= 1
+        claim.permits.used -= 1
+        self.running[claim.service, claim.team] -= 1
+
+    def unusable(self, service: str) -> int:
+        """Return slots on loan on targets that are ejected."""
+        now_s = self.clock.seconds()
+        return sum(
+            slot.free
+            for slot in self.refresh().lent.get(service, ())
+            if not self.health.usable(slot.key, now_s)
         )
-        await self.channel.ask(message)
-        self.clock.callLater(REPORT_INTERVAL_S, self.finish_report)
-
-    def finish_report(self) -> None:
-        """Allow the next report."""
-        self.reporting = False
-        self.serve_waiters()
-
-    async def return_idle(self, everything: bool = False) -> None:
-        """Return what is idle, or lent on targets that take no new work."""
-        since = self.clock.seconds() - IDLE_RETURN_S
-        session = self.lent()
-        slots = []
-        for grant in session.slots:
-            free = self.free_slots(grant)
-            leaving = not self.log.state.target_serves(grant.target)
-            idle = self.busy_at.get(grant.target, 0) < since
-            if free > 0 and (everything or leaving or idle):
-                slots.append(SlotGrant(grant.target, grant.generation, free))
-        permits = []
-        for grant in session.permits:
-            free = self.free_permits(grant.team)
-            idle = self.busy_at.get(grant.team, 0) < since
-            if free > 0 and (everything or idle):
-                permits.append(TeamGrant(grant.team, free))
-        if slots or permits:
-            await self.give_back(tuple(slots), tuple(permits))
-
-    async def give_back(
-        self, slots: tuple[SlotGrant, ...], permits: tuple[TeamGrant, ...]
-    ) -> None:
-        """Return loans; they are out of use from now until the log says so."""
-        for grant in slots:
-            self.slots_returning[grant.target, grant.generation] += grant.slots
-        for grant in permits:
-            self.permits_returning[grant.team] += grant.permits
-        outcome = await self.log.propose(ReturnLoan(self.session, slots, permits))
-        if isinstance(outcome, Err):
-            logger.warning("loan not returned", extra={"why": outcome.err_value})
-        for grant in slots:
-            self.slots_returning[grant.target, grant.generation] -= grant.slots
-        for grant in permits:
-            self.permits_returning[grant.team] -= grant.permits
-
-    def running(self) -> int:
-        """Return the number of calls that use a slot."""
-        return sum(self.slots_used.values())
-
 
-def cancel_timer(outcome: Result, timer) -> Result:
-    """Cancel the timer of a waiter and pass its outcome on."""
-    if timer.active():
-        timer.cancel()
-    return outcome
+    def in_use(self) -> int:
+        """Return the number of calls that use a slot."""
+        return sum(slot.used for slot in self.slots.values())
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -6,6 +6,10 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
+from io import SEEK_END
+from itertools import count
+from typing import BinaryIO
 from uuid import uuid4
 
 from result import Err, Ok, Result
@@ -14,19 +18,21 @@
 from twisted.web.http import Request
 
 from mulberryledge_core.commands.work import CancelJobs, SubmitJob
-from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.model.jobs import Answer, Job, JobPhase
 from mulberryledge_core.model.teams import TeamKey
-from mulberryledge_core.outcomes import Code, Refusal
-from mulberryledge_daemon.entry.admission import admit
-from mulberryledge_daemon.entry.calls import Call, Calls
+from mulberryledge_core.outcomes import Code, Refusal, RunOutcome
+from mulberryledge_daemon.entry.admission import KeyCache, admit
+from mulberryledge_daemon.entry.calls import Call, CallResult, Calls, refused_run
 from mulberryledge_daemon.http.routing import (
     Reply,
     Route,
     header_of,
     json_reply,
+    number,
     query_of,
     refusal_reply,
 )
+from mulberryledge_daemon.observations import CallObservation, Observe, ignore
 from mulberryledge_daemon.ports import Header, ReplicatedLog
 
 __all__ = ["CallerInterface", "caller_routes"]
@@ -34,9 +40,52 @@
 FORWARDED_HEADERS = ("Content-Type", "Accept")
 POLL_INTERVAL_S = 0.02
 MAX_WAIT_S = 30.0
+MAX_QUERY_WAIT_S = 3_600.0
+MAX_DEADLINE_MS = 120_000
+MAX_KEY_CHARS = 128
+HELD_BODY_BYTES = 100_000
 OVER = (JobPhase.DONE, JobPhase.FAILED, JobPhase.CANCELLED, JobPhase.UNKNOWN)
 
 
+class RequestSink:
+    """Implements the port AnswerSink on the caller's request."""
+
+    def __init__(self, request: Request, request_id: str):
+        self.request = request
+        self.request_id = request_id
+
+    def begin(self, head: Answer, length: int | None, source: object) -> None:
+        """Write status, headers and the first part."""
+        request = self.request
+        if request._disconnected:
+            source.abortConnection()
+            return
+        request.setResponseCode(head.status)
+        request.setHeader("Content-Type", head.content_type)
+        request.setHeader("X-Request-Id", self.request_id)
+        if length is not None:
+            request.setHeader("Content-Length", str(length))
+        request.registerProducer(source, True)
+        request.write(head.body)
+
+    def write(self, data: bytes) -> None:
+        """Write the next part."""
+        if not self.request._disconnected:
+            self.request.write(data)
+
+    def end(self) -> None:
+        """Finish the reply."""
+        if not self.request._disconnected:
+            self.request.unregisterProducer()
+            self.request.finish()
+
+    def abort(self) -> None:
+        """Cut the connection to the caller."""
+        if not self.request._disconnected:
+            self.request.unregisterProducer()
+            self.request.transport.abortConnection()
+
+
 class CallerInterface:
     """Handlers of the callers' routes."""
 
@@ -46,31 +95,85 @@
         log: ReplicatedLog,
         calls: Calls,
         stopping: Callable[[], bool],
+        observe: Observe = ignore,
     ):
         self.clock = clock
         self.log = log
         self.calls = calls
         self.stopping = stopping
+        self.observe = observe
+        self.keys = KeyCache()
+        self.prefix = uuid4().hex[:16]
+        self.numbers = count(1)
 
     def admit(self, request: Request) -> Result[TeamKey, Refusal]:
         """Check that the entry takes new work and that the key is good."""
         if self.stopping():
             return Err(Refusal(Code.STOPPING, "this entry is stopping: try another"))
-        return admit(self.log, header_of(request, "Authorization"))
+        return admit(self.log, header_of(request, "Authorization"), self.keys)
 
     async def call(self, request: Request, service: str, path: str) -> Reply:
         """Dispatch a call and return the target's answer."""
+        started_s = self.clock.seconds()
         admitted = self.admit(request)
-        if isinstance(admitted, Err):
-            return refusal_reply(admitted.err_value)
-        call = make_call(request, service, path)
-        outcome = await self.calls.run(admitted.ok_value, call)
-        headers = (Header("X-Request-Id", call.request_id),)
-        if isinstance(outcome, Err):
-            failure = outcome.err_value
-            return refusal_reply(failure.refusal, failure.run, headers)
-        answer = outcome.ok_value
-        return Reply(answer.status, answer.body, answer.content_type, headers)
+        made = admitted.and_then(lambda _: self.make_call(request, service, path))
+        if isinstance(made, Err):
+            idempotent = bool(header_of(request, "Idempotency-Key"))
+            run = refused_run(self.log, service, idempotent)
+            return refusal_reply(made.err_value, run)
+        key, call = admitted.ok_value, made.ok_value
+        outcome, tries = await self.calls.run(key, call)
+        reply = call_reply(call, outcome)
+        self.observe(
+            observation(
+                call, key, outcome, reply, self.clock.seconds() - started_s, tries
+            )
+        )
+        return reply
+
+    def make_call(
+        self, request: Request, service: str, path: str
+    ) -> Result[Call, Refusal]:
+        """Read a call from a request."""
+        given = header_of(request, "Idempotency-Key")
+        if len(given) > MAX_KEY_CHARS or not (given.isascii() and given.isprintable()):
+            text = f"Idempotency-Key: use at most {MAX_KEY_CHARS} printable characters"
+            return Err(Refusal(Code.BAD_REQUEST, text))
+        timeout_s = deadline_of(request)
+        if isinstance(timeout_s, Err):
+            return timeout_s
+        headers = tuple(
+            Header(name, value)
+            for name in FORWARDED_HEADERS
+            if (value := request.getHeader(name))
+        )
+        request_id = given
+        if not given or self.is_repeatable(service):
+            request_id = f"{self.prefix}-{next(self.numbers)}"
+            headers = (*headers, Header("Idempotency-Key", given)) if given else headers
+        query = request.uri.partition(b"?")[2].decode("ascii", "replace")
+        body, length = body_of(request)
+        return Ok(
+            Call(
+                request_id=request_id,
+                service=service,
+                method=request.method.decode("ascii", "replace"),
+                path=f"{path}?{query}" if query else path,
+                headers=headers,
+                body=body,
+                length=length,
+                idempotent=bool(given),
+                timeout_s=timeout_s.ok_value,
+                sink=RequestSink(request, request_id),
+                gone=request.notifyFinish(),
+            )
+        )
+
+    def is_repeatable(self, service: str) -> bool:
+        """Return whether calls of the service may be repeated."""
+        record = self.log.state.services.get(service)
+        section = record.document.calls if record is not None else None
+        return section is not None and section.repeatable
 
     async def submit(self, request: Request, service: str) -> Reply:
         """Queue a job; it is durable before the reply."""
@@ -102,8 +205,10 @@
 
     async def result(self, request: Request, job_id: str) -> Reply:
         """Wait for the end of a job and return its whole result."""
-        wait_s = min(MAX_WAIT_S, float(query_of(request, "wait_s", "0")))
-        until = self.clock.seconds() + wait_s
+        wait_s = number("wait_s", query_of(request, "wait_s", "0"), 0, MAX_QUERY_WAIT_S)
+        if isinstance(wait_s, Err):
+            return refusal_reply(wait_s.err_value)
+        until = self.clock.seconds() + min(MAX_WAIT_S, wait_s.ok_value)
         while True:
             found = self.find_job(request, job_id)
             if isinstance(found, Err):
@@ -111,7 +216,8 @@
             job = found.ok_value
             if job.phase == JobPhase.DONE:
                 return Reply(200, job.result, "application/octet-stream")
-            if job.phase in OVER or self.clock.seconds() >= until:
+            waited = self.clock.seconds() >= until or request._disconnected
+            if job.phase in OVER or waited or self.stopping():
                 return json_reply(job_status(job), status=202)
             await deferLater(self.clock, POLL_INTERVAL_S)
 
@@ -137,25 +243,57 @@
         return Ok(job)
 
 
-def make_call(request: Request, service: str, path: str) -> Call:
-    """Read a call from a request."""
-    given = header_of(request, "Idempotency-Key")
-    deadline_ms = header_of(request, "X-Deadline-Ms")
-    query = request.uri.decode("ascii", "replace").partition("?")[2]
-    headers = tuple(
-        Header(name, value)
-        for name in FORWARDED_HEADERS
-        if (value := header_of(request, name))
-    )
-    return Call(
-        request_id=given or uuid4().hex,
-        service=service,
-        method=request.method.decode("ascii"),
-        path=f"{path}?{query}" if query else path,
-        headers=headers,
-        body=request.content.read(),
-        idempotent_key=bool(given),
-        timeout_s=int(deadline_ms) / 1_000 if deadline_ms.isdigit() else None,
+def deadline_of(request: Request) -> Result[float | None, Refusal]:
+    """Return the caller's own deadline in seconds from now, if there is one."""
+    text = header_of(request, "X-Deadline-Ms")
+    if not text:
+        return Ok(None)
+    parsed = number("X-Deadline-Ms", text, 1, MAX_DEADLINE_MS)
+    return parsed.map(lambda milliseconds: milliseconds / 1_000)
+
+
+def body_of(request: Request) -> tuple[bytes | BinaryIO, int]:
+    """Return the body, as a file if it is large, and its length in bytes."""
+    content = request.content
+    length = content.seek(0, SEEK_END)
+    content.seek(0)
+    if length > HELD_BODY_BYTES:
+        return content, length
+    return content.read(), length
+
+
+def call_reply(call: Call, outcome: CallResult) -> Reply:
+    """Return the reply to a call."""
+    headers = (Header("X-Request-Id", call.request_id),)
+    if isinstance(outcome, Err):
+        failure = outcome.err_value
+        reply = refusal_reply(failure.refusal, failure.run, headers)
+        return replace(reply, written=failure.streamed)
+    sent = outcome.ok_value
+    answer = sent.answer
+    if sent.streamed:
+        return Reply(answer.status, written=True)
+    return Reply(answer.status, answer.body, answer.content_type, headers)
+
+
+def observation(
+    call: Call,
+    key: TeamKey,
+    outcome: CallResult,
+    reply: Reply,
+    seconds: float,
+    tries: int,
+) -> CallObservation:
+    """Return the report on a finished call."""
+    failure = outcome.err_value if isinstance(outcome, Err) else None
+    return CallObservation(
+        service=call.service,
+        team=key.team,
+        run=failure.run if failure else RunOutcome.RAN,
+        code=failure.refusal.code if failure else "ok",
+        status=reply.status,
+        seconds=seconds,
+        tries=tries,
     )
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
@@ -7,12 +7,13 @@
 
 import json
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from urllib.parse import unquote
 
 from result import Err, Ok, Result
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -28,6 +29,7 @@
     "header_of",
     "json_body",
     "json_reply",
+    "number",
     "query_of",
     "refusal_reply",
 ]
@@ -62,12 +64,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """An HTTP reply."""
+    """
+    An HTTP reply.
+
+    Attributes
+    ----------
+    written : bool
+        Whether the handler has written the reply itself, or cut it off.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: tuple[Header, ...] = ()
+    written: bool = False
 
 
 Handler = Callable[..., Awaitable[Reply]]
@@ -87,71 +97,106 @@
     handler: Handler
 
 
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """A route with its path pattern taken apart."""
+
+    route: Route
+    segments: tuple[str, ...]
+    open_end: bool
+
+
 class Router(Resource):
-    """A resource that serves a table of routes."""
+    """
+    A resource that serves a table of routes.
+
+    Attributes
+    ----------
+    stopping : callable
+        Whether connections close after their present request.
+    running : int
+        Requests whose handlers have not ended.
+    """
 
     isLeaf = True
 
-    def __init__(self, routes: tuple[Route, ...]):
+    def __init__(
+        self, routes: tuple[Route, ...], stopping: Callable[[], bool] = lambda: False
+    ):
         super().__init__()
-        self.routes = routes
+        self.stopping = stopping
+        self.running = 0
+        self.patterns: dict[tuple[str, str], list[Pattern]] = {}
+        for route in routes:
+            segments = tuple(route.pattern.split("/"))
+            pattern = Pattern(route, segments, segments[-1].endswith("*}"))
+            self.patterns.setdefault(prefix(segments), []).append(pattern)
 
     def render(self, request: Request):
         """Find the route and start its handler."""
         path = request.path.decode("ascii", "replace")
         method = request.method.decode("ascii", "replace")
-        for route in self.routes:
-            if route.method not in (method, "*"):
+        given = path.split("/")
+        for pattern in self.patterns.get(prefix(given), ()):
+            if pattern.route.method not in (method, "*"):
                 continue
-            fields = match(route.pattern, path)
+            fields = match(pattern, given)
             if fields is not None:
-                start(request, route.handler, fields)
+                self.start(request, pattern.route.handler, fields)
                 return NOT_DONE_YET
         reply = refusal_reply(Refusal(Code.NOT_FOUND, f"no route {method} {path}"))
         return write(request, reply)
 
+    def start(self, request: Request, handler: Handler, fields: dict[str, str]) -> None:
+        """
+        Run a handler and write its reply unless the client went away.
+
+        A handler whose client went away runs on: it gives back what it holds
+        and records what became of the request.
+        """
+        self.running += 1
+        running = Deferred.fromCoroutine(handler(request, **fields))
+        running.addCallback(self.finish, request)
+        running.addErrback(self.fail, request)
+
+    def finish(self, reply: Reply, request: Request) -> None:
+        """Write a reply and finish the request."""
+        self.running -= 1
+        if reply.written or request._disconnected:
+            return
+        if self.stopping():
+            request.setHeader("Connection", "close")
+            request.channel.persistent = False
+        request.write(write(request, reply))
+        request.finish()
+
+    def fail(self, failure, request: Request) -> None:
+        """Log a failed handler; what became of its request is not known."""
+        logger.error("handler failed", extra={"failure": failure.getTraceback()})
+        refusal = Refusal(Code.UNAVAILABLE, "internal error: see the daemon's log")
+        reply = refusal_reply(refusal, RunOutcome.UNKNOWN)
+        self.finish(Reply(500, reply.body), request)
+
+
+def prefix(segments: tuple[str, ...] | list[str]) -> tuple[str, str]:
+    """Return the first two segments of a path, which every pattern has fixed."""
+    return segments[1], segments[2] if len(segments) > 2 else ""
 
-def match(pattern: str, path: str) -> dict[str, str] | None:
+
+def match(pattern: Pattern, given: list[str]) -> dict[str, str] | None:
     """Return the fields of a path that matches the pattern, or None."""
-    wanted, given = pattern.split("/"), path.split("/")
+    count = len(pattern.segments)
+    if len(given) < count or (len(given) > count and not pattern.open_end):
+        return None
     fields = {}
-    for position, segment in enumerate(wanted):
+    for position, segment in enumerate(pattern.segments):
         if segment.endswith("*}"):
             fields[segment[1:-2]] = "/" + "/".join(given[position:])
-            return fields
-        if position >= len(given):
-            return None
-        if segment.startswith("{"):
+        elif segment.startswith("{"):
             fields[segment[1:-1]] = unquote(given[position])
         elif segment != given[position]:
             return None
-    return fields if len(wanted) == len(given) else None
-
-
-def start(request: Request, handler: Handler, fields: dict[str, str]) -> None:
-    """Run a handler and write its reply unless the client went away."""
-    running = Deferred.fromCoroutine(handler(request, **fields))
-    gone = request.notifyFinish()
-    gone.addErrback(lambda _: running.cancel())
-    running.addCallback(lambda reply: finish(request, reply))
-    running.addErrback(lambda failure: fail(request, failure))
-
-
-def finish(request: Request, reply: Reply) -> None:
-    """Write a reply and finish the request."""
-    if not request._disconnected:
-        request.write(write(request, reply))
-        request.finish()
-
-
-def fail(request: Request, failure) -> None:
-    """Log a failed handler; what became of its request is not known."""
-    if failure.check(CancelledError):
-        return
-    logger.error("handler failed", extra={"failure": failure.getTraceback()})
-    refusal = Refusal(Code.UNAVAILABLE, "internal error: see the daemon's log")
-    reply = refusal_reply(refusal, RunOutcome.UNKNOWN)
-    finish(request, Reply(500, reply.body))
+    return fields
 
 
 def write(request: Request, reply: Reply) -> bytes:
@@ -175,6 +220,18 @@
     return values[0].decode("utf-8", "replace") if values else default
 
 
+def number(place: str, text: str, least: float, most: float) -> Result[float, Refusal]:
+    """Parse a number from a header, query or path, or name its place and value."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not least <= value <= most:
+        problem = f"{place}: {text!r} is no number from {least:g} to {most:g}"
+        return Err(Refusal(Code.BAD_REQUEST, problem))
+    return Ok(value)
+
+
 def json_body(request: Request) -> Result[dict, Refusal]:
     """Parse the request body as a JSON object."""
     try:
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -0,0 +1,155 @@
+"""
+mulberryledge_daemon.http.server
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The HTTP server of an interface, with bounds on connections, bodies and waits.
+"""
+
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+from twisted.web.http import HTTPChannel
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_daemon.http.routing import refusal_reply
+
+__all__ = ["BoundedRequest", "BoundedSite", "make_site"]
+
+MAX_BODY_BYTES = 64 * 1_024 * 1_024
+MAX_CONNECTIONS = 4_096
+IDLE_TIMEOUT_S = 60
+HEAD_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 120.0
+SWEEP_INTERVAL_S = 2.0
+
+
+class BoundedRequest(Request):
+    """A request whose body may not grow beyond a bound."""
+
+    received = 0
+    refused = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: D102
+        super().gotLength(length)
+        if length is not None and length > MAX_BODY_BYTES:
+            self.refuse_body()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: D102
+        self.received += len(data)
+        if self.refused:
+            return
+        if self.received > MAX_BODY_BYTES:
+            self.refuse_body()
+            return
+        super().handleContentChunk(data)
+
+    def refuse_body(self) -> None:
+        """Answer at once and close, rather than read on."""
+        self.refused = True
+        text = f"body: over {MAX_BODY_BYTES} bytes"
+        reply = refusal_reply(Refusal(Code.TOO_LARGE, text))
+        head = (
+            b"HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\n"
+            b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+        )
+        self.transport.write(head % len(reply.body) + reply.body)
+        self.transport.loseConnection()
+
+
+class BoundedChannel(HTTPChannel):
+    """
+    A connection of which the site keeps count.
+
+    Attributes
+    ----------
+    receiving_s : float or None
+        Since when a request has been coming in, in seconds of the clock.
+    """
+
+    receiving_s: float | None = None
+    in_body = False
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.transport.setTcpNoDelay(True)
+        self.site.open.add(self)
+        self.receiving_s = self.site.reactor.seconds()
+
+    def connectionLost(self, reason) -> None:
+        self.site.open.discard(self)
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.receiving_s is None and not self.requests:
+            self.receiving_s = self.site.reactor.seconds()
+        super().dataReceived(data)
+
+    def allHeadersReceived(self) -> None:
+        self.in_body = True
+        super().allHeadersReceived()
+
+    def allContentReceived(self) -> None:
+        self.in_body = False
+        self.receiving_s = None
+        super().allContentReceived()
+
+    def overdue(self, now_s: float) -> bool:
+        """Return whether a request has been coming in for too long."""
+        if self.receiving_s is None:
+            return False
+        bound_s = BODY_TIMEOUT_S if self.in_body else HEAD_TIMEOUT_S
+        return now_s - self.receiving_s > bound_s
+
+
+class BoundedSite(Site):
+    """
+    A site that accepts a bounded number of connections.
+
+    Attributes
+    ----------
+    open : set of BoundedChannel
+        Open connections.
+    """
+
+    def __init__(self, resource: Resource, clock: IReactorTime):
+        super().__init__(resource, BoundedRequest, timeout=IDLE_TIMEOUT_S)
+        self.protocol = BoundedChannel
+        self.clock = clock
+        self.open: set[BoundedChannel] = set()
+        self.sweeper = LoopingCall(self.sweep)
+        self.sweeper.clock = clock
+
+    def startFactory(self) -> None:  # noqa: D102
+        super().startFactory()
+        self.sweeper.start(SWEEP_INTERVAL_S, now=False)
+
+    def stopFactory(self) -> None:  # noqa: D102
+        self.sweeper.stop()
+        super().stopFactory()
+
+    def buildProtocol(self, address):  # noqa: D102
+        if len(self.open) >= MAX_CONNECTIONS:
+            return None
+        return super().buildProtocol(address)
+
+    def sweep(self) -> None:
+        """Close connections on which a request does not come to its end."""
+        now_s = self.clock.seconds()
+        for channel in list(self.open):
+            if channel.overdue(now_s):
+                channel.transport.abortConnection()
+
+    def close_idle(self) -> None:
+        """Close connections that have no request on them."""
+        for channel in list(self.open):
+            if not channel.requests:
+                channel.loseConnection()
+
+    def log(self, request: Request) -> None:
+        """Write no line for each request."""
+
+
+def make_site(resource: Resource, clock: IReactorTime) -> BoundedSite:
+    """Return the server of a resource."""
+    return BoundedSite(resource, clock)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
@@ -7,8 +7,10 @@
 
 from base64 import b64encode
 from dataclasses import dataclass
+from itertools import pairwise
 
 from result import Err, Ok, Result
+from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
 
 from mulberryledge_core.codec import from_plain
@@ -30,6 +32,7 @@
     header_of,
     json_body,
     json_reply,
+    number,
     query_of,
     refusal_reply,
 )
@@ -38,6 +41,9 @@
 __all__ = ["Announcement", "TargetInterface", "target_routes"]
 
 MAX_WAIT_S = 30.0
+MAX_QUERY_WAIT_S = 3_600.0
+MAX_ATTEMPT = 1_000_000
+REPORTS_A_LEASE = 20
 ENDINGS = {
     "done": JobPhase.DONE,
     "failed": JobPhase.FAILED,
@@ -64,6 +70,7 @@
 
     def __init__(
         self,
+        clock: IReactorTime,
         log: ReplicatedLog,
         channel: LeaderChannel,
         daemon: str,
@@ -73,7 +80,10 @@
         self.channel = channel
         self.daemon = daemon
         self.lease_s = lease_s
-        self.seen: set[str] = set()
+        self.clock = clock
+        self.seen: set[int] = set()
+        self.reported: dict[int, float] = {}
+        self.tried_s = 0.0
 
     async def announce(self, request: Request, name: str) -> Reply:
         """Announce a target, or renew its lease by announcing it again."""
@@ -100,7 +110,7 @@
         outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
-        self.seen.add(name)
+        self.note_seen(self.log.state.targets[name])
         return self.lease_reply(name)
 
     async def renew(self, request: Request, name: str) -> Reply:
@@ -108,7 +118,7 @@
         found = self.find_target(request, name)
         if isinstance(found, Err):
             return refusal_reply(found.err_value)
-        self.seen.add(name)
+        self.note_seen(found.ok_value)
         return self.lease_reply(name)
 
     async def leave(self, request: Request, name: str) -> Reply:
@@ -137,9 +147,14 @@
         if target.service != service:
             text = f"target {name!r} serves {target.service!r}, not {service!r}"
             return refusal_reply(Refusal(Code.NOT_ALLOWED, text))
-        wait_s = min(MAX_WAIT_S, float(query_of(request, "wait_s", "0")))
+        asked_s = number(
+            "wait_s", query_of(request, "wait_s", "0"), 0, MAX_QUERY_WAIT_S
+        )
+        if isinstance(asked_s, Err):
+            return refusal_reply(asked_s.err_value)
+        wait_ms = int(1_000 * min(MAX_WAIT_S, asked_s.ok_value))
         key_id = admit(self.log, header_of(request, "Authorization")).ok_value.key_id
-        message = TakeJob(service, name, target.generation, key_id, int(wait_s * 1_000))
+        message = TakeJob(service, name, target.generation, key_id, wait_ms)
         outcome = await self.channel.ask(message)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
@@ -160,7 +175,10 @@
         admitted = self.admit_for_job(request, job_id)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
-        message = RenewJob(job_id, int(attempt), admitted.ok_value.key_id)
+        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
+        if isinstance(fence, Err):
+            return refusal_reply(fence.err_value)
+        message = RenewJob(job_id, int(fence.ok_value), admitted.ok_value.key_id)
         return outcome_reply(await self.channel.ask(message))
 
     async def end_job(
@@ -174,7 +192,11 @@
         if phase is None:
             text = f"ending {ending!r}: use one of {', '.join(ENDINGS)}"
             return refusal_reply(Refusal(Code.BAD_REQUEST, text))
-        command = EndJob(job_id, int(attempt), phase, request.content.read())
+        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
+        if isinstance(fence, Err):
+            return refusal_reply(fence.err_value)
+        result = request.content.read()
+        command = EndJob(job_id, int(fence.ok_value), phase, result)
         return outcome_reply(await self.log.propose(command))
 
     def admit_for_job(self, request: Request, job_id: str) -> Result[TeamKey, Refusal]:
@@ -216,15 +238,27 @@
         }
         return json_reply(body)
 
+    def note_seen(self, target: Target) -> None:
+        """Report a renewal unless the last report of it is recent enough."""
+        last_s = self.reported.get(target.generation)
+        if last_s is None or self.clock.seconds() - last_s >= self.lease_s / 4:
+            self.seen.add(target.generation)
+
     async def tick(self) -> None:
-        """Report the targets seen since the last tick."""
-        if not self.seen:
+        """Report the targets seen since the last report, in batches."""
+        now_s = self.clock.seconds()
+        if not self.seen or now_s - self.tried_s < self.lease_s / REPORTS_A_LEASE:
             return
-        message = TargetsSeen(self.daemon, tuple(sorted(self.seen)))
-        self.seen = set()
-        outcome = await self.channel.ask(message)
+        self.tried_s = now_s
+        batch, self.seen = sorted(self.seen), set()
+        gaps = tuple(b - a for a, b in pairwise([0, *batch]))
+        outcome = await self.channel.ask(TargetsSeen(self.daemon, gaps))
         if isinstance(outcome, Err):
-            self.seen.update(message.targets)
+            self.seen.update(batch)
+            return
+        current = {target.generation for target in self.log.state.targets.values()}
+        self.reported = {one: s for one, s in self.reported.items() if one in current}
+        self.reported.update(dict.fromkeys(batch, now_s))
 
 
 def outcome_reply(outcome: Result) -> Reply:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -5,6 +5,8 @@
 Leases of targets: a target that is silent for a whole lease is lost.
 """
 
+from itertools import accumulate
+
 from result import Ok, Result
 from twisted.internet.interfaces import IReactorTime
 
@@ -36,10 +38,10 @@
     async def on_seen(self, message: TargetsSeen) -> Result[object, Refusal]:
         """Renew the leases of targets that an entry heard from."""
         now = self.clock.seconds()
-        for name in message.targets:
-            target = self.log.state.targets.get(name)
-            if target is not None:
-                self.seen[name, target.generation] = now
+        generations = set(accumulate(message.gaps))
+        for target in self.log.state.targets.values():
+            if target.generation in generations:
+                self.seen[target.name, target.generation] = now
         return Ok(Acknowledged())
 
     async def tick(self) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -2,69 +2,291 @@
 mulberryledge_daemon.leader.lender
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Lends target slots and team permits to entries that report demand.
+Lends target slots and team permits to the entries whose calls need them, and asks
+them back where others are short of their share.
 """
 
+import logging
+from collections import Counter
+
 from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.commands.work import Lend
-from mulberryledge_core.messages import Acknowledged, DemandReport, ServiceDemand
-from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
-from mulberryledge_core.outcomes import Refusal
-from mulberryledge_core.state import ClusterState
-from mulberryledge_core.state.limits import slots_in_use, team_headroom
-from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
+from mulberryledge_core.commands.work import (
+    CancelJobs,
+    Lend,
+    Recall,
+    Reserve,
+    SettleReservation,
+)
+from mulberryledge_core.decisions.lending import Claim, Plan, plan_loans
+from mulberryledge_core.messages import Acknowledged, DemandReport
+from mulberryledge_core.model.sessions import ServiceSlots, SlotGrant, TeamGrant
+from mulberryledge_core.model.targets import Target
+from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.state.limits import slots_in_use
+from mulberryledge_daemon.leader.sessions import SessionLeases
+from mulberryledge_daemon.ports import AppliedEvent, LeaderChannel, ReplicatedLog
 
 __all__ = ["Lender"]
 
+PLAN_DELAY_S = 0.02
+RECALL_INTERVAL_S = 0.5
+JOBS = ""  # holder of what running jobs use
+UNRELATED = (CancelJobs, Lend, Recall, Reserve, SettleReservation)
+
+logger = logging.getLogger(__name__)
+
 
 class Lender:
-    """Answers demand reports with loans through the log."""
+    """Owns the demand that entries reported, and plans loans by it."""
 
-    def __init__(self, log: ReplicatedLog, channel: LeaderChannel):
+    def __init__(
+        self,
+        clock: IReactorTime,
+        log: ReplicatedLog,
+        channel: LeaderChannel,
+        sessions: SessionLeases,
+    ):
+        self.clock = clock
         self.log = log
+        self.sessions = sessions
+        self.reports: dict[str, DemandReport] = {}
+        self.recalled_s: dict[str, float] = {}
+        self.planned = False
+        self.short = False
         channel.serve(DemandReport, self.on_demand)
+        log.watch(self.on_applied)
 
     async def on_demand(self, report: DemandReport) -> Result[object, Refusal]:
-        """Lend what is free, up to the reported demand."""
+        """Renew the session of an entry and plan anew if its demand changed."""
+        if not self.sessions.renew(report.session):
+            text = f"session {report.session!r} is closed"
+            return Err(Refusal(Code.STALE, text))
+        before = self.reports.get(report.session)
+        self.reports[report.session] = report
+        if before != report or self.short:
+            self.plan_soon()
+        return Ok(Acknowledged())
+
+    def on_applied(self, event: AppliedEvent) -> None:
+        """Plan anew while an entry is short and something may have become free."""
+        if self.short and not isinstance(event.command, UNRELATED):
+            self.plan_soon()
+
+    def plan_soon(self) -> None:
+        """Collect what happens in a moment into one plan."""
+        if not self.planned:
+            self.planned = True
+            self.clock.callLater(PLAN_DELAY_S, self.start_plan)
+
+    def start_plan(self) -> None:
+        """Run a plan; its failure is logged."""
+        running = Deferred.fromCoroutine(self.plan())
+        running.addErrback(
+            lambda failure: logger.error(
+                "lending failed", extra={"failure": failure.getTraceback()}
+            )
+        )
+
+    async def tick(self) -> None:
+        """Plan for queued jobs, which report no demand of their own."""
+        state = self.log.state
+        for name in list(self.reports):
+            if name not in state.sessions:
+                del self.reports[name]
+        if self.reports and state.indexes.queued_by_service.groups:
+            self.plan_soon()
+
+    async def plan(self) -> None:
+        """Lend and ask back what the present demand calls for."""
+        self.planned = False
+        if not self.log.is_leader():
+            self.reports.clear()
+            return
+        slots = {
+            service: self.plan_slots(service)
+            for service in sorted(self.wanted_services())
+        }
+        queued = Counter(
+            job.team
+            for group in self.log.state.indexes.queued_by_service.groups.values()
+            for job in group.values()
+        )
+        permits = {
+            team: self.plan_permits(team, queued[team])
+            for team in sorted(self.wanted_teams())
+        }
+        plans = (*slots.values(), *permits.values())
+        self.short = any(plan.short for plan in plans)
+        room = Counter()
+        for session in sorted(self.reports):
+            await self.lend(session, slots, permits, room)
+        for session in sorted(self.reports):
+            await self.recall(session, slots, permits)
+
+    def wanted_services(self) -> set[str]:
+        """Return the services that calls are reported for."""
+        return {
+            demand.service
+            for report in self.reports.values()
+            for demand in report.demands
+        }
+
+    def wanted_teams(self) -> set[str]:
+        """Return the teams that calls are reported for."""
+        return {
+            demand.team for report in self.reports.values() for demand in report.demands
+        }
+
+    def serving(self, service: str) -> list[Target]:
+        """Return the targets of a service that take calls and new work."""
         state = self.log.state
-        slots = tuple(
+        return [
+            target
+            for target in state.indexes.targets_by_service.rows(service)
+            if state.target_serves(target.name)
+        ]
+
+    def plan_slots(self, service: str) -> Plan:
+        """Plan the loans of a service's slots over entries and jobs."""
+        state = self.log.state
+        targets = {target.name: target for target in self.serving(service)}
+        held = {
+            name: sum(grant.slots for grant in session.slots if grant.target in targets)
+            for name, session in state.sessions.items()
+        }
+        running = Counter(
+            job.team
+            for name in targets
+            for job in state.indexes.running_by_target.rows(name)
+        )
+        held[JOBS] = sum(running.values())
+        claims = [
+            Claim(report.session, demand.team, demand.wanted)
+            for report in self.reports.values()
+            for demand in report.demands
+            if demand.service == service
+        ]
+        claims.extend(self.job_claims(service, running))
+        claims.extend(self.silent_claims(held))
+        capacity = sum(target.slots for target in targets.values())
+        shares = {team.name: team.share for team in state.teams.values()}
+        return plan_loans(capacity, held, claims, shares)
+
+    def job_claims(self, service: str, running: Counter[str]) -> list[Claim]:
+        """
+        Return what jobs could use: twice what runs, and at least one.
+
+        A growing claim leaves room for jobs and wastes little where no target
+        asks for them.
+        """
+        queued = Counter(
+            job.team for job in self.log.state.indexes.queued_by_service.rows(service)
+        )
+        return [
+            Claim(JOBS, team, running[team] + min(queued[team], 1 + running[team]))
+            for team in sorted({*running, *queued})
+        ]
+
+    def silent_claims(self, held: dict[str, int]) -> list[Claim]:
+        """Return claims of sessions that have not reported: what they hold."""
+        return [
+            Claim(name, "", count)
+            for name, count in held.items()
+            if count and name != JOBS and name not in self.reports
+        ]
+
+    def plan_permits(self, team: str, queued: int) -> Plan:
+        """Plan the loans of a team's permits over entries and jobs."""
+        state = self.log.state
+        record = state.teams.get(team)
+        if record is None:
+            return plan_loans(0, {}, (), {})
+        held = {
+            name: sum(g.permits for g in session.permits if g.team == team)
+            for name, session in state.sessions.items()
+        }
+        running = state.indexes.permits_in_use[team] - sum(held.values())
+        held[JOBS] = running
+        claims = [Claim(JOBS, team, running + min(queued, 1 + running))]
+        for report in self.reports.values():
+            wanted = sum(d.wanted for d in report.demands if d.team == team)
+            claims.append(Claim(report.session, team, wanted))
+        claims.extend(self.silent_claims(held))
+        return plan_loans(record.upper_limit, held, claims, {})
+
+    async def lend(
+        self,
+        session: str,
+        slots: dict[str, Plan],
+        permits: dict[str, Plan],
+        room: Counter[str],
+    ) -> None:
+        """Lend one session what the plans give it, in one log entry."""
+        zone = self.reports[session].availability_zone
+        grants = tuple(
             grant
-            for demand in report.services
-            for grant in free_slots(state, demand, report.availability_zone)
+            for service, plan in slots.items()
+            for grant in self.pick_slots(service, plan.grants.get(session, 0), zone)
         )
-        permits = tuple(
-            TeamGrant(demand.team, min(demand.wanted, room))
-            for demand in report.teams
-            if (room := team_headroom(state, demand.team)) > 0
+        teams = tuple(
+            TeamGrant(team, plan.grants[session])
+            for team, plan in permits.items()
+            if plan.grants.get(session)
         )
-        if not slots and not permits:
-            return Ok(Acknowledged())
-        outcome = await self.log.propose(Lend(report.session, slots, permits))
+        if not grants and not teams:
+            return
+        outcome = await self.log.propose(Lend(session, grants, teams))
         if isinstance(outcome, Err):
-            return outcome
-        return Ok(Acknowledged())
+            logger.info("not lent", extra={"why": outcome.err_value})
+
+    def pick_slots(self, service: str, count: int, zone: str) -> list[SlotGrant]:
+        """Return free slots of a service, those of the near zone first."""
+        if not count:
+            return []
+        state = self.log.state
+        free = {
+            target: target.slots - slots_in_use(state, target.name)
+            for target in self.serving(service)
+            if target.port
+        }
 
+        def rank(target: Target) -> tuple[bool, int, str]:
+            far = state.hosts[target.host].availability_zone != zone
+            return (far, -free[target], target.name)
 
-def free_slots(
-    state: ClusterState, demand: ServiceDemand, zone: str
-) -> tuple[SlotGrant, ...]:
-    """Return free slots that meet the demand, those of the near zone first."""
-    targets = [
-        target
-        for target in state.targets.values()
-        if target.service == demand.service and state.target_serves(target.name)
-    ]
-    targets.sort(key=lambda target: far(state, target.host, zone))
-    left, grants = demand.wanted, []
-    for target in targets:
-        free = min(left, target.slots - slots_in_use(state, target.name))
-        if free > 0:
-            grants.append(SlotGrant(target.name, target.generation, free))
-            left -= free
-    return tuple(grants)
-
-
-def far(state: ClusterState, host: str, zone: str) -> bool:
-    """Return whether the host stands outside the availability zone."""
-    return state.hosts[host].availability_zone != zone
+        taken: Counter[Target] = Counter()
+        while count > 0:
+            open_targets = [target for target in free if free[target] > 0]
+            if not open_targets:
+                break
+            target = min(open_targets, key=rank)
+            free[target] -= 1
+            taken[target] += 1
+            count -= 1
+        return [
+            SlotGrant(target.name, target.generation, n) for target, n in taken.items()
+        ]
+
+    async def recall(
+        self, session: str, slots: dict[str, Plan], permits: dict[str, Plan]
+    ) -> None:
+        """Ask one session for what others are short of, now and then."""
+        wanted = tuple(
+            ServiceSlots(service, plan.recalls[session])
+            for service, plan in slots.items()
+            if plan.recalls.get(session)
+        )
+        teams = tuple(
+            TeamGrant(team, plan.recalls[session])
+            for team, plan in permits.items()
+            if plan.recalls.get(session)
+        )
+        now_s = self.clock.seconds()
+        recent = now_s - self.recalled_s.get(session, -1e9) < RECALL_INTERVAL_S
+        if recent or not (wanted or teams):
+            return
+        self.recalled_s[session] = now_s
+        await self.log.propose(Recall(session, wanted, teams))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -59,15 +59,25 @@
 
 
 def run(daemon: Daemon) -> int:
-    """Run a daemon on the reactor; return the process's exit code."""
+    """
+    Run a daemon on the reactor; return the process's exit code.
+
+    The first signal begins a planned stop, the next one hurries it.
+    """
     codes = []
 
     async def stop() -> None:
         codes.append(1 if await daemon.stop() else 0)
         reactor.stop()
 
+    def begin_or_hurry() -> None:
+        if daemon.stopping:
+            daemon.hurry()
+        else:
+            Deferred.fromCoroutine(stop())
+
     def on_signal(number, frame) -> None:
-        reactor.callFromThread(Deferred.fromCoroutine, stop())
+        reactor.callFromThread(begin_or_hurry)
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
+from typing import BinaryIO, Protocol
 
 from result import Result
 
@@ -19,6 +19,7 @@
 from mulberryledge_core.state import ClusterState
 
 __all__ = [
+    "AnswerSink",
     "AppliedEvent",
     "CallOutcome",
     "CallRequest",
@@ -131,6 +132,38 @@
     value: str
 
 
+class AnswerSink(Protocol):
+    """
+    Where an answer goes that is too large to be held whole.
+
+    A sink that has begun either gets the end of the answer or is aborted, so
+    that its reader cannot take a truncated answer for a whole one.
+    """
+
+    def begin(self, head: Answer, length: int | None, source: object) -> None:
+        """
+        Begin the answer.
+
+        Parameters
+        ----------
+        head : Answer
+            Status, content type and the first part of the body.
+        length : int or None
+            Length of the whole body in bytes, None if it ends with a mark.
+        source : IPushProducer
+            Is paused while the sink's reader is slow.
+        """
+
+    def write(self, data: bytes) -> None:
+        """Take the next part of the body."""
+
+    def end(self) -> None:
+        """Take note that the body is whole."""
+
+    def abort(self) -> None:
+        """Cut the connection: the body will not become whole."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallRequest:
     """
@@ -138,26 +171,55 @@
 
     Attributes
     ----------
+    body : BinaryIO or bytes
+        Request body; a file for one too large to be held in memory.
+    length : int
+        Length of the body in bytes.
     timeout_s : float
         Time left until the caller's deadline, in seconds.
+    repeatable : bool
+        Whether the call may run again; one that may not gets a connection of
+        its own, because an idle one may be closed by the target meanwhile.
+    sink : AnswerSink or None
+        Takes an answer too large to be held; without one it is a failure.
     """
 
     request_id: str
     method: str
     path: str
     headers: tuple[Header, ...]
-    body: bytes
+    body: bytes | BinaryIO
+    length: int
     timeout_s: float
     answer_id_required: bool = False
+    repeatable: bool = True
+    sink: AnswerSink | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CallOutcome:
-    """What became of one dispatch; the answer is whole or absent."""
+    """
+    What became of one dispatch.
+
+    Attributes
+    ----------
+    run : RunOutcome
+        What is known of the run.
+    answer : Answer or None
+        The whole answer, or the head of one that went whole to the sink.
+    problem : str
+        Why there is no answer.
+    streamed : bool
+        Whether the sink has begun, so that nothing else may be told.
+    over : bool
+        Whether the target is known to have stopped working on the call.
+    """
 
     run: RunOutcome
     answer: Answer | None = None
     problem: str = ""
+    streamed: bool = False
+    over: bool = True
 
 
 class TargetClient(Protocol):
