Prove outcomes, limits and stops over several entries, and mend what showed

Cause: no test had two entries, a target that misbehaves or lost proposals. Found and mended by them: an entry that returned the slots of a restarted target was never lent the new ones, because its unchanged report made no plan; a closed session was replaced only at the next report; a stopping daemon opened a new session after its own close.

--- a/features/path/environment.py
+++ b/features/path/environment.py
@@ -1,4 +1,4 @@
-"""Starts one reactor for the suite, and a daemon for each scenario."""
+"""Starts one reactor for the suite, and one daemon or more for each scenario."""
 
 from behave import fixture, use_fixture
 from mulberryledge_testing.reactor_thread import (
@@ -6,10 +6,12 @@
     start_reactor,
     stop_reactor,
 )
+from mulberryledge_testing.views import LogView
 from twisted.internet import reactor
 
 from mulberryledge_core.keys import digest_secret
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import Daemon
+from mulberryledge_daemon.log.single import SingleLog
 from mulberryledge_daemon.settings import (
     DaemonSection,
     OperatorSection,
@@ -18,6 +20,7 @@
 )
 
 SALT = bytes(16)
+ENTRIES_TAG = "entries."
 
 
 @fixture
@@ -27,19 +30,33 @@
     stop_reactor(thread)
 
 
-@fixture
-def running_daemon(context):
-    settings = Settings(
-        daemon=DaemonSection("entry-1", availability_zone="nizwa"),
+def settings_of(name, zone):
+    return Settings(
+        daemon=DaemonSection(name, availability_zone=zone),
         operator=OperatorSection(
             "operator", SALT.hex(), digest_secret(SALT, "test").hex()
         ),
-        timing=TimingSection(target_lease_s=1.0, probation_s=0.2, stop_timeout_s=2.0),
+        timing=TimingSection(
+            target_lease_s=30.0, tick_s=0.05, probation_s=0.2, stop_timeout_s=2.0
+        ),
     )
-    with open_daemon(reactor, settings) as daemon:
+
+
+@fixture
+def running_daemons(context, count):
+    """Daemons entry-1 and so on on one log; the first one leads."""
+    log = SingleLog(None)
+    context.views, context.daemons = {}, {}
+    for number in range(1, count + 1):
+        name = f"entry-{number}"
+        view = LogView(log, f"life-{number}", leads=number == 1)
+        daemon = Daemon(reactor, settings_of(name, f"z{number - 1}"), view)
+        context.views[name], context.daemons[name] = view, daemon
         run_coroutine(daemon.start)
-        yield daemon
-        run_coroutine(daemon.stop)
+    yield
+    for daemon in context.daemons.values():
+        if not daemon.stopping:
+            run_coroutine(daemon.stop)
 
 
 def before_all(context):
@@ -47,4 +64,12 @@
 
 
 def before_scenario(context, scenario):
-    context.daemon = use_fixture(running_daemon, context)
+    counts = [tag for tag in scenario.effective_tags if tag.startswith(ENTRIES_TAG)]
+    count = int(counts[0].removeprefix(ENTRIES_TAG)) if counts else 1
+    use_fixture(running_daemons, context, count)
+    context.daemon = context.daemons["entry-1"]
+
+
+def after_scenario(context, scenario):
+    for begun in getattr(context, "begun", ()):
+        begun.addErrback(lambda failure: None)
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -42,11 +42,17 @@
     Renews an entry's session and says what its calls could use.
 
     Answered at once; capacity follows by log entries.
+
+    Attributes
+    ----------
+    short : bool
+        Whether calls wait for more than is on loan.
     """
 
     session: str
     availability_zone: str
     demands: tuple[CallDemand, ...] = ()
+    short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/demand.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/demand.py
@@ -14,7 +14,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
-from mulberryledge_core.commands.work import Recall, ReturnLoan
+from mulberryledge_core.commands.work import CloseSession, Recall, ReturnLoan
 from mulberryledge_core.messages import CallDemand, DemandReport
 from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
 from mulberryledge_core.outcomes import Code
@@ -64,6 +64,7 @@
         self.reported_s = 0.0
         self.interval_s = REPORT_INTERVAL_S
         self.reporting = False
+        self.short = False
         self.returning = False
         self.giving_back = False
         self.sequence = 0
@@ -106,11 +107,13 @@
             window[key] = max(count, window.get(key, 0))
 
     def on_short(self) -> None:
-        """Report soon: calls wait for capacity."""
+        """Report soon, at once if nothing was short before."""
         if not self.reporting:
             self.reporting = True
             wait_s = self.reported_s + self.interval_s - self.clock.seconds()
-            self.clock.callLater(max(0.0, wait_s), self.start, self.report)
+            wait_s = max(0.0, wait_s) if self.short else 0.0
+            self.short = True
+            self.clock.callLater(wait_s, self.start, self.report)
 
     def start(self, task) -> None:
         """Run a coroutine; its failure is logged."""
@@ -144,7 +147,8 @@
             for (service, team), count in sorted(demands.items())
         )
         name = self.session.name
-        message = DemandReport(name, self.loans.availability_zone, claims)
+        zone, short = self.loans.availability_zone, self.queues.any_waiting()
+        message = DemandReport(name, zone, claims, short)
         outcome = await self.channel.ask(message)
         if isinstance(outcome, Err):
             return
@@ -155,6 +159,7 @@
     async def tick(self, stopping: bool = False) -> None:
         """Renew the session, report a fall of demand, and return what is idle."""
         now_s = self.clock.seconds()
+        self.short = self.queues.any_waiting()
         self.note_peak()
         if now_s - self.window_s >= PEAK_WINDOW_S:
             self.window_s = now_s
@@ -176,8 +181,11 @@
         return 2 * sum(self.peak().values()) < sum(self.reported.values())
 
     def on_applied(self, event: AppliedEvent) -> None:
-        """Take note of what the leader asks back."""
+        """Take note of what the leader asks back, and of a closed session."""
         command = event.command
+        if isinstance(command, CloseSession) and command.session == self.session.name:
+            self.short = False
+            self.on_short()
         if isinstance(command, Recall) and command.session == self.session.name:
             self.owed_slots = Counter(
                 {one.service: one.slots for one in command.services}
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
@@ -90,6 +90,10 @@
                 self.make_token(),
             )
             outcome = await self.propose_until(command, deadline_s)
+            if is_stale(outcome) and self.clock.seconds() < deadline_s:
+                if not await self.session.ensure_open():
+                    await deferLater(self.clock, RETRY_S)
+                continue
             if isinstance(outcome, Err):
                 self.disown(Granted(command), outcome.err_value)
                 return outcome
@@ -179,6 +183,11 @@
         self.unsettled -= 1
 
 
+def is_stale(outcome: Result) -> bool:
+    """Return whether a claim was refused because the session is closed."""
+    return isinstance(outcome, Err) and outcome.err_value.code == Code.STALE
+
+
 def log_failure(failure) -> None:
     """Log the failure of a settlement."""
     logger.critical("settlement failed", extra={"failure": failure.getTraceback()})
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/sessions.py
@@ -49,6 +49,7 @@
         self.life = life
         self.name = life
         self.reopened = 0
+        self.ended = False
         self.until_s = 0.0
 
     def holds(self) -> bool:
@@ -63,6 +64,8 @@
 
     async def ensure_open(self) -> bool:
         """Open a session if there is none; a closed one gets a new name."""
+        if self.ended:
+            return False
         if self.name in self.log.state.sessions:
             return True
         if self.until_s:
@@ -78,6 +81,7 @@
         return True
 
     async def close(self) -> None:
-        """Close the session: no call uses its loans any more."""
+        """Close the session for good: no call uses its loans any more."""
+        self.ended = True
         self.until_s = 0.0
         await self.log.propose(CloseSession(self.daemon, self.name))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -66,7 +66,7 @@
             return Err(Refusal(Code.STALE, text))
         before = self.reports.get(report.session)
         self.reports[report.session] = report
-        if before != report or self.short:
+        if before != report or report.short:
             self.plan_soon()
         return Ok(Acknowledged())
 
