--- a/features/path/environment.py
+++ b/features/path/environment.py
@@ -6,12 +6,11 @@
     start_reactor,
     stop_reactor,
 )
-from mulberryledge_testing.views import LogView
+from mulberryledge_testing.views import LogView, SharedLog
 from twisted.internet import reactor
 
 from mulberryledge_core.keys import digest_secret
 from mulberryledge_daemon.daemon import Daemon
-from mulberryledge_daemon.log.single import SingleLog
 from mulberryledge_daemon.settings import (
     DaemonSection,
     OperatorSection,
@@ -45,7 +44,7 @@
 @fixture
 def running_daemons(context, count):
     """Daemons entry-1 and so on on one log; the first one leads."""
-    log = SingleLog(None)
+    log = SharedLog()
     context.views, context.daemons = {}, {}
     for number in range(1, count + 1):
         name = f"entry-{number}"
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -12,6 +12,8 @@
     "Acknowledged",
     "CallDemand",
     "DemandReport",
+    "InForceAsk",
+    "InForceReply",
     "JobLease",
     "NoJob",
     "RenewJob",
@@ -120,6 +122,21 @@
     cancel_requested: bool
 
 
+@dataclass(frozen=True, slots=True)
+class InForceAsk:
+    """Wait, at most the given milliseconds, until an index is in force."""
+
+    index: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReply:
+    """Daemons on which the index is not known to be in force."""
+
+    waiting: tuple[str, ...] = ()
+
+
 MESSAGES = {
     kind.__name__: kind
     for kind in (
@@ -131,6 +148,8 @@
         NoJob,
         RenewJob,
         JobLease,
+        InForceAsk,
+        InForceReply,
     )
 }
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -10,7 +10,7 @@
 from contextlib import ExitStack, contextmanager
 from random import Random
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
 from mulberryledge_daemon.entry.calls import Calls
@@ -22,6 +22,7 @@
 from mulberryledge_daemon.entry.reservations import Reservations
 from mulberryledge_daemon.entry.sessions import EntrySession
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
 from mulberryledge_daemon.http.routing import Router
@@ -33,13 +34,14 @@
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
 from mulberryledge_daemon.leader.sessions import SessionLeases
-from mulberryledge_daemon.log.single import open_single_log
+from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
 
 __all__ = ["Daemon", "open_daemon"]
 
 STOP_POLL_S = 0.02
+SETTLE_TIMEOUT_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -88,14 +90,17 @@
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
-        await self.session.ensure_open()
+        await self.log.start()
         routes = (
             *health_routes(self.is_ready),
             *caller_routes(self.callers),
             *target_routes(self.targets),
         )
         self.listen(listen.callers_port, routes)
-        self.listen(listen.operators_port, operator_routes(self.operators))
+        cluster = cluster_routes(self.operators.admit, self.log.status)
+        operators = (*operator_routes(self.operators), *cluster)
+        self.listen(listen.operators_port, operators)
+        await self.open_session()
         for task in (
             self.entry_tick,
             self.leader_tick,
@@ -107,6 +112,17 @@
         extra = {"callers_port": self.callers_port, "session": self.session.name}
         logger.info("started", extra=extra)
 
+    async def open_session(self) -> None:
+        """Begin this life of the daemon as an entry, as soon as there is a leader."""
+        while not await self.session.ensure_open():
+            logger.warning("no leader yet")
+
+    async def settle_session(self, cut_off: int) -> None:
+        """Return the loans, and end the session unless a call was cut off."""
+        await self.demand.return_free(everything=True)
+        if not cut_off:
+            await self.session.close()
+
     def listen(self, port: int, routes: tuple) -> None:
         """Serve routes on a TCP port."""
         router = Router(routes, lambda: self.stopping)
@@ -128,7 +144,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send traffic here."""
-        return not self.stopping and self.log.is_fresh()
+        known = self.session.name in self.log.state.sessions
+        return known and not self.stopping and self.log.is_fresh()
 
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
@@ -174,12 +191,11 @@
         running = dict(self.calls.running)
         for loop in self.loops:
             loop.stop()
-        if not self.hurried:
-            await self.demand.return_free(everything=True)
-        if not cut_off:
-            await self.session.close()
         for site in self.sites:
             site.close_idle()
+        settled = Deferred.fromCoroutine(self.settle_session(cut_off))
+        settled.addTimeout(SETTLE_TIMEOUT_S, self.reactor)
+        await settled.addErrback(lambda failure: failure.trap(TimeoutError))
         for port in self.ports:
             await maybeDeferred(port.stopListening)
         await self.client.close()
@@ -193,7 +209,7 @@
 def open_daemon(reactor, settings: Settings) -> Iterator[Daemon]:
     """Open the data folder of a daemon and put the daemon together."""
     with ExitStack() as stack:
-        log = stack.enter_context(open_single_log(settings.daemon.data_folder))
+        log = stack.enter_context(open_log(reactor, settings))
         yield Daemon(reactor, settings, log)
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
@@ -116,13 +116,31 @@
     async def propose_until(self, command: Reserve, deadline_s: float) -> Result:
         """Propose a claim until its fate is known or the deadline has passed."""
         for tries in count():
-            outcome = await self.log.propose(command)
+            outcome = await self.propose_within(command, deadline_s)
             known = isinstance(outcome, Ok) or outcome.err_value.code != Code.NO_LEADER
             if known or self.clock.seconds() >= deadline_s:
                 return outcome
             await deferLater(self.clock, min(RETRY_MAX_S, RETRY_S * 2**tries))
         raise AssertionError("count() does not end")
 
+    async def propose_within(self, command: Reserve, deadline_s: float) -> Result:
+        """Propose a claim and wait for its outcome until the deadline at most."""
+        outcome = Deferred()
+
+        def take(result: Result) -> None:
+            if not outcome.called:
+                outcome.callback(result)
+
+        late = Err(Refusal(Code.NO_LEADER, "the claim is not confirmed in time"))
+        left_s = max(0.0, deadline_s - self.clock.seconds())
+        timer = self.clock.callLater(left_s, take, late)
+        proposing = Deferred.fromCoroutine(propose(self.log, command))
+        proposing.addCallbacks(take, log_failure)
+        result = await outcome
+        if timer.active():
+            timer.cancel()
+        return result
+
     async def ended(self, name: str, deadline_s: float) -> Reservation | None:
         """Wait for the end of a running claim; return how it stands then."""
         while True:
@@ -183,6 +201,11 @@
         self.unsettled -= 1
 
 
+async def propose(log: ReplicatedLog, command: Reserve) -> Result:
+    """Propose a command."""
+    return await log.propose(command)
+
+
 def is_stale(outcome: Result) -> bool:
     """Return whether a claim was refused because the session is closed."""
     return isinstance(outcome, Err) and outcome.err_value.code == Code.STALE
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -10,7 +10,7 @@
 from collections import Counter
 
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.interfaces import IReactorTime
 
 from mulberryledge_core.commands.work import (
@@ -55,6 +55,7 @@
         self.reports: dict[str, DemandReport] = {}
         self.recalled_s: dict[str, float] = {}
         self.planned = False
+        self.planning = False
         self.short = False
         channel.serve(DemandReport, self.on_demand)
         log.watch(self.on_applied)
@@ -102,29 +103,48 @@
     async def plan(self) -> None:
         """Lend and ask back what the present demand calls for."""
         self.planned = False
+        if self.planning:
+            self.plan_soon()
+            return
         if not self.log.is_leader():
             self.reports.clear()
             return
-        slots = {
-            service: self.plan_slots(service)
-            for service in sorted(self.wanted_services())
-        }
+        self.planning = True
+        try:
+            await gatherResults(
+                [
+                    Deferred.fromCoroutine(self.propose(command))
+                    for command in self.changes()
+                ]
+            )
+        finally:
+            self.planning = False
+
+    async def propose(self, command: Lend | Recall) -> None:
+        """Propose one change of the loans."""
+        outcome = await self.log.propose(command)
+        if isinstance(outcome, Err):
+            logger.info("not lent", extra={"why": outcome.err_value})
+
+    def changes(self) -> list[Lend | Recall]:
+        """Return what the present demand calls for, one or two entries a session."""
+        services, teams = self.wanted_services(), self.wanted_teams()
         queued = Counter(
             job.team
             for group in self.log.state.indexes.queued_by_service.groups.values()
             for job in group.values()
         )
+        slots = {service: self.plan_slots(service) for service in sorted(services)}
         permits = {
-            team: self.plan_permits(team, queued[team])
-            for team in sorted(self.wanted_teams())
+            team: self.plan_permits(team, queued[team]) for team in sorted(teams)
         }
         plans = (*slots.values(), *permits.values())
         self.short = any(plan.short for plan in plans)
-        room = Counter()
-        for session in sorted(self.reports):
-            await self.lend(session, slots, permits, room)
-        for session in sorted(self.reports):
-            await self.recall(session, slots, permits)
+        taken: Counter[str] = Counter()
+        sessions = sorted(self.reports)
+        commands = [self.lend(name, slots, permits, taken) for name in sessions]
+        commands.extend(self.recall(name, slots, permits) for name in sessions)
+        return [command for command in commands if command is not None]
 
     def wanted_services(self) -> set[str]:
         """Return the services that calls are reported for."""
@@ -217,63 +237,66 @@
         claims.extend(self.silent_claims(held))
         return plan_loans(record.upper_limit, held, claims, {})
 
-    async def lend(
+    def lend(
         self,
         session: str,
         slots: dict[str, Plan],
         permits: dict[str, Plan],
-        room: Counter[str],
-    ) -> None:
-        """Lend one session what the plans give it, in one log entry."""
+        taken: Counter[str],
+    ) -> Lend | None:
+        """Return the loan of what the plans give to one session."""
         zone = self.reports[session].availability_zone
         grants = tuple(
             grant
             for service, plan in slots.items()
-            for grant in self.pick_slots(service, plan.grants.get(session, 0), zone)
+            for grant in self.pick_slots(
+                service, plan.grants.get(session, 0), zone, taken
+            )
         )
         teams = tuple(
             TeamGrant(team, plan.grants[session])
             for team, plan in permits.items()
             if plan.grants.get(session)
         )
-        if not grants and not teams:
-            return
-        outcome = await self.log.propose(Lend(session, grants, teams))
-        if isinstance(outcome, Err):
-            logger.info("not lent", extra={"why": outcome.err_value})
+        return Lend(session, grants, teams) if grants or teams else None
 
-    def pick_slots(self, service: str, count: int, zone: str) -> list[SlotGrant]:
-        """Return free slots of a service, those of the near zone first."""
-        if not count:
-            return []
+    def pick_slots(
+        self, service: str, count: int, zone: str, taken: Counter[str]
+    ) -> list[SlotGrant]:
+        """
+        Return free slots of a service, those of the near zone first.
+
+        Parameters
+        ----------
+        taken : Counter of str
+            Slots by target that this round has given already; is counted up.
+        """
         state = self.log.state
         free = {
-            target: target.slots - slots_in_use(state, target.name)
+            target: target.slots - slots_in_use(state, target.name) - taken[target.name]
             for target in self.serving(service)
-            if target.port
+            if target.port and count
         }
 
         def rank(target: Target) -> tuple[bool, int, str]:
             far = state.hosts[target.host].availability_zone != zone
             return (far, -free[target], target.name)
 
-        taken: Counter[Target] = Counter()
-        while count > 0:
-            open_targets = [target for target in free if free[target] > 0]
-            if not open_targets:
-                break
-            target = min(open_targets, key=rank)
+        given: Counter[Target] = Counter()
+        while count > 0 and any(left > 0 for left in free.values()):
+            target = min((one for one in free if free[one] > 0), key=rank)
             free[target] -= 1
-            taken[target] += 1
+            given[target] += 1
+            taken[target.name] += 1
             count -= 1
         return [
-            SlotGrant(target.name, target.generation, n) for target, n in taken.items()
+            SlotGrant(target.name, target.generation, n) for target, n in given.items()
         ]
 
-    async def recall(
+    def recall(
         self, session: str, slots: dict[str, Plan], permits: dict[str, Plan]
-    ) -> None:
-        """Ask one session for what others are short of, now and then."""
+    ) -> Recall | None:
+        """Return the request for what others are short of, made now and then."""
         wanted = tuple(
             ServiceSlots(service, plan.recalls[session])
             for service, plan in slots.items()
@@ -287,6 +310,6 @@
         now_s = self.clock.seconds()
         recent = now_s - self.recalled_s.get(session, -1e9) < RECALL_INTERVAL_S
         if recent or not (wanted or teams):
-            return
+            return None
         self.recalled_s[session] = now_s
-        await self.log.propose(Recall(session, wanted, teams))
+        return Recall(session, wanted, teams)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -18,16 +19,44 @@
 from mulberryledge_core.documents import parse_document
 from mulberryledge_core.keys import KEY_BYTES, make_key
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
-from mulberryledge_core.state import ClusterState
-from mulberryledge_daemon.log.single import SingleLog
+from mulberryledge_core.state import ClusterState, Context, apply
+from mulberryledge_daemon.http.cluster import ClusterStatus
 from mulberryledge_daemon.ports import AppliedEvent, InForce, ReplicatedLog
 
-__all__ = ["LogView", "set_up_service"]
+__all__ = ["LogView", "SharedLog", "set_up_service"]
 
 NOT_APPLIED = "not-applied"
 APPLIED = "applied"
 
 
+class SharedLog:
+    """A log in memory that applies each proposal at once."""
+
+    def __init__(self):
+        self.state = ClusterState()
+        self.listeners: list[Callable[[AppliedEvent], None]] = []
+        self.handlers: dict[type, Callable] = {}
+
+    def time_ms(self) -> int:
+        """Return wall-clock time, never below an earlier log time."""
+        return max(self.state.now_ms, time.time_ns() // 1_000_000)
+
+    async def propose(self, command: Command) -> ApplyResult:
+        """Apply a command and announce it."""
+        context = Context(self.state.applied_index + 1, self.time_ms())
+        outcome = apply(self.state, command, context)
+        for listener in self.listeners:
+            listener(AppliedEvent(context.index, command, outcome))
+        return outcome
+
+    async def ask(self, message: object) -> Result[object, Refusal]:
+        """Hand a request to the tasks of the daemon that leads."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return Err(Refusal(Code.NO_LEADER, f"nobody serves {message!r}"))
+        return await handler(message)
+
+
 class LogView:
     """
     One daemon's view of a shared log; implements ReplicatedLog and LeaderChannel.
@@ -43,7 +72,7 @@
         is lost: ``not-applied`` or ``applied``.
     """
 
-    def __init__(self, log: SingleLog, session: str, leads: bool):
+    def __init__(self, log: SharedLog, session: str, leads: bool):
         self.log = log
         self.session = session
         self.leads = leads
@@ -92,7 +121,7 @@
 
     def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
         """Watch the shared log."""
-        self.log.watch(listener)
+        self.log.listeners.append(listener)
 
     async def ask(self, message: object) -> Result[object, Refusal]:
         """Ask the tasks of the daemon that leads."""
@@ -103,7 +132,31 @@
     def serve(self, kind: type, handler: Callable) -> None:
         """Register a handler if this view's daemon leads."""
         if self.leads:
-            self.log.serve(kind, handler)
+            self.log.handlers[kind] = handler
+
+    def status(self) -> ClusterStatus:
+        """Return what operators see of the cluster."""
+        index = self.state.applied_index
+        return ClusterStatus(
+            daemon=self.session,
+            cluster="shared",
+            generation=1,
+            folder="",
+            role="voter" if self.leads else "learner",
+            term=1,
+            leader="",
+            leads=self.is_leader(),
+            fresh=self.fresh,
+            removed=False,
+            disk="none",
+            commit=index,
+            applied=index,
+            last_index=index,
+            members=(),
+        )
+
+    async def start(self) -> None:
+        """Do nothing."""
 
     async def stop(self) -> None:
         """Do nothing."""
