--- a/packages/mulberryledge-testing/src/mulberryledge_testing/demo.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/demo.py
@@ -35,6 +35,7 @@
 OPERATOR_KEY = "mlk_operator_demo"
 STEP_TIMEOUT_S = 20.0
 LONG_CALL_S = 0.5
+RENEW_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +134,8 @@
             response = await target.announce()
             self.expect(response.status == 200, f"target t{number} announced itself")
             self.targets[target.name] = target
-        loop = LoopingCall(self.renew)
-        loop.start(1.0)
+        self.renewals = LoopingCall(self.renew)
+        self.renewals.start(RENEW_INTERVAL_S)
 
     def renew(self) -> None:
         """Renew the leases of the targets that are up."""
@@ -237,6 +238,7 @@
 
     async def stop(self) -> None:
         """Stop the daemon by SIGTERM while it has a running call."""
+        self.renewals.stop()
         signal.signal(signal.SIGTERM, self.on_term)
         os.kill(os.getpid(), signal.SIGTERM)
         await self.until(lambda: self.exit_code is not None, "SIGTERM: daemon ended")
