--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -11,6 +11,7 @@
     CancelJobs,
     EndJob,
     ExpireJob,
+    ForgetAnswers,
     ForgetWork,
     Reserve,
     SettleReservation,
@@ -25,6 +26,7 @@
 )
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context, reservation_id
 
@@ -81,7 +83,7 @@
     service = state.services[job.service]
     if key is None or key.team != service.document.service.team:
         return refuse(Code.BAD_KEY, f"key {command.key!r} may not take this work")
-    if slots_in_use(state, target.name) >= target.slots:
+    if slots_in_use(state, target.name) >= usable_slots(state, target):
         return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
     if team_headroom(state, job.team) < 1:
         return refuse(Code.LIMIT, f"team {job.team!r} is at its upper limit")
@@ -154,6 +156,9 @@
     if present is not None and present.digest != command.digest:
         text = f"request id {command.request_id!r} belongs to another request"
         return refuse(Code.CONFLICT, text)
+    if present is not None and command.token and present.token == command.token:
+        granted = present.phase == ReservationPhase.RUNNING
+        return ok(ctx.index, "granted" if granted else "present")
     if present is not None and present.phase != ReservationPhase.NOT_RUN:
         return ok(ctx.index, "present")
     if command.session not in state.sessions:
@@ -166,6 +171,7 @@
         entry=command.entry,
         session=command.session,
         reserved_ms=ctx.now_ms,
+        token=command.token,
     )
     return ok(ctx.index, "granted")
 
@@ -178,8 +184,8 @@
     present = state.reservations.get(name)
     if present is None:
         return missing("reservation", name)
-    if present.session != command.session:
-        return refuse(Code.STALE, f"reservation {name!r} is held by another session")
+    if (present.session, present.token) != (command.session, command.token):
+        return refuse(Code.STALE, f"reservation {name!r} is held by another claim")
     if present.phase != ReservationPhase.RUNNING:
         return refuse(Code.STALE, f"reservation {name!r} is {present.phase}")
     state.reservations[name] = replace(
@@ -188,6 +194,16 @@
     return ok(ctx.index)
 
 
+def forget_answers(
+    state: ClusterState, command: ForgetAnswers, ctx: Context
+) -> ApplyResult:
+    """Drop old kept answers; that the requests ran stays known."""
+    for name, item in list(state.reservations.items()):
+        if item.answer is not None and item.reserved_ms < command.before_ms:
+            state.reservations[name] = replace(item, answer=None)
+    return ok(ctx.index)
+
+
 def forget_work(state: ClusterState, command: ForgetWork, ctx: Context) -> ApplyResult:
     """Drop what ended before the given time."""
     before = command.before_ms
@@ -214,5 +230,6 @@
     CancelJobs: cancel_jobs,
     Reserve: reserve,
     SettleReservation: settle_reservation,
+    ForgetAnswers: forget_answers,
     ForgetWork: forget_work,
 }
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -12,12 +12,14 @@
     CloseSession,
     Lend,
     OpenSession,
+    Recall,
     ReturnLoan,
 )
 from mulberryledge_core.model.jobs import ReservationPhase
 from mulberryledge_core.model.sessions import Session, SlotGrant, TeamGrant
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context
 
@@ -70,7 +72,18 @@
     refusal = _amount_refusal(command)
     if refusal is not None:
         return refusal
-    state.sessions[session.session] = _changed(session, command, sign=-1)
+    if command.sequence and command.sequence <= session.returns:
+        return ok(ctx.index, "present")
+    lowered = _changed(session, command, sign=-1)
+    returns = max(session.returns, command.sequence)
+    state.sessions[session.session] = replace(lowered, returns=returns)
+    return ok(ctx.index)
+
+
+def recall(state: ClusterState, command: Recall, ctx: Context) -> ApplyResult:
+    """Change nothing: the session sees the request as it applies it."""
+    if command.session not in state.sessions:
+        return missing("session", command.session)
     return ok(ctx.index)
 
 
@@ -96,7 +109,8 @@
             return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
         wanted[target.name] += grant.slots
     for name, count in wanted.items():
-        if slots_in_use(state, name) + count > state.targets[name].slots:
+        usable = usable_slots(state, state.targets[name])
+        if slots_in_use(state, name) + count > usable:
             return refuse(Code.LIMIT, f"target {name!r} has no {count} free slots")
     return None
 
@@ -136,4 +150,5 @@
     CloseSession: close_session,
     Lend: lend,
     ReturnLoan: return_loan,
+    Recall: recall,
 }
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -5,12 +5,15 @@
 Leases of targets: a target that is silent for a whole lease is lost.
 """
 
+from collections.abc import Callable
+from itertools import accumulate
+
 from result import Ok, Result
 from twisted.internet.interfaces import IReactorTime
 
 from mulberryledge_core.commands.fleet import DropTarget
 from mulberryledge_core.messages import Acknowledged, TargetsSeen
-from mulberryledge_core.model.targets import TargetPhase
+from mulberryledge_core.model.targets import Target, TargetPhase
 from mulberryledge_core.outcomes import Refusal
 from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
 
@@ -26,20 +29,27 @@
         log: ReplicatedLog,
         channel: LeaderChannel,
         lease_s: float,
+        witness: Callable[[str, list[Target]], None] = lambda daemon, heard: None,
     ):
         self.clock = clock
         self.log = log
         self.lease_s = lease_s
+        self.witness = witness
         self.seen: dict[tuple[str, int], float] = {}
         channel.serve(TargetsSeen, self.on_seen)
 
     async def on_seen(self, message: TargetsSeen) -> Result[object, Refusal]:
         """Renew the leases of targets that an entry heard from."""
         now = self.clock.seconds()
-        for name in message.targets:
-            target = self.log.state.targets.get(name)
-            if target is not None:
-                self.seen[name, target.generation] = now
+        generations = set(accumulate(message.gaps))
+        heard = [
+            target
+            for target in self.log.state.targets.values()
+            if target.generation in generations
+        ]
+        for target in heard:
+            self.seen[target.name, target.generation] = now
+        self.witness(message.daemon, heard)
         return Ok(Acknowledged())
 
     async def tick(self) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -223,15 +223,14 @@
     async def in_force(self, index: int, timeout_s: float) -> InForce:
         """Wait until the index is in force on every daemon."""
         until = self.reactor.seconds() + timeout_s
-        waiting = ("the leader",)
-        while (left := until - self.reactor.seconds()) > 0:
-            ask = InForceAsk(index, int(left * MS))
-            outcome = await self.channel.ask(ask)
+        while True:
+            left = max(0.0, until - self.reactor.seconds())
+            outcome = await self.channel.ask(InForceAsk(index, int(left * MS)))
             if isinstance(outcome, Ok):
-                waiting = outcome.ok_value.waiting
-                break
+                return InForce(index, outcome.ok_value.waiting)
+            if not left:
+                return InForce(index, ("the leader",))
             await deferLater(self.reactor, POLL_S)
-        return InForce(index, waiting)
 
     def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
         """Call the listener after each applied command."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -7,16 +7,20 @@
 
 import tomllib
 from dataclasses import dataclass, field
+from enum import StrEnum
 from pathlib import Path
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from mulberryledge_core.codec import from_plain
+from mulberryledge_core.conversion import summary_of
 from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_daemon.settings_checks import settings_faults
 
 __all__ = [
     "DaemonSection",
     "ListenSection",
+    "LogsSection",
     "OperatorSection",
     "PeerSection",
     "PlatformSection",
@@ -26,6 +30,15 @@
 ]
 
 
+class LogLevel(StrEnum):
+    """Least level that is written to the log."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonSection:
     """
@@ -99,12 +112,35 @@
         Time for which a rebooted host must stay healthy.
     stop_timeout_s : float
         Longest wait for running calls in a planned stop.
+    reboot_slow_s : float
+        Time after which a rebooting host stops its wave.
+    reboot_timeout_s : float
+        Time after which a rebooting host counts as lost.
+    long_drain_s : float
+        Time after which a drain counts as held by a long job.
+    repair_confirm_s : float
+        Silence of a host before it is cordoned.
+    repair_reboot_s, repair_replace_s : float
+        Silence before a host is rebooted, and before a spare takes its place.
     """
 
     target_lease_s: float = 10.0
     tick_s: float = 0.1
     probation_s: float = 5.0
     stop_timeout_s: float = 130.0
+    reboot_slow_s: float = 300.0
+    reboot_timeout_s: float = 900.0
+    long_drain_s: float = 30.0
+    repair_confirm_s: float = 30.0
+    repair_reboot_s: float = 300.0
+    repair_replace_s: float = 900.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogsSection:
+    """Level of the log: ``debug``, ``info``, ``warning`` or ``error``."""
+
+    level: LogLevel = LogLevel.INFO
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +152,7 @@
     operator: OperatorSection = OperatorSection()
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
+    logs: LogsSection = LogsSection()
     peers: tuple[PeerSection, ...] = field(default=())
 
 
@@ -132,6 +169,12 @@
         plain = tomllib.loads(path.read_text())
     except OSError as error:
         return Err(Refusal(Code.BAD_REQUEST, f"{path}: {error.strerror}"))
-    except tomllib.TOMLDecodeError as error:
+    except ValueError as error:
         return Err(Refusal(Code.BAD_REQUEST, f"{path}: not TOML: {error}"))
-    return from_plain(plain, Settings)
+    parsed = from_plain(plain, Settings)
+    kinds = () if isinstance(parsed, Ok) else parsed.err_value.faults
+    faults = (*kinds, *settings_faults(plain))
+    if faults:
+        text = f"{path}: {summary_of(faults)}"
+        return Err(Refusal(Code.BAD_REQUEST, text, faults))
+    return parsed
