--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -12,6 +12,7 @@
 
 from mulberryledge_core.codec import from_plain, to_plain
 from mulberryledge_core.commands import fleet, maintenance, teams, work
+from mulberryledge_core.consensus.steps import MEMBER_COMMANDS
 from mulberryledge_core.documents import (
     document_diff,
     invalid_document,
@@ -52,6 +53,7 @@
         maintenance.HoldHost,
         maintenance.HoldService,
         maintenance.ReleaseHost,
+        *MEMBER_COMMANDS,
     )
 }
 TABLES = (
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -20,6 +20,7 @@
 from mulberryledge_core.keys import KEY_BYTES, make_key
 from mulberryledge_core.outcomes import Refusal
 from mulberryledge_daemon.daemon import Daemon, open_daemon
+from mulberryledge_daemon.log.storage import StorageFault
 from mulberryledge_daemon.logs import configure_logging
 from mulberryledge_daemon.settings import load_settings
 
@@ -84,10 +85,15 @@
             show_faults(self, loaded.err_value)
             return EXIT_INVALID
         settings = loaded.ok_value
-        with open_daemon(reactor, settings) as daemon:
-            level = settings.logs.level.upper()
-            configure_logging(settings.daemon.name, level, daemon.log_position)
-            return run(daemon, path)
+        level = settings.logs.level.upper()
+        configure_logging(settings.daemon.name, level)
+        try:
+            with open_daemon(reactor, settings) as daemon:
+                configure_logging(settings.daemon.name, level, daemon.log_position)
+                return run(daemon, path)
+        except StorageFault as fault:
+            self.line_error(f"daemon.data_folder: {fault}")
+            return EXIT_INVALID
 
 
 def show_faults(command: Command, refusal: Refusal) -> None:
