--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/timing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/timing.py
@@ -32,8 +32,8 @@
         Silence after which unanswered entries are sent again.
     """
 
-    heartbeat_ms: int = 250
-    learner_heartbeat_ms: int = 600
+    heartbeat_ms: int = 280
+    learner_heartbeat_ms: int = 580
     election_min_ms: int = 900
     election_max_ms: int = 1_400
     lease_ms: int = 2_400
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/cluster.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/cluster.py
@@ -49,6 +49,8 @@
         Whether this daemon leads, and whether its freshness lease holds.
     disk : str
         ``ok``, ``none``, ``full`` or what is damaged.
+    bytes_sent, bytes_received : int
+        Exchanged with the other daemons since this process started.
     """
 
     daemon: str
@@ -65,6 +67,8 @@
     commit: int
     applied: int
     last_index: int
+    bytes_sent: int
+    bytes_received: int
     members: tuple[MemberStatus, ...]
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -60,7 +60,7 @@
 
 __all__ = ["ReplicatedLog"]
 
-TICK_S = 0.05
+TICK_S = 0.1
 POLL_S = 0.02
 MAX_PAST_LIVES = 1_000
 SNAPSHOT_ENTRIES = 5_000
@@ -273,6 +273,8 @@
             commit=node.commit,
             applied=node.applied,
             last_index=node.log.last_index,
+            bytes_sent=self.network.traffic.sent,
+            bytes_received=self.network.traffic.received,
             members=tuple(map(self.member_status, node.log.members.members)),
         )
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
@@ -8,8 +8,8 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from prometheus_client import Counter
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Protocol
 from websockets.client import ClientProtocol
@@ -20,20 +20,24 @@
 from websockets.uri import parse_uri
 from zope.interface import implementer
 
-__all__ = ["Link", "accept_link", "dial_link"]
+__all__ = ["Link", "Traffic", "accept_link", "dial_link"]
 
 MAX_MESSAGE_BYTES = 4_194_304
 MAX_QUEUED_BYTES = 2_097_152
 SILENCE_TIMEOUT_S = 6.0
 PING_INTERVAL_S = 2.0
 
-BYTES = Counter("mulberryledge_peer_bytes", "Bytes between daemons.", ["direction"])
-BYTES_SENT = BYTES.labels("sent")
-BYTES_RECEIVED = BYTES.labels("received")
-
 logger = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Bytes that the links of one daemon have carried."""
+
+    sent: int = 0
+    received: int = 0
+
+
 @implementer(IPushProducer)
 class Link(Protocol):
     """Owns one connection, its websocket state and its bounded send queue."""
@@ -42,12 +46,14 @@
         self,
         websocket: ClientProtocol | ServerProtocol,
         clock,
+        traffic: Traffic,
         on_open: Callable[["Link"], None],
         on_message: Callable[["Link", bytes], None],
         on_close: Callable[["Link"], None],
     ):
         self.websocket = websocket
         self.clock = clock
+        self.traffic = traffic
         self.on_open = on_open
         self.on_message = on_message
         self.on_close = on_close
@@ -70,7 +76,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Feed the websocket and hand its messages on."""
         self.heard_s = self.clock.seconds()
-        BYTES_RECEIVED.inc(len(data))
+        self.traffic.received += len(data)
         self.websocket.receive_data(data)
         for event in self.websocket.events_received():
             self.on_event(event)
@@ -125,7 +131,7 @@
         while self.queue and not self.paused:
             data = self.queue.popleft()
             self.queued_bytes -= len(data)
-            BYTES_SENT.inc(len(data))
+            self.traffic.sent += len(data)
             self.sent_s = self.clock.seconds()
             self.transport.write(data)
 
@@ -157,12 +163,13 @@
         self.on_close(self)
 
 
-def dial_link(address: str, port: int, clock, **handlers) -> Link:
+def dial_link(address: str, port: int, clock, traffic: Traffic, **handlers) -> Link:
     """Return the dialling side of a connection."""
     uri = parse_uri(f"ws://{address}:{port}/")
-    return Link(ClientProtocol(uri, max_size=MAX_MESSAGE_BYTES), clock, **handlers)
+    protocol = ClientProtocol(uri, max_size=MAX_MESSAGE_BYTES)
+    return Link(protocol, clock, traffic, **handlers)
 
 
-def accept_link(clock, **handlers) -> Link:
+def accept_link(clock, traffic: Traffic, **handlers) -> Link:
     """Return the accepting side of a connection."""
-    return Link(ServerProtocol(max_size=MAX_MESSAGE_BYTES), clock, **handlers)
+    return Link(ServerProtocol(max_size=MAX_MESSAGE_BYTES), clock, traffic, **handlers)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
-from mulberryledge_daemon.peers.link import Link, accept_link, dial_link
+from mulberryledge_daemon.peers.link import Link, Traffic, accept_link, dial_link
 from mulberryledge_daemon.peers.messages import TABLE, Hello
 
 __all__ = ["Handlers", "Network", "PeerAddress"]
@@ -67,6 +67,7 @@
         self.name = name
         self.handlers = handlers
         self.random = random
+        self.traffic = Traffic()
         self.links: dict[str, Link] = {}
         self.opening: set[Link] = set()
         self.addresses: dict[str, PeerAddress] = {}
@@ -79,7 +80,9 @@
 
     def listen(self, address: str, port: int) -> None:
         """Accept connections."""
-        factory = Factory.forProtocol(lambda: accept_link(self.reactor, **self.wires()))
+        factory = Factory.forProtocol(
+            lambda: accept_link(self.reactor, self.traffic, **self.wires())
+        )
         factory.noisy = False
         self.port = self.reactor.listenTCP(port, factory, interface=address)
         self.watch.start(WATCH_INTERVAL_S, now=False)
@@ -110,7 +113,9 @@
         if peer is None or busy or self.stopped:
             return
         self.dialling.add(name)
-        link = dial_link(peer.address, peer.port, self.reactor, **self.wires())
+        link = dial_link(
+            peer.address, peer.port, self.reactor, self.traffic, **self.wires()
+        )
         link.peer = name
         endpoint = TCP4ClientEndpoint(
             self.reactor, peer.address, peer.port, CONNECT_TIMEOUT_S
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/log/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_testing.bench.log
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the measures of the replicated log need.
+"""
