Recover a cluster from one folder, and talk over mutual TLS

The command "recover" makes a cluster of one folder with a new generation; daemons of the old one are refused by name. A removed or lonely daemon dials every peer and is told. Settings of peers and TLS are checked with their places.

--- a/features/cluster/steps/cluster.py
+++ b/features/cluster/steps/cluster.py
@@ -2,6 +2,7 @@
 
 import shutil
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from mulberryledge_testing.processes import running_cluster, status, wait_until
@@ -16,6 +17,7 @@
 )
 
 TIMEOUT_S = 15.0
+WRITERS = 12
 
 
 @given("a cluster of {voters:d} voters and {learners:d} learners")
@@ -59,8 +61,9 @@
 
 @when("{count:d} pools are created")
 def step_create_many(context, count):
-    for number in range(count):
-        create_surely(context, f"pool-{number}")
+    names = [f"pool-{number}" for number in range(count)]
+    with ThreadPoolExecutor(WRITERS) as pool:
+        list(pool.map(lambda name: create_surely(context, name), names))
 
 
 @when('pool "{name}" is created')
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/recovery.py
@@ -0,0 +1,107 @@
+"""
+mulberryledge_daemon.log.recovery
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A cluster that lost the majority of its voters for good goes on from one folder.
+"""
+
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from mulberryledge_core.codec import encode_command
+from mulberryledge_core.commands.members import Nothing
+from mulberryledge_core.consensus.entries import Entry, EntryKind, HardState
+from mulberryledge_core.consensus.members import Configuration, Member
+from mulberryledge_core.consensus.memory import EntryLog
+from mulberryledge_daemon.log.frames import Batch
+from mulberryledge_daemon.log.storage import StorageFault, open_storage
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["Recovery", "recover"]
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """
+    What a recovery makes of a data folder.
+
+    Attributes
+    ----------
+    last_index, last_term, last_at_ms : int
+        Of the last entry that is kept; later ones were on the lost voters only.
+    left_out : tuple of str
+        Members that are no members any more.
+    generation : int
+        New generation of the cluster.
+    """
+
+    cluster: str
+    last_index: int
+    last_term: int
+    last_at_ms: int
+    left_out: tuple[str, ...]
+    generation: int
+
+
+def recover(settings: Settings, write: bool) -> Recovery:
+    """
+    Make this daemon's folder a cluster of its own, with all that it holds.
+
+    Parameters
+    ----------
+    write : bool
+        Whether to change the folder, or only to say what would come of it.
+
+    Raises
+    ------
+    StorageFault
+        If the folder belongs to no cluster, is damaged, or is in use.
+    """
+    folder = Path(settings.daemon.data_folder)
+    if not settings.daemon.data_folder or not folder.is_dir():
+        raise StorageFault(f"{folder}: no data folder to recover from")
+    with open_storage(folder, settings.daemon.name) as storage:
+        identity = storage.identity
+        if storage.damage:
+            raise StorageFault(f"{storage.damage}: recover from another folder")
+        if not identity.cluster:
+            raise StorageFault(f"{folder}: belongs to no cluster")
+        log = EntryLog(storage.snapshot, storage.entries)
+        generation = identity.generation + 1
+        members = sole_members(settings, identity.folder, log.members, generation)
+        if write:
+            term = storage.hard_state.term + 1
+            entry = Entry(
+                index=log.last_index + 1,
+                term=term,
+                at_ms=log.last_at_ms,
+                kind=EntryKind.MEMBERS,
+                data=encode_command(Nothing()),
+                members=members,
+            )
+            storage.write(Batch(HardState(term), (entry,)))
+            storage.write_identity(replace(identity, generation=generation))
+        return Recovery(
+            cluster=identity.cluster,
+            last_index=log.last_index,
+            last_term=log.last_term,
+            last_at_ms=log.last_at_ms,
+            left_out=members.former,
+            generation=generation,
+        )
+
+
+def sole_members(
+    settings: Settings, folder: str, before: Configuration, generation: int
+) -> Configuration:
+    """Return a cluster of this daemon only; all others count as removed."""
+    own = Member(
+        settings.daemon.name,
+        settings.listen.address,
+        settings.listen.peers_port,
+        settings.daemon.availability_zone,
+        folder,
+    )
+    others = tuple(one.name for one in before.members if one.name != own.name)
+    former = tuple(dict.fromkeys((*before.former, *others)))
+    return Configuration((own,), former, generation)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -8,7 +8,6 @@
 import logging
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from random import Random
 from uuid import uuid4
 
@@ -28,22 +27,22 @@
 from mulberryledge_core.consensus.entries import HardState, Origin, Snapshot
 from mulberryledge_core.consensus.leading import flush
 from mulberryledge_core.consensus.leases import (
-    held_until_ms,
     is_fresh,
     is_leading,
     waiting_for,
 )
-from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.memory import EntryLog
 from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_core.messages import InForceAsk, InForceReply
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
-from mulberryledge_daemon.http.cluster import ClusterStatus, MemberStatus
+from mulberryledge_daemon.http.cluster import ClusterStatus
 from mulberryledge_daemon.log.channel import Channel
-from mulberryledge_daemon.log.formation import Formation
+from mulberryledge_daemon.log.joining import Joining
+from mulberryledge_daemon.log.lives import Lives
 from mulberryledge_daemon.log.proposer import Proposer
 from mulberryledge_daemon.log.replica import Replica
+from mulberryledge_daemon.log.status import cluster_status
 from mulberryledge_daemon.log.storage import Storage
 from mulberryledge_daemon.log.writer import Writer, WriterEvents
 from mulberryledge_daemon.peers.messages import (
@@ -54,7 +53,8 @@
     Propose,
     ProposeReply,
 )
-from mulberryledge_daemon.peers.network import Handlers, Network, PeerAddress
+from mulberryledge_daemon.peers.network import Handlers, Network
+from mulberryledge_daemon.peers.tls import PeerContext
 from mulberryledge_daemon.ports import AppliedEvent, InForce
 from mulberryledge_daemon.settings import Settings
 
@@ -62,7 +62,6 @@
 
 TICK_S = 0.1
 POLL_S = 0.02
-MAX_PAST_LIVES = 1_000
 SNAPSHOT_ENTRIES = 5_000
 CLOCK_BASE_BITS = 40
 MS = 1_000
@@ -98,11 +97,8 @@
         self.storage = storage
         self.name = settings.daemon.name
         self.session = uuid4().hex
-        self.lives: dict[str, str] = {}
-        self.past: dict[str, int] = {}
+        self.lives = Lives()
         self.clock_base_ms = random.getrandbits(CLOCK_BASE_BITS)
-        self.cluster = storage.identity.cluster if storage is not None else ""
-        self.generation = storage.identity.generation if storage is not None else 1
         usable = storage is not None and not storage.damage
         folder = storage.identity.folder if usable else ""
         self.replica = Replica(self.on_outcome)
@@ -116,9 +112,12 @@
             ),
             run,
         )
-        self.formation = Formation(settings, folder)
-        handlers = Handlers(self.hello, self.greet, self.on_message, self.on_closed)
-        self.network = Network(reactor, self.name, handlers, random)
+        self.joining = Joining(settings, self.session, self.node, storage, self.now)
+        handlers = Handlers(
+            self.joining.hello, self.joining.greet, self.on_message, self.on_closed
+        )
+        tls = PeerContext(settings.tls) if settings.tls.certificate else None
+        self.network = Network(reactor, self.name, handlers, random, tls)
         self.proposer = Proposer(reactor, self.session, self.send_proposal)
         self.channel = Channel(
             reactor, lambda: self.node.leader, self.is_leader, self.network.send
@@ -126,14 +125,13 @@
         self.channel.serve(InForceAsk, self.on_in_force)
         self.accepted: set[tuple[str, int]] = set()
         self.seen_leader = ("", 0)
-        self.seen_members: Configuration | None = None
         self.flushing = False
         self.started = False
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
         self.handlers = {
             Hello: self.on_hello,
-            Form: self.on_form,
+            Form: self.joining.on_form,
             Propose: self.on_propose,
             ProposeReply: lambda sender, reply: self.proposer.on_reply(reply),
             Ask: self.channel.on_ask,
@@ -165,22 +163,9 @@
     async def start(self) -> None:
         """Join the cluster, or begin one alone if there are no peers."""
         self.started = True
-        if self.settings.peers:
-            listen = self.settings.listen
-            self.network.listen(listen.address, listen.peers_port)
-        elif not self.cluster:
-            self.form_alone()
-        self.follow_members()
+        self.joining.start(self.network)
         self.loop.start(TICK_S)
 
-    def form_alone(self) -> None:
-        """Begin a cluster of this daemon only."""
-        folder = self.node.folder or "memory"
-        self.node.folder = self.formation.folder = folder
-        members = self.formation.members()
-        assert members is not None, "no peers are awaited"
-        self.form(uuid4().hex, members)
-
     # What the daemon asks for.
 
     async def propose(self, command: Command) -> ApplyResult:
@@ -195,27 +180,6 @@
         """Return whether this daemon's freshness lease holds."""
         return is_fresh(self.node, self.now())
 
-    def lease_ended_s(self, session: str) -> float:
-        """Return for how long the freshness lease of a session has surely ended."""
-        record = self.state.sessions.get(session)
-        if record is None or session == self.session or not self.is_leader():
-            return 0.0
-        until = self.node.elected_ms + self.node.timing.lease_held_ms
-        if self.lives.get(record.daemon) == session:
-            until = max(until, held_until_ms(self.node, record.daemon))
-        else:
-            until = max(until, self.past.get(session, 0))
-        return max(0, self.now() - until) / MS
-
-    def note_life(self, name: str, session: str) -> None:
-        """Keep until when the lease of an earlier life of a daemon may hold."""
-        earlier = self.lives.get(name, session)
-        if earlier != session:
-            self.past[earlier] = held_until_ms(self.node, name)
-            while len(self.past) > MAX_PAST_LIVES:
-                self.past.pop(next(iter(self.past)))
-        self.lives[name] = session
-
     def time_ms(self) -> int:
         """Return the log time that a command proposed now would get."""
         return max(self.state.now_ms, wall_ms())
@@ -257,43 +221,18 @@
 
     def status(self) -> ClusterStatus:
         """Return the cluster as this daemon sees it."""
-        node = self.node
-        return ClusterStatus(
-            daemon=self.name,
-            cluster=self.cluster,
-            generation=self.generation,
-            folder=self.formation.folder,
-            role=node.role,
-            term=node.term,
-            leader=node.leader,
-            leads=self.is_leader(),
-            fresh=self.is_fresh(),
-            removed=node.removed,
-            disk=self.disk_status(),
-            commit=node.commit,
-            applied=node.applied,
-            last_index=node.log.last_index,
-            bytes_sent=self.network.traffic.sent,
-            bytes_received=self.network.traffic.received,
-            members=tuple(map(self.member_status, node.log.members.members)),
+        traffic = self.network.traffic
+        return cluster_status(
+            self.node, self.joining, self.storage, traffic, self.now()
         )
 
-    def disk_status(self) -> str:
-        """Return ``ok``, ``none``, ``full`` or what is damaged."""
-        if self.storage is None:
-            return "none"
-        if self.storage.damage:
-            return self.storage.damage
-        return "ok" if self.node.storage_ok else "full"
-
-    def member_status(self, member: Member) -> MemberStatus:
-        """Return what this daemon knows of a member."""
-        if member.name == self.name:
-            return MemberStatus(member, self.node.applied, self.formation.folder)
-        progress = self.node.progress.get(member.name)
-        if progress is None:
-            return MemberStatus(member)
-        return MemberStatus(member, progress.applied, progress.folder)
+    def lease_ended_s(self, session: str) -> float:
+        """Return for how long the freshness lease of a session has surely ended."""
+        record = self.state.sessions.get(session)
+        if record is None or session == self.session or not self.is_leader():
+            return 0.0
+        name, now = record.daemon, self.now()
+        return self.lives.lease_ended_s(self.node, name, session, now)
 
     # What happens to the node.
 
@@ -301,6 +240,7 @@
         """Let time pass."""
         steps.tick(self.node, self.now())
         self.proposer.tick()
+        self.joining.notice_loneliness()
         self.carry_out()
 
     def on_message(self, sender: str, message: object) -> None:
@@ -309,7 +249,7 @@
         if handler is not None:
             handler(sender, message)
             return
-        if not self.cluster:
+        if not self.joining.cluster:
             return
         steps.step(self.node, sender, message, self.now())
         if isinstance(message, NotMember):
@@ -389,92 +329,14 @@
             logger.info("leader", extra=extra)
             if self.node.leader:
                 self.proposer.send_all()
-        if self.node.log.members is not self.seen_members:
-            self.seen_members = self.node.log.members
-            self.follow_members()
-
-    def follow_members(self) -> None:
-        """Dial the peers that come after this daemon's name."""
-        if not self.started or not self.settings.peers:
-            return
-        known = {
-            peer.name: PeerAddress(peer.name, peer.address, peer.port)
-            for peer in self.settings.peers
-        }
-        members = self.node.log.members
-        for member in members.members:
-            known[member.name] = PeerAddress(member.name, member.address, member.port)
-        for name in members.former:
-            if members.find(self.name) is not None:
-                known.pop(name, None)
-        everyone = bool(members.members) and members.find(self.name) is None
-        wanted = (peer for peer in known.values() if everyone or peer.name > self.name)
-        self.network.set_peers(tuple(wanted))
+        self.joining.notice_members()
 
     # What peers send besides the messages of the log.
 
-    def hello(self) -> Hello:
-        """Return this daemon's first message."""
-        folder = self.formation.folder
-        return Hello(self.name, self.cluster, self.generation, folder, self.session)
-
-    def greet(self, hello: Hello) -> str:
-        """Return why a peer is refused, or an empty text."""
-        if hello.name == self.name:
-            return f"another daemon is named {self.name!r}"
-        if not hello.cluster or not self.cluster:
-            return ""
-        if hello.cluster != self.cluster:
-            return f"it belongs to cluster {hello.cluster}, this one to {self.cluster}"
-        if hello.generation != self.generation:
-            return (
-                f"it has generation {hello.generation} of the cluster, this one"
-                f" {self.generation}: move the older one's data folder away"
-            )
-        return ""
-
     def on_hello(self, sender: str, hello: Hello) -> None:
-        """Begin a cluster, or tell a peer without one where it belongs."""
-        self.note_life(sender, hello.session)
-        if self.cluster:
-            if not hello.cluster:
-                self.network.send(sender, Form(self.cluster, self.genesis()))
-            members = self.node.log.members
-            if sender in members.former:
-                notice = NotMember(self.node.term, self.node.log.members_index)
-                self.network.send(sender, notice)
-            return
-        self.formation.greet(hello)
-        members = self.formation.members()
-        if members is not None:
-            self.form(uuid4().hex, members)
-            for name in list(self.network.links):
-                self.network.send(name, Form(self.cluster, members))
-
-    def genesis(self) -> Configuration:
-        """Return the first members, if the log still reaches back to them."""
-        snapshot = self.node.log.snapshot
-        members = snapshot.members if snapshot.index == 0 else Configuration()
-        return replace(members, generation=self.generation)
-
-    def on_form(self, sender: str, message: Form) -> None:
-        """Belong to a cluster from now on."""
-        if not self.cluster:
-            self.form(message.cluster, message.members)
-
-    def form(self, cluster: str, members: Configuration) -> None:
-        """Belong to a cluster that begins with the given members."""
-        assert self.node.log.last_index == 0, "a cluster begins with an empty log"
-        self.cluster = cluster
-        self.generation = members.generation
-        snapshot = Snapshot(members=members)
-        if self.writer.storage is not None:
-            self.storage.form(cluster, snapshot)
-        self.node.log = EntryLog(snapshot)
-        steps.begin_cluster(self.node, self.now())
-        extra = {"cluster": cluster, "members": [one.name for one in members.members]}
-        logger.info("cluster", extra=extra)
-        self.notice_changes()
+        """Take note of a peer that has connected."""
+        self.lives.note(self.node, sender, hello.session)
+        self.joining.on_hello(sender, hello)
 
     def send_proposal(self, message: Propose) -> bool:
         """Hand a proposal of this daemon to the leader."""
@@ -528,7 +390,7 @@
 
     def on_closed(self, peer: str) -> None:
         """Take note of a lost connection."""
-        self.formation.lose(peer)
+        self.joining.formation.lose(peer)
         self.channel.on_closed(peer)
 
     def transmit(self, effect: Send) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -5,14 +5,16 @@
 The command line of the daemon.
 """
 
+import json
 import logging
 import secrets
 import signal
+from dataclasses import asdict
 from pathlib import Path
 
 from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 from result import Err
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
@@ -20,6 +22,7 @@
 from mulberryledge_core.keys import KEY_BYTES, make_key
 from mulberryledge_core.outcomes import Refusal
 from mulberryledge_daemon.daemon import Daemon, open_daemon
+from mulberryledge_daemon.log.recovery import recover
 from mulberryledge_daemon.log.storage import StorageFault
 from mulberryledge_daemon.logs import configure_logging
 from mulberryledge_daemon.settings import load_settings
@@ -69,6 +72,34 @@
         return 0
 
 
+class RecoverCommand(Command):
+    """Go on from one data folder after the majority of voters is lost for good."""
+
+    name = "recover"
+    description = "Makes a cluster of this daemon's data folder alone."
+    help = (
+        "Only after a majority of the voters is lost for good, and with all other"
+        " daemons stopped; see docs/operations/lost-majority.md. Without"
+        " <c1>--yes</c1> it changes nothing and says what would come of it."
+    )
+    arguments = [argument("path", "The settings file.")]
+    options = [option("yes", None, "Change the data folder.")]
+
+    def handle(self) -> int:
+        """Recover, or say what would come of it."""
+        loaded = load_settings(Path(self.argument("path")))
+        if isinstance(loaded, Err):
+            show_faults(self, loaded.err_value)
+            return EXIT_INVALID
+        try:
+            found = recover(loaded.ok_value, write=self.option("yes"))
+        except StorageFault as fault:
+            self.line_error(f"daemon.data_folder: {fault}")
+            return EXIT_INVALID
+        self.line(json.dumps(asdict(found), indent=1))
+        return 0
+
+
 class RunCommand(Command):
     """Run a daemon."""
 
@@ -154,5 +185,6 @@
     application = Application("mulberryledged", "0.1.0")
     application.add(CheckSettingsCommand())
     application.add(MakeKeyCommand())
+    application.add(RecoverCommand())
     application.add(RunCommand())
     return application.run()
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peer_checks.py
@@ -0,0 +1,85 @@
+"""
+mulberryledge_daemon.peer_checks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Checks of the settings on the other daemons and on TLS between them.
+"""
+
+from collections.abc import Iterator
+from ipaddress import ip_address
+from pathlib import Path
+
+from mulberryledge_core.documents import NAME_RULE, is_name
+from mulberryledge_core.outcomes import Fault
+
+__all__ = ["peer_faults"]
+
+MAX_PORT = 65_535
+TLS_FIELDS = ("certificate", "private_key", "authority")
+
+Section = dict[str, object]
+
+
+def peer_faults(plain: Section) -> Iterator[Fault]:
+    """Yield every fault of the sections ``peers`` and ``tls``."""
+    peers = plain.get("peers")
+    if isinstance(peers, list) and peers:
+        daemon, listen = _section(plain, "daemon"), _section(plain, "listen")
+        yield from _own_faults(daemon, listen, peers)
+        yield from _each_faults(daemon.get("name"), peers)
+    yield from _tls_faults(_section(plain, "tls"))
+
+
+def _section(plain: Section, name: str) -> Section:
+    value = plain.get(name)
+    return value if isinstance(value, dict) else {}
+
+
+def _own_faults(daemon: Section, listen: Section, peers: list) -> Iterator[Fault]:
+    if not listen.get("peers_port"):
+        problem = "missing: the daemons in 'peers' dial this port"
+        yield Fault("listen.peers_port", problem)
+    voters = [one for one in peers if isinstance(one, dict) and one.get("voter")]
+    if not daemon.get("data_folder") and not voters:
+        problem = "no daemon votes: set 'voter = true' on 3 or 5 with a data folder"
+        yield Fault("peers", problem)
+
+
+def _each_faults(own_name: object, peers: list) -> Iterator[Fault]:
+    taken = {own_name}
+    for number, peer in enumerate(peers):
+        if not isinstance(peer, dict):
+            continue
+        place = f"peers[{number}]"
+        name, port = peer.get("name"), peer.get("port")
+        if isinstance(name, str) and not is_name(name):
+            yield Fault(f"{place}.name", f"{name!r} is no name: {NAME_RULE}")
+        if name in taken:
+            problem = f"{name!r} is taken: each daemon has a name of its own"
+            yield Fault(f"{place}.name", problem)
+        taken.add(name)
+        if isinstance(port, int) and not 0 < port <= MAX_PORT:
+            problem = f"{port} is out of range: use 1 to {MAX_PORT}"
+            yield Fault(f"{place}.port", problem)
+        address = peer.get("address")
+        if isinstance(address, str) and not _is_ip(address):
+            problem = f"{address!r} is no IP number: use for example 10.0.0.7"
+            yield Fault(f"{place}.address", problem)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _tls_faults(tls: Section) -> Iterator[Fault]:
+    given = [field for field in TLS_FIELDS if tls.get(field)]
+    for field in TLS_FIELDS:
+        path = tls.get(field)
+        if given and not path:
+            yield Fault(f"tls.{field}", f"missing, but {given[0]} is given")
+        elif isinstance(path, str) and path and not Path(path).is_file():
+            yield Fault(f"tls.{field}", f"{path}: no such file")
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -10,12 +10,17 @@
 from dataclasses import dataclass
 from random import Random
 
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.endpoints import (
+    SSL4ClientEndpoint,
+    TCP4ClientEndpoint,
+    connectProtocol,
+)
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
 from mulberryledge_daemon.peers.link import Link, Traffic, accept_link, dial_link
 from mulberryledge_daemon.peers.messages import TABLE, Hello
+from mulberryledge_daemon.peers.tls import PeerContext, certificate_names
 
 __all__ = ["Handlers", "Network", "PeerAddress"]
 
@@ -62,8 +67,16 @@
 class Network:
     """Owns the connections to the other daemons, one a pair."""
 
-    def __init__(self, reactor, name: str, handlers: Handlers, random: Random):
+    def __init__(
+        self,
+        reactor,
+        name: str,
+        handlers: Handlers,
+        random: Random,
+        tls: PeerContext | None = None,
+    ):
         self.reactor = reactor
+        self.tls = tls
         self.name = name
         self.handlers = handlers
         self.random = random
@@ -84,7 +97,12 @@
             lambda: accept_link(self.reactor, self.traffic, **self.wires())
         )
         factory.noisy = False
-        self.port = self.reactor.listenTCP(port, factory, interface=address)
+        if self.tls is None:
+            self.port = self.reactor.listenTCP(port, factory, interface=address)
+        else:
+            self.port = self.reactor.listenSSL(
+                port, factory, self.tls, interface=address
+            )
         self.watch.start(WATCH_INTERVAL_S, now=False)
 
     def wires(self) -> dict[str, Callable]:
@@ -96,12 +114,8 @@
         }
 
     def set_peers(self, peers: tuple[PeerAddress, ...]) -> None:
-        """Dial the given peers from now on, and no others."""
+        """Dial the given peers from now on, and no others; connections stay."""
         wanted = {peer.name: peer for peer in peers if peer.name != self.name}
-        for name in set(self.addresses) - set(wanted):
-            link = self.links.get(name)
-            if link is not None:
-                self.reactor.callLater(WATCH_INTERVAL_S, link.close)
         self.addresses = wanted
         for name in wanted:
             self.dial(name)
@@ -120,6 +134,10 @@
         endpoint = TCP4ClientEndpoint(
             self.reactor, peer.address, peer.port, CONNECT_TIMEOUT_S
         )
+        if self.tls is not None:
+            endpoint = SSL4ClientEndpoint(
+                self.reactor, peer.address, peer.port, self.tls, CONNECT_TIMEOUT_S
+            )
         connected = connectProtocol(endpoint, link)
         connected.addErrback(lambda _: self.dial_later(name))
 
@@ -156,6 +174,10 @@
         problem = self.handlers.greet(hello)
         if expected not in ("", hello.name):
             problem = f"{expected!r} answered as {hello.name!r}"
+        if self.tls is not None:
+            names = certificate_names(link.transport)
+            if hello.name not in names:
+                problem = f"its certificate is for {', '.join(names) or 'nobody'}"
         if problem:
             extra = {"peer": hello.name, "why": problem}
             logger.error("peer refused", extra=extra)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -26,6 +26,7 @@
     "PlatformSection",
     "Settings",
     "TimingSection",
+    "TlsSection",
     "load_settings",
 ]
 
@@ -143,6 +144,24 @@
     level: LogLevel = LogLevel.INFO
 
 
+@dataclass(frozen=True, slots=True)
+class TlsSection:
+    """
+    PEM files for mutual TLS between daemons; all empty for none.
+
+    Attributes
+    ----------
+    certificate, private_key : str
+        Of this daemon; the certificate carries the daemon's name.
+    authority : str
+        Certificates whose signature the others' certificates must carry.
+    """
+
+    certificate: str = ""
+    private_key: str = ""
+    authority: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon."""
@@ -153,6 +172,7 @@
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
     logs: LogsSection = LogsSection()
+    tls: TlsSection = TlsSection()
     peers: tuple[PeerSection, ...] = field(default=())
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings_checks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings_checks.py
@@ -13,6 +13,7 @@
 from mulberryledge_core.documents import NAME_RULE, is_in_range, is_name
 from mulberryledge_core.keys import KEY_ID_RULE, is_key_id
 from mulberryledge_core.outcomes import Fault
+from mulberryledge_daemon.peer_checks import peer_faults
 
 __all__ = ["Reload", "plan_reload", "settings_faults"]
 
@@ -97,6 +98,7 @@
     yield from _operator_faults(_section(plain, "operator"))
     yield from _platform_faults(_section(plain, "platform"))
     yield from _timing_faults(_section(plain, "timing"))
+    yield from peer_faults(plain)
 
 
 def _section(plain: Section, name: str) -> Section:
