--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_core.decisions
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Decisions as pure functions over frozen data, one module a decision.
+"""
