Run queues, reclaims and moves by the capacity decisions

Cause: a take was served first come first served. A taker that went away while its start was in the log left a lease that ran out, which made a job that must not be repeated unknown though it was never handed over. A renewal was not checked against withdrawn keys, a non-repeatable job that was handed back ran again, a job's lease counted as over the moment it ran out, and ended work was never forgotten.

Change: the leader keeps an index of jobs and matches them to waiting targets by share, urgency, size, failure domain and the workers' record. A start nobody waits for is handed back as not run. Leases end one grace after they ran out and can't be renewed in between. Keys are checked on renewal and end. Handing back without the statement that the job has not run makes a non-repeatable one unknown. Failed attempts run again elsewhere up to max_attempts. Renewals may wait for an order, so that a stop reaches a target at once. Usage reports, cancellation of a whole queue, the planner, moves between pools and retention are new; [weights] are settings.

--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import Answer, JobPhase, ReservationPhase
 from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
 
@@ -37,6 +38,7 @@
     body: bytes
     urgent: bool = False
     repeatable: bool = True
+    size: Resources | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,14 +56,25 @@
     """
     End the given attempt of a running job.
 
-    ``phase`` is ``DONE``, ``FAILED``, ``CANCELLED``, or ``QUEUED`` to hand a job
-    back that has provably not run or may be repeated.
+    Attributes
+    ----------
+    phase : JobPhase
+        ``DONE``, ``FAILED``, ``CANCELLED``, or ``QUEUED`` to hand the job back.
+    result : bytes
+        Result or failure text; the checkpoint of a job that is handed back.
+    key : str
+        Key of the target, checked if given.
+    not_run : bool
+        Whether the target states that a job it hands back has not begun to run.
+        Otherwise a job that must not be repeated becomes unknown.
     """
 
     job_id: str
     attempt: int
     phase: JobPhase
     result: bytes = b""
+    key: str = ""
+    not_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +118,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetWork:
-    """Drop ended jobs and settled reservations from before ``before_ms``."""
+    """
+    Drop ended jobs and settled reservations from before ``before_ms``.
+
+    Results of jobs that ended before ``results_before_ms`` are dropped as well,
+    while the jobs stay, so that a resend still finds them.
+    """
 
     before_ms: int
+    results_before_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/documents.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/documents.py
@@ -26,6 +26,7 @@
     ("queue", "lease_ms", 500, 600_000),
     ("queue", "max_attempts", 1, 100),
     ("queue", "max_run_s", 1, 604_800),
+    ("queue", "max_queued", 1, 100_000),
     ("size", "processors", 0, 1_024),
     ("size", "memory_mb", 0, 16_777_216),
     ("size", "accelerators", 0, 64),
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -7,18 +7,24 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.decisions.plan import Order
+from mulberryledge_core.model.hosts import Resources
+
 __all__ = [
     "MESSAGES",
     "Acknowledged",
     "DemandReport",
     "JobLease",
+    "JobUsage",
     "NoJob",
     "RenewJob",
     "ServiceDemand",
     "TakeJob",
     "TakenJob",
+    "TargetUsage",
     "TargetsSeen",
     "TeamDemand",
+    "UsageReport",
     "get_message_by_name",
 ]
 
@@ -88,6 +94,7 @@
     attempt: int
     lease_ms: int
     body: bytes
+    checkpoint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,19 +104,65 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewJob:
-    """Renew the lease of one attempt."""
+    """
+    Renew the lease of one attempt.
+
+    Attributes
+    ----------
+    wait_ms : int
+        How long the reply may wait for an order, in milliseconds; the lease
+        counts from the request.
+    """
 
     job_id: str
     attempt: int
     key: str
+    wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class JobLease:
-    """A renewed lease; ``cancel_requested`` asks the target to stop the job."""
+    """
+    A renewed lease.
+
+    Attributes
+    ----------
+    cancel_requested : bool
+        Whether the target should stop the job for good.
+    order : Order
+        What the target should do to make room for others.
+    """
 
     lease_ms: int
     cancel_requested: bool
+    order: Order = Order.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class JobUsage:
+    """Measured use of one running job."""
+
+    job_id: str
+    attempt: int
+    used: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class TargetUsage:
+    """Measured use of one target and of its running jobs."""
+
+    target: str
+    generation: int
+    used: Resources
+    jobs: tuple[JobUsage, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """What an entry heard of the use of targets since its last report."""
+
+    daemon: str
+    targets: tuple[TargetUsage, ...]
 
 
 MESSAGES = {
@@ -123,6 +176,7 @@
         NoJob,
         RenewJob,
         JobLease,
+        UsageReport,
     )
 }
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from mulberryledge_core.model.hosts import Resources
+
 __all__ = ["Answer", "Job", "JobPhase", "Reservation", "ReservationPhase"]
 
 
@@ -35,6 +37,9 @@
         Queue and submitting team.
     body : bytes
         Work description handed to the target.
+    digest : bytes
+        Hash of the body, which a resend must match; the body itself is dropped
+        when the job ends.
     urgent : bool
         Whether the job goes before ordinary ones.
     repeatable : bool
@@ -53,16 +58,26 @@
         Length of the lease in milliseconds.
     result : bytes
         Kept result or failure text.
+    result_dropped : bool
+        Whether the result was too old for the room there is.
     cancel_requested : bool
         Whether a running job has been asked to stop.
+    checkpoint : bytes
+        What the job handed over when it was last put off.
+    failures, expiries, stops : int
+        Attempts that failed, whose lease ran out, and that were put off.
+    failed_on : tuple of str
+        Targets that the job failed on, which are avoided when it runs again.
     """
 
     job_id: str
     service: str
     team: str
     body: bytes
+    digest: bytes = b""
     urgent: bool = False
     repeatable: bool = True
+    size: Resources = Resources()
     phase: JobPhase = JobPhase.QUEUED
     submitted_ms: int = 0
     started_ms: int = 0
@@ -71,7 +86,13 @@
     target: str = ""
     lease_ms: int = 10_000
     result: bytes = b""
+    result_dropped: bool = False
     cancel_requested: bool = False
+    checkpoint: bytes = b""
+    failures: int = 0
+    expiries: int = 0
+    stops: int = 0
+    failed_on: tuple[str, ...] = ()
 
 
 class ReservationPhase(StrEnum):
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
@@ -69,6 +69,8 @@
         Runs after which a failing repeatable job is given up.
     max_run_s : int
         Declared longest run time in seconds.
+    max_queued : int
+        Jobs that may wait at once; more are refused.
     may_throttle, may_checkpoint, may_stop : bool
         What the system may do to a running job to reclaim capacity.
     """
@@ -78,6 +80,7 @@
     lease_ms: int = 10_000
     max_attempts: int = 3
     max_run_s: int = 3_600
+    max_queued: int = 10_000
     may_throttle: bool = False
     may_checkpoint: bool = False
     may_stop: bool = False
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -6,6 +6,8 @@
 """
 
 from dataclasses import replace
+from hashlib import sha256
+from math import isfinite
 
 from mulberryledge_core.commands.work import (
     CancelJobs,
@@ -17,18 +19,25 @@
     StartJob,
     SubmitJob,
 )
+from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import (
     Job,
     JobPhase,
     Reservation,
     ReservationPhase,
 )
+from mulberryledge_core.model.services import QueueSection
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context, reservation_id
 
-__all__ = ["APPLIERS"]
+__all__ = ["APPLIERS", "MAX_JOBS", "MAX_RESULT_BYTES", "may_take"]
+
+MAX_JOBS = 100_000
+MAX_BODY_BYTES = 262_144
+MAX_RESULT_BYTES = 1_048_576
+MAX_EXPIRIES = 10
 
 
 def submit_job(state: ClusterState, command: SubmitJob, ctx: Context) -> ApplyResult:
@@ -42,29 +51,59 @@
     if not queue.open and command.team != service.document.service.team:
         text = f"queue {command.service!r} is not open to team {command.team!r}"
         return refuse(Code.NOT_ALLOWED, text)
+    digest = sha256(command.body).digest()
     present = state.jobs.get(command.job_id)
     if present is not None:
-        same = (present.team, present.service, present.body) == (
+        same = (present.team, present.service, present.digest) == (
             command.team,
             command.service,
-            command.body,
+            digest,
         )
         if not same:
             return refuse(Code.CONFLICT, f"job {command.job_id!r} is another job")
         return ok(ctx.index, command.job_id)
+    refusal = _submit_refusal(state, command, queue)
+    if refusal is not None:
+        return refusal
     state.jobs[command.job_id] = Job(
         job_id=command.job_id,
         service=command.service,
         team=command.team,
         body=command.body,
+        digest=digest,
         urgent=command.urgent,
         repeatable=command.repeatable and queue.repeatable,
+        size=command.size or service.document.size,
         submitted_ms=ctx.now_ms,
         lease_ms=queue.lease_ms,
     )
     return ok(ctx.index, command.job_id)
 
 
+def _submit_refusal(
+    state: ClusterState, command: SubmitJob, queue: QueueSection
+) -> ApplyResult | None:
+    if len(command.body) > MAX_BODY_BYTES:
+        text = f"body of {len(command.body)} bytes: send at most {MAX_BODY_BYTES}"
+        return refuse(Code.TOO_LARGE, text)
+    if len(state.jobs) >= MAX_JOBS:
+        return refuse(Code.OVERLOADED, f"{MAX_JOBS} jobs are kept already")
+    if state.indexes.queued_by_service.count(command.service) >= queue.max_queued:
+        text = f"queue {command.service!r} holds {queue.max_queued} jobs already"
+        return refuse(Code.OVERLOADED, text)
+    if command.size is not None and min(values_of(command.size)) < 0:
+        return refuse(
+            Code.BAD_REQUEST, f"size {command.size}: a quantity is below zero"
+        )
+    return None
+
+
+def values_of(size: Resources) -> tuple[float, ...]:
+    """Return the quantities of a size; one that is no number counts as negative."""
+    values = (size.processors, size.memory_mb, size.accelerators)
+    return tuple(value if isfinite(value) else -1.0 for value in values)
+
+
 def start_job(state: ClusterState, command: StartJob, ctx: Context) -> ApplyResult:
     """Lease a queued job to a target, within the team's upper limit."""
     job = state.jobs.get(command.job_id)
@@ -75,11 +114,12 @@
     target = state.targets.get(command.target)
     if target is None or target.generation != command.generation:
         return missing("target", command.target)
+    if target.service != job.service:
+        text = f"target {target.name!r} serves {target.service!r}, not {job.service!r}"
+        return refuse(Code.NOT_ALLOWED, text)
     if not state.target_serves(target.name):
         return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
-    key = state.keys.get(command.key)
-    service = state.services[job.service]
-    if key is None or key.team != service.document.service.team:
+    if not may_take(state, job, command.key):
         return refuse(Code.BAD_KEY, f"key {command.key!r} may not take this work")
     if slots_in_use(state, target.name) >= target.slots:
         return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
@@ -95,24 +135,39 @@
     return ok(ctx.index, job.job_id)
 
 
+def may_take(state: ClusterState, job: Job, key_id: str) -> bool:
+    """Return whether a key takes the job: its owner's, for that team or any."""
+    key = state.keys.get(key_id)
+    service = state.services.get(job.service)
+    if key is None or service is None:
+        return False
+    document = service.document
+    if key.team != document.service.team:
+        return False
+    is_open = document.queue is not None and document.queue.open
+    return is_open or job.team == key.team
+
+
 def end_job(state: ClusterState, command: EndJob, ctx: Context) -> ApplyResult:
     """End an attempt; the holder of an older attempt is told that it is stale."""
     job = state.jobs.get(command.job_id)
     if job is None:
         return missing("job", command.job_id)
+    if command.key and not may_take(state, job, command.key):
+        return refuse(Code.BAD_KEY, f"key {command.key!r} may not end this work")
     if job.attempt != command.attempt:
         text = f"attempt {command.attempt} of {job.job_id!r} is over"
         return refuse(Code.STALE, text)
+    if len(command.result) > MAX_RESULT_BYTES:
+        text = f"result of {len(command.result)} bytes: send at most {MAX_RESULT_BYTES}"
+        return refuse(Code.TOO_LARGE, text)
     if job.phase != JobPhase.RUNNING:
         if (job.phase, job.result) == (command.phase, command.result):
             return ok(ctx.index, "present")
         return refuse(Code.STALE, f"job {job.job_id!r} is {job.phase}")
-    if command.phase == JobPhase.QUEUED:
-        state.jobs[job.job_id] = _requeued(job, ctx)
-        return ok(ctx.index)
-    state.jobs[job.job_id] = replace(
-        job, phase=command.phase, result=command.result, ended_ms=ctx.now_ms
-    )
+    if command.phase not in ENDINGS:
+        return refuse(Code.BAD_REQUEST, f"phase {command.phase}: no job ends in it")
+    state.jobs[job.job_id] = ENDINGS[command.phase](state, job, command, ctx)
     return ok(ctx.index)
 
 
@@ -123,12 +178,14 @@
         return missing("running job", command.job_id)
     if job.attempt != command.attempt:
         return refuse(Code.STALE, f"attempt {command.attempt} is over")
-    if job.repeatable:
-        state.jobs[job.job_id] = _requeued(job, ctx)
+    expired = replace(job, expiries=job.expiries + 1)
+    if not job.repeatable:
+        state.jobs[job.job_id] = ended(expired, JobPhase.UNKNOWN, b"", ctx)
+    elif expired.expiries >= MAX_EXPIRIES:
+        text = f"given up: its lease ran out {expired.expiries} times"
+        state.jobs[job.job_id] = ended(expired, JobPhase.FAILED, text.encode(), ctx)
     else:
-        state.jobs[job.job_id] = replace(
-            job, phase=JobPhase.UNKNOWN, ended_ms=ctx.now_ms
-        )
+        state.jobs[job.job_id] = requeued(expired, ctx)
     return ok(ctx.index)
 
 
@@ -139,14 +196,65 @@
         if job is None or job.team != command.team:
             continue
         if job.phase == JobPhase.QUEUED:
-            state.jobs[job_id] = replace(
-                job, phase=JobPhase.CANCELLED, ended_ms=ctx.now_ms
-            )
+            state.jobs[job_id] = ended(job, JobPhase.CANCELLED, b"", ctx)
         elif job.phase == JobPhase.RUNNING:
             state.jobs[job_id] = replace(job, cancel_requested=True)
     return ok(ctx.index)
 
 
+def ended(job: Job, phase: JobPhase, result: bytes, ctx: Context) -> Job:
+    """Return a job that ended; its body and checkpoint are of no more use."""
+    return replace(
+        job,
+        phase=phase,
+        result=result,
+        ended_ms=ctx.now_ms,
+        body=b"",
+        checkpoint=b"",
+    )
+
+
+def requeued(job: Job, ctx: Context) -> Job:
+    """Return a job that waits again, or is cancelled if that was asked for."""
+    if job.cancel_requested:
+        return replace(ended(job, JobPhase.CANCELLED, b"", ctx), target="")
+    return replace(job, phase=JobPhase.QUEUED, target="")
+
+
+def finished(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
+    """Return a job that is done or cancelled."""
+    return ended(job, command.phase, command.result, ctx)
+
+
+def failed(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
+    """Return a job that runs again elsewhere, or has failed for good."""
+    tried = tuple(sorted({*job.failed_on, job.target}))
+    counted = replace(job, failures=job.failures + 1, failed_on=tried)
+    queue = state.services[job.service].document.queue
+    attempts = queue.max_attempts if queue is not None else 1
+    if not job.repeatable or counted.failures >= attempts:
+        return ended(counted, JobPhase.FAILED, command.result, ctx)
+    return requeued(counted, ctx)
+
+
+def handed_back(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
+    """Return a job that waits again if it has not run or may be repeated."""
+    if command.not_run:
+        return requeued(job, ctx)
+    if not job.repeatable:
+        return ended(job, JobPhase.UNKNOWN, command.result, ctx)
+    checkpoint = command.result or job.checkpoint
+    return requeued(replace(job, stops=job.stops + 1, checkpoint=checkpoint), ctx)
+
+
+ENDINGS = {
+    JobPhase.DONE: finished,
+    JobPhase.CANCELLED: finished,
+    JobPhase.FAILED: failed,
+    JobPhase.QUEUED: handed_back,
+}
+
+
 def reserve(state: ClusterState, command: Reserve, ctx: Context) -> ApplyResult:
     """Claim the one run of a request; the detail says whether the claim is new."""
     name = reservation_id(command.team, command.request_id)
@@ -189,9 +297,12 @@
 
 
 def forget_work(state: ClusterState, command: ForgetWork, ctx: Context) -> ApplyResult:
-    """Drop what ended before the given time."""
+    """Drop what ended before the given time, and results from before another."""
     before = command.before_ms
-    state.jobs.keep(lambda job: job.ended_ms == 0 or job.ended_ms >= before)
+    state.jobs.keep(lambda job: not job.ended_ms or job.ended_ms >= before)
+    for job_id, job in list(state.jobs.items()):
+        if job.result and job.ended_ms and job.ended_ms < command.results_before_ms:
+            state.jobs[job_id] = replace(job, result=b"", result_dropped=True)
     state.reservations.keep(
         lambda item: (
             item.phase == ReservationPhase.RUNNING or item.reserved_ms >= before
@@ -200,12 +311,6 @@
     return ok(ctx.index)
 
 
-def _requeued(job: Job, ctx: Context) -> Job:
-    if job.cancel_requested:
-        return replace(job, phase=JobPhase.CANCELLED, target="", ended_ms=ctx.now_ms)
-    return replace(job, phase=JobPhase.QUEUED, target="")
-
-
 APPLIERS = {
     SubmitJob: submit_job,
     StartJob: start_job,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -18,15 +18,24 @@
 from mulberryledge_daemon.entry.client import AgentClient
 from mulberryledge_daemon.entry.loans import Loans
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.http.cancellations import (
+    Cancellations,
+    cancellation_routes,
+)
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
 from mulberryledge_daemon.http.routing import Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
+from mulberryledge_daemon.http.usage import UsageInterface, usage_routes
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.leader.moves import Moves
+from mulberryledge_daemon.leader.planner import Planner
+from mulberryledge_daemon.leader.retention import Retention
+from mulberryledge_daemon.leader.usage import Usage
 from mulberryledge_daemon.log.single import open_single_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
@@ -60,9 +69,15 @@
         self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
         self.lender = Lender(log, log)
         self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
-        self.jobs = Jobs(reactor, log, log)
+        self.usage = Usage(reactor, log, log)
+        self.jobs = Jobs(reactor, log, log, self.journal, self.usage)
+        self.planner = Planner(reactor, log, self.jobs, self.usage)
+        self.moves = Moves(reactor, log, self.jobs, settings.weights)
+        self.retention = Retention(reactor, log)
         self.maintenance = Maintenance(log, self.platform, timing.probation_s)
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
+        self.usage_reports = UsageInterface(reactor, self.targets, log, name)
+        self.cancellations = Cancellations(reactor, log)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
 
@@ -74,6 +89,8 @@
             *health_routes(self.is_ready),
             *caller_routes(self.callers),
             *target_routes(self.targets),
+            *usage_routes(self.usage_reports),
+            *cancellation_routes(self.cancellations),
         )
         self.listen(listen.callers_port, routes)
         self.listen(listen.operators_port, operator_routes(self.operators))
@@ -111,14 +128,20 @@
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
+        await self.usage_reports.tick()
         await self.loans.return_idle(everything=self.stopping)
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
+            self.jobs.step_down()
+            self.moves.step_down()
             return
         await self.leases.tick()
         await self.jobs.tick()
+        await self.planner.tick()
+        await self.moves.tick()
+        await self.retention.tick()
         await self.maintenance.tick()
 
     async def stop(self) -> int:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -5,6 +5,7 @@
 The callers' HTTP interface: calls, and jobs with status, cancel and result.
 """
 
+import json
 from collections.abc import Callable
 from uuid import uuid4
 
@@ -13,10 +14,12 @@
 from twisted.internet.task import deferLater
 from twisted.web.http import Request
 
+from mulberryledge_core.codec import from_plain
 from mulberryledge_core.commands.work import CancelJobs, SubmitJob
+from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import Job, JobPhase
 from mulberryledge_core.model.teams import TeamKey
-from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.outcomes import Code, Refusal, RunOutcome
 from mulberryledge_daemon.entry.admission import admit
 from mulberryledge_daemon.entry.calls import Call, Calls
 from mulberryledge_daemon.http.routing import (
@@ -80,6 +83,9 @@
         team = admitted.ok_value.team
         given = header_of(request, "Idempotency-Key")
         job_id = f"{team}.{given}" if given else uuid4().hex
+        size = size_of(header_of(request, "X-Job-Size"))
+        if isinstance(size, Err):
+            return refusal_reply(size.err_value)
         command = SubmitJob(
             job_id=job_id,
             service=service,
@@ -87,6 +93,7 @@
             body=request.content.read(),
             urgent=header_of(request, "X-Urgent") == "true",
             repeatable=header_of(request, "X-Repeatable", "true") == "true",
+            size=size.ok_value,
         )
         outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
@@ -109,6 +116,9 @@
             if isinstance(found, Err):
                 return refusal_reply(found.err_value)
             job = found.ok_value
+            if job.result_dropped:
+                text = f"the result of job {job_id!r} was dropped to make room"
+                return refusal_reply(Refusal(Code.NOT_FOUND, text), RunOutcome.RAN)
             if job.phase == JobPhase.DONE:
                 return Reply(200, job.result, "application/octet-stream")
             if job.phase in OVER or self.clock.seconds() >= until:
@@ -159,6 +169,21 @@
     )
 
 
+def size_of(text: str) -> Result[Resources | None, Refusal]:
+    """Read the declared size of a job, as JSON, from a header; None if absent."""
+    if not text:
+        return Ok(None)
+    try:
+        plain = json.loads(text)
+    except ValueError as error:
+        return Err(Refusal(Code.BAD_REQUEST, f"X-Job-Size: not JSON: {error}"))
+    size = from_plain(plain, Resources)
+    if isinstance(size, Err):
+        text = f"X-Job-Size: {size.err_value.message}"
+        return Err(Refusal(Code.BAD_REQUEST, text, size.err_value.faults))
+    return size
+
+
 def job_status(job: Job) -> dict[str, object]:
     """Return what callers see of a job."""
     return {
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
@@ -137,9 +137,11 @@
         if target.service != service:
             text = f"target {name!r} serves {target.service!r}, not {service!r}"
             return refusal_reply(Refusal(Code.NOT_ALLOWED, text))
-        wait_s = min(MAX_WAIT_S, float(query_of(request, "wait_s", "0")))
+        wait = wait_of(request)
+        if isinstance(wait, Err):
+            return refusal_reply(wait.err_value)
         key_id = admit(self.log, header_of(request, "Authorization")).ok_value.key_id
-        message = TakeJob(service, name, target.generation, key_id, int(wait_s * 1_000))
+        message = TakeJob(service, name, target.generation, key_id, wait.ok_value)
         outcome = await self.channel.ask(message)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
@@ -152,33 +154,54 @@
                 "attempt": taken.attempt,
                 "lease_ms": taken.lease_ms,
                 "body": b64encode(taken.body).decode(),
+                "checkpoint": b64encode(taken.checkpoint).decode(),
             }
         )
 
     async def renew_job(self, request: Request, job_id: str, attempt: str) -> Reply:
-        """Renew the lease of a running job."""
-        admitted = self.admit_for_job(request, job_id)
+        """Renew the lease of a running job; the reply may wait for an order."""
+        admitted = self.admit_for_job(request, job_id, attempt)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
-        message = RenewJob(job_id, int(attempt), admitted.ok_value.key_id)
+        wait = wait_of(request)
+        if isinstance(wait, Err):
+            return refusal_reply(wait.err_value)
+        key_id = admitted.ok_value.key_id
+        message = RenewJob(job_id, int(attempt), key_id, wait.ok_value)
         return outcome_reply(await self.channel.ask(message))
 
     async def end_job(
         self, request: Request, job_id: str, attempt: str, ending: str
     ) -> Reply:
-        """End a running job with the request's body as its result."""
-        admitted = self.admit_for_job(request, job_id)
+        """
+        End a running job with the request's body as its result.
+
+        A job that is handed back goes on from the body as its checkpoint. With
+        ``?not_run=true`` the target states that the job has not begun to run.
+        """
+        admitted = self.admit_for_job(request, job_id, attempt)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
         phase = ENDINGS.get(ending)
         if phase is None:
             text = f"ending {ending!r}: use one of {', '.join(ENDINGS)}"
             return refusal_reply(Refusal(Code.BAD_REQUEST, text))
-        command = EndJob(job_id, int(attempt), phase, request.content.read())
+        command = EndJob(
+            job_id,
+            int(attempt),
+            phase,
+            request.content.read(),
+            key=admitted.ok_value.key_id,
+            not_run=query_of(request, "not_run") == "true",
+        )
         return outcome_reply(await self.log.propose(command))
 
-    def admit_for_job(self, request: Request, job_id: str) -> Result[TeamKey, Refusal]:
+    def admit_for_job(
+        self, request: Request, job_id: str, attempt: str
+    ) -> Result[TeamKey, Refusal]:
         """Check that the key is of the team that owns the job's queue."""
+        if not attempt.isdecimal():
+            return Err(Refusal(Code.BAD_REQUEST, f"attempt {attempt!r}: use a number"))
         admitted = admit(self.log, header_of(request, "Authorization"))
         if isinstance(admitted, Err):
             return admitted
@@ -227,6 +250,18 @@
             self.seen.update(message.targets)
 
 
+def wait_of(request: Request) -> Result[int, Refusal]:
+    """Return how long a request may wait, in milliseconds."""
+    text = query_of(request, "wait_s", "0")
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = -1.0
+    if not wait_s >= 0:
+        return Err(Refusal(Code.BAD_REQUEST, f"wait_s {text!r}: use seconds"))
+    return Ok(int(min(MAX_WAIT_S, wait_s) * 1_000))
+
+
 def outcome_reply(outcome: Result) -> Reply:
     """Return the outcome of a command or of a request to the leader."""
     if isinstance(outcome, Err):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -5,23 +5,38 @@
 Queued jobs: handed to waiting targets under leases, requeued or given up.
 """
 
-from collections import deque
+from collections import Counter, OrderedDict, defaultdict
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.commands.work import ExpireJob, StartJob
-from mulberryledge_core.messages import JobLease, NoJob, RenewJob, TakeJob, TakenJob
-from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget, DropTarget
+from mulberryledge_core.commands.work import EndJob, ExpireJob, StartJob, SubmitJob
+from mulberryledge_core.decisions.plan import Order
+from mulberryledge_core.messages import NoJob, RenewJob, TakeJob, TakenJob
+from mulberryledge_core.model.decisions import Decision, DecisionKind
+from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.outcomes import Code, Refusal
 from mulberryledge_core.state import ClusterState
-from mulberryledge_core.state.limits import team_headroom
+from mulberryledge_core.state.limits import team_in_use
+from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.job_index import JobIndex, RunningEntry, changed_jobs
+from mulberryledge_daemon.leader.job_leases import Attempt, JobLeases
+from mulberryledge_daemon.leader.matching import Match, Matching
+from mulberryledge_daemon.leader.usage import Usage, fleet_capacity
+from mulberryledge_daemon.leader.workers import Workers
 from mulberryledge_daemon.ports import AppliedEvent, LeaderChannel, ReplicatedLog
 
 __all__ = ["Jobs"]
 
+MAX_STARTS_AT_ONCE = 64
+MAX_TAKERS_WEIGHED = 32
+REVIEW_INTERVAL_S = 1.0
+COUNT_INTERVAL_S = 10.0
+ROOM_CHANGED = (EndJob, ExpireJob, AddHost, AnnounceTarget, DropTarget)
+
 
 @dataclass(frozen=True, slots=True)
 class Taker:
@@ -32,110 +47,249 @@
 
 
 class Jobs:
-    """Owns the waiting targets and the times at which job leases run out."""
+    """
+    Owns the waiting targets and the index of jobs.
+
+    Attributes
+    ----------
+    takers : dict
+        Waiting takes of each queue by target, the longest waiting first.
+    """
 
-    def __init__(self, clock: IReactorTime, log: ReplicatedLog, channel: LeaderChannel):
+    def __init__(
+        self,
+        clock: IReactorTime,
+        log: ReplicatedLog,
+        channel: LeaderChannel,
+        journal: Journal,
+        usage: Usage,
+    ):
         self.clock = clock
         self.log = log
-        self.takers: deque[Taker] = deque()
-        self.renewed: dict[tuple[str, int], float] = {}
-        self.matching = False
+        self.journal = journal
+        self.usage = usage
+        self.workers = Workers(self.note)
+        self.matching = Matching(clock, log, usage, self.workers, self.note)
+        self.leases = JobLeases(clock, log)
+        self.takers: dict[str, OrderedDict[str, Taker]] = defaultdict(OrderedDict)
+        self.index: JobIndex | None = None
+        self.round_due = False
+        self.reviewed_s = 0.0
+        self.counted_s = 0.0
         channel.serve(TakeJob, self.on_take)
-        channel.serve(RenewJob, self.on_renew)
+        channel.serve(RenewJob, self.leases.on_renew)
         log.watch(self.on_applied)
 
+    def note(self, kind: DecisionKind, subject: str, cause: str) -> None:
+        """Keep a decision with its cause."""
+        self.journal.note(Decision(self.log.time_ms(), kind, subject, cause))
+
+    def current(self) -> JobIndex:
+        """Return the index, built anew for a new leader or a restored state."""
+        if self.index is None or self.index.state is not self.log.state:
+            self.index = JobIndex(self.log.state)
+            self.leases.reset()
+            self.reviewed_s = self.counted_s = 0.0
+            self.usage.refresh()
+        return self.index
+
+    def step_down(self) -> None:
+        """Forget what only a leader may know, and refuse those who wait."""
+        self.index = None
+        refusal = Refusal(Code.NO_LEADER, "this daemon does not lead any more")
+        for queue in self.takers.values():
+            for taker in list(queue.values()):
+                self.answer(taker, Err(refusal))
+
     async def on_take(self, request: TakeJob) -> Result[object, Refusal]:
         """Wait for a job of the queue."""
+        queue = self.takers[request.service]
+        earlier = queue.get(request.target)
+        if earlier is not None:
+            self.answer(earlier, Ok(NoJob()))
         taker = Taker(request, Deferred())
-        self.takers.append(taker)
-        timer = self.clock.callLater(request.wait_ms / 1_000, self.give_up, taker)
+        queue[request.target] = taker
+        timer = self.clock.callLater(
+            request.wait_ms / 1_000, self.answer, taker, Ok(NoJob())
+        )
         self.match_soon()
-        outcome = await taker.done
-        if timer.active():
-            timer.cancel()
-        return outcome
-
-    def give_up(self, taker: Taker) -> None:
-        """Tell a target that no job came."""
-        if taker in self.takers:
-            self.takers.remove(taker)
-            taker.done.callback(Ok(NoJob()))
-
-    async def on_renew(self, request: RenewJob) -> Result[object, Refusal]:
-        """Renew the lease of a running attempt."""
-        job = self.log.state.jobs.get(request.job_id)
-        if job is None or job.phase != JobPhase.RUNNING:
-            return Err(Refusal(Code.STALE, f"job {request.job_id!r} is not running"))
-        if job.attempt != request.attempt:
-            return Err(Refusal(Code.STALE, f"attempt {request.attempt} is over"))
-        self.renewed[job.job_id, job.attempt] = self.clock.seconds()
-        return Ok(JobLease(job.lease_ms, job.cancel_requested))
+        try:
+            return await taker.done
+        finally:
+            self.forget(taker)
+            if timer.active():
+                timer.cancel()
+
+    def waits(self, taker: Taker) -> bool:
+        """Return whether the taker still waits."""
+        request = taker.request
+        return self.takers[request.service].get(request.target) is taker
+
+    def forget(self, taker: Taker) -> None:
+        """Take a taker off the list."""
+        if self.waits(taker):
+            del self.takers[taker.request.service][taker.request.target]
+
+    def answer(self, taker: Taker, outcome: Result[object, Refusal]) -> None:
+        """Answer a taker that still waits."""
+        if self.waits(taker):
+            self.forget(taker)
+            taker.done.callback(outcome)
 
     def on_applied(self, event: AppliedEvent) -> None:
-        """Match again after each change of state."""
-        if self.takers:
-            self.match_soon()
+        """Bring the index up to date after each applied command."""
+        if not self.log.is_leader():
+            self.index = None
+            return
+        if self.index is None:
+            return
+        index = self.current()
+        command = event.command
+        for job_id in changed_jobs(command):
+            before = index.running.get(job_id)
+            ended = index.refresh(job_id)
+            job = index.state.jobs.get(job_id)
+            if ended is not None and isinstance(event.outcome, Ok):
+                self.on_ended(ended, command)
+            if job is not None and job.phase == JobPhase.RUNNING and before is None:
+                self.matching.charge(job, 1)
+            if job is not None and job.cancel_requested:
+                self.leases.wake(Attempt(job_id, job.attempt))
+        if isinstance(command, SubmitJob) and command.urgent:
+            self.matching.observe_urgent(command.service)
+        if isinstance(command, ROOM_CHANGED) and index.aside:
+            index.offer_again()
+        if isinstance(command, AddHost | AnnounceTarget | DropTarget):
+            self.usage.refresh()
+        self.match_soon()
+
+    def on_ended(self, entry: RunningEntry, command: object) -> None:
+        """Learn from how an attempt ended."""
+        now_s = self.clock.seconds()
+        job = self.log.state.jobs[entry.job_id]
+        self.matching.charge(job, -1)
+        self.leases.wake(Attempt(entry.job_id, entry.attempt))
+        failed = worker_failed(self.log.state, entry, command)
+        if failed is None:
+            self.workers.withdrawn(entry.target, entry.job_id)
+            return
+        self.workers.ended(entry.target, entry.job_id, failed, now_s)
+        if not failed:
+            run_s = (job.ended_ms - job.started_ms) / 1_000
+            self.matching.observe_run(entry.service, run_s)
 
     def match_soon(self) -> None:
-        """Start a matching round unless one is under way."""
-        if not self.matching:
-            self.matching = True
+        """Start a matching round unless one is due."""
+        if not self.round_due and any(self.takers.values()):
+            self.round_due = True
             self.clock.callLater(0, lambda: ensureDeferred(self.match()))
 
     async def match(self) -> None:
-        """Hand the next job of each queue to its longest waiting target."""
-        try:
-            for taker in list(self.takers):
-                job = next_job(self.log.state, taker.request.service)
-                if job is not None:
-                    await self.start(taker, job)
-        finally:
-            self.matching = False
+        """Choose jobs for the waiting targets and lease them through the log."""
+        self.round_due = False
+        if not self.log.is_leader():
+            self.step_down()
+            return
+        index = self.current()
+        starts = []
+        for service, queue in list(self.takers.items()):
+            while queue and len(starts) < MAX_STARTS_AT_ONCE:
+                match = self.choose(index, service, queue)
+                if match is None:
+                    break
+                self.matching.starting[match.job_id] = match
+                starts.append(ensureDeferred(self.start(queue[match.target], match)))
+        await gatherResults(starts)
+        if len(starts) >= MAX_STARTS_AT_ONCE:
+            self.match_soon()
+
+    def choose(
+        self, index: JobIndex, service: str, queue: OrderedDict[str, Taker]
+    ) -> Match | None:
+        """Return the next match for the targets that are not being given a job."""
+        given = {match.target for match in self.matching.starting.values()}
+        idle = [name for name in queue if name not in given]
+        if not idle or service not in index.queues.lanes:
+            return None
+        return self.matching.choose(index, service, idle[:MAX_TAKERS_WEIGHED])
 
-    async def start(self, taker: Taker, job: Job) -> None:
-        """Lease one job to one target through the log."""
+    async def start(self, taker: Taker, match: Match) -> None:
+        """Lease one job to one target through the log, and hand it over."""
         request = taker.request
-        command = StartJob(job.job_id, request.target, request.generation, request.key)
-        outcome = await self.log.propose(command)
-        if taker not in self.takers:
-            return
+        command = StartJob(
+            match.job_id, request.target, request.generation, request.key
+        )
+        try:
+            outcome = await self.log.propose(command)
+        finally:
+            self.matching.starting.pop(match.job_id, None)
         if isinstance(outcome, Err):
-            if outcome.err_value.code != Code.LIMIT:
-                self.takers.remove(taker)
-                taker.done.callback(outcome)
+            self.on_refused(taker, outcome)
             return
-        self.takers.remove(taker)
-        started = self.log.state.jobs[job.job_id]
-        self.renewed[started.job_id, started.attempt] = self.clock.seconds()
+        job = self.log.state.jobs[match.job_id]
+        if not self.waits(taker):
+            back = EndJob(job.job_id, job.attempt, JobPhase.QUEUED, not_run=True)
+            await self.log.propose(back)
+            return
+        self.leases.begin(Attempt(job.job_id, job.attempt))
+        self.workers.started(request.target, job.job_id)
         taken = TakenJob(
-            started.job_id, started.attempt, started.lease_ms, started.body
+            job.job_id, job.attempt, job.lease_ms, job.body, job.checkpoint
         )
-        taker.done.callback(Ok(taken))
+        self.answer(taker, Ok(taken))
+
+    def on_refused(self, taker: Taker, outcome: Err) -> None:
+        """Answer a taker whose start was refused for a reason of its own."""
+        code = outcome.err_value.code
+        if code not in (Code.LIMIT, Code.CONFLICT):
+            self.answer(taker, outcome)
+
+    def order(self, attempt: Attempt, order: Order) -> None:
+        """Ask the target of a running job to make room."""
+        self.leases.give_order(attempt, order)
 
     async def tick(self) -> None:
-        """End attempts whose lease ran out; unseen ones begin a lease now."""
-        now = self.clock.seconds()
-        renewed: dict[tuple[str, int], float] = {}
-        expired = []
-        for job in self.log.state.jobs.values():
-            if job.phase != JobPhase.RUNNING:
-                continue
-            key = (job.job_id, job.attempt)
-            renewed[key] = self.renewed.get(key, now)
-            if now - renewed[key] > job.lease_ms / 1_000:
-                expired.append(ExpireJob(*key))
-        self.renewed = renewed
-        for command in expired:
+        """End attempts that have stopped by now, and review the workers."""
+        index = self.current()
+        for command in list(self.leases.expired(index)):
             await self.log.propose(command)
+        now_s = self.clock.seconds()
+        if now_s - self.reviewed_s < REVIEW_INTERVAL_S:
+            return
+        self.reviewed_s = now_s
+        self.usage.refresh()
+        self.workers.review(self.log.state, now_s)
+        if now_s - self.counted_s >= COUNT_INTERVAL_S:
+            self.counted_s = now_s
+            self.matching.charge_again(index, fleet_capacity(index.state))
+        self.matching.charge_calls(self.calls(index))
+        index.offer_again()
+        self.match_soon()
+
+    def calls(self, index: JobIndex) -> Counter[str]:
+        """Return the permits for calls on loan, by team."""
+        return Counter(
+            {
+                team: team_in_use(index.state, team) - index.team_jobs[team]
+                for team in index.state.teams
+            }
+        )
+
 
+def worker_failed(
+    state: ClusterState, entry: RunningEntry, command: object
+) -> bool | None:
+    """
+    Return whether the end of an attempt speaks against its worker.
 
-def next_job(state: ClusterState, service: str) -> Job | None:
-    """Return the queued job to run next: urgent first, then the oldest."""
-    queued = [
-        job
-        for job in state.jobs.values()
-        if job.service == service
-        and job.phase == JobPhase.QUEUED
-        and team_headroom(state, job.team) > 0
-    ]
-    return min(queued, key=lambda job: (not job.urgent, job.submitted_ms), default=None)
+    None if it says nothing: the job was handed back or cancelled, or the whole
+    target was lost.
+    """
+    if isinstance(command, ExpireJob):
+        return True if state.target_serves(entry.target) else None
+    if isinstance(command, EndJob) and command.phase in (
+        JobPhase.DONE,
+        JobPhase.FAILED,
+    ):
+        return command.phase == JobPhase.FAILED
+    return None
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -12,6 +12,7 @@
 from result import Err, Result
 
 from mulberryledge_core.codec import from_plain
+from mulberryledge_core.decisions.pools import Weights
 from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
@@ -116,6 +117,7 @@
     operator: OperatorSection = OperatorSection()
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
+    weights: Weights = Weights()
     peers: tuple[PeerSection, ...] = field(default=())
 
 
