--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_index.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_index.py
@@ -5,9 +5,10 @@
 The leader's index of queued and running jobs, kept up by applied commands.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 
 from mulberryledge_core.commands.work import (
     CancelJobs,
@@ -46,6 +47,7 @@
     service: str
     team: str
     target: str
+    host: str
 
 
 class JobIndex:
@@ -60,8 +62,12 @@
         Queued jobs that may be picked.
     aside : dict of str to str
         Queued jobs that can't be placed now, and why.
+    refused : dict of str to str
+        Queued jobs that no host can hold, and what they need.
     running : dict of str to RunningEntry
         Running jobs.
+    kind_hosts : dict of tuple to Counter
+        Running jobs by host, for each service and team.
     team_jobs, service_jobs : Counter of str
         Running jobs by team and by service.
     """
@@ -70,7 +76,9 @@
         self.state = state
         self.queues = JobQueues()
         self.aside: dict[str, str] = {}
+        self.refused: dict[str, str] = {}
         self.running: dict[str, RunningEntry] = {}
+        self.kind_hosts: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
         self.team_jobs: Counter[str] = Counter()
         self.service_jobs: Counter[str] = Counter()
         for job in state.jobs.values():
@@ -83,7 +91,8 @@
         if phase != JobPhase.QUEUED:
             self.queues.discard(job_id, started=phase == JobPhase.RUNNING)
             self.aside.pop(job_id, None)
-        elif job_id not in self.aside:
+            self.refused.pop(job_id, None)
+        elif job_id not in self.aside and job_id not in self.refused:
             self.queues.add(job)
         present = self.running.get(job_id)
         running = phase == JobPhase.RUNNING
@@ -96,9 +105,12 @@
 
     def add_running(self, job: Job) -> None:
         """Count a job that runs."""
+        target = self.state.targets.get(job.target)
+        host = target.host if target is not None else ""
         self.running[job.job_id] = RunningEntry(
-            job.job_id, job.attempt, job.service, job.team, job.target
+            job.job_id, job.attempt, job.service, job.team, job.target, host
         )
+        self.kind_hosts[job.service, job.team][host] += 1
         self.team_jobs[job.team] += 1
         self.service_jobs[job.service] += 1
 
@@ -107,6 +119,10 @@
         entry = self.running.pop(job_id, None)
         if entry is None:
             return None
+        hosts = self.kind_hosts[entry.service, entry.team]
+        hosts[entry.host] -= 1
+        if not hosts[entry.host]:
+            del hosts[entry.host]
         self.team_jobs[entry.team] -= 1
         self.service_jobs[entry.service] -= 1
         return entry
@@ -116,10 +132,20 @@
         self.queues.discard(job_id)
         self.aside[job_id] = cause
 
-    def offer_again(self) -> None:
-        """Offer all jobs that were set aside, in their old places."""
-        aside, self.aside = self.aside, {}
-        for job_id in aside:
+    def refuse(self, job_id: str, cause: str) -> None:
+        """Keep a job that no host can hold from being picked until hosts change."""
+        self.queues.discard(job_id)
+        self.refused[job_id] = cause
+
+    def offer_refused(self) -> None:
+        """Offer the jobs that no host could hold."""
+        self.aside |= self.refused
+        self.refused = {}
+
+    def offer_again(self, most: int) -> None:
+        """Offer jobs that were set aside, the first ones first, in their old places."""
+        for job_id in list(islice(self.aside, most)):
+            del self.aside[job_id]
             job = self.state.jobs.get(job_id)
             if job is not None and job.phase == JobPhase.QUEUED:
                 self.queues.add(job)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -33,6 +33,7 @@
 
 MAX_STARTS_AT_ONCE = 64
 MAX_TAKERS_WEIGHED = 32
+MAX_OFFERED = 32
 REVIEW_INTERVAL_S = 1.0
 COUNT_INTERVAL_S = 10.0
 ROOM_CHANGED = (EndJob, ExpireJob, AddHost, AnnounceTarget, DropTarget)
@@ -74,6 +75,7 @@
         self.takers: dict[str, OrderedDict[str, Taker]] = defaultdict(OrderedDict)
         self.index: JobIndex | None = None
         self.round_due = False
+        self.room_changed = False
         self.reviewed_s = 0.0
         self.counted_s = 0.0
         channel.serve(TakeJob, self.on_take)
@@ -106,7 +108,8 @@
         queue = self.takers[request.service]
         earlier = queue.get(request.target)
         if earlier is not None:
-            self.answer(earlier, Ok(NoJob()))
+            text = f"target {request.target!r} asked again"
+            self.answer(earlier, Err(Refusal(Code.CONFLICT, text)))
         taker = Taker(request, Deferred())
         queue[request.target] = taker
         timer = self.clock.callLater(
@@ -157,10 +160,10 @@
                 self.leases.wake(Attempt(job_id, job.attempt))
         if isinstance(command, SubmitJob) and command.urgent:
             self.matching.observe_urgent(command.service)
-        if isinstance(command, ROOM_CHANGED) and index.aside:
-            index.offer_again()
+        self.room_changed |= isinstance(command, ROOM_CHANGED)
         if isinstance(command, AddHost | AnnounceTarget | DropTarget):
             self.usage.refresh()
+            index.offer_refused()
         self.match_soon()
 
     def on_ended(self, entry: RunningEntry, command: object) -> None:
@@ -191,13 +194,14 @@
             self.step_down()
             return
         index = self.current()
+        self.matching.begin_round()
         starts = []
         for service, queue in list(self.takers.items()):
             while queue and len(starts) < MAX_STARTS_AT_ONCE:
                 match = self.choose(index, service, queue)
                 if match is None:
                     break
-                self.matching.starting[match.job_id] = match
+                self.matching.begin_start(match)
                 starts.append(ensureDeferred(self.start(queue[match.target], match)))
         await gatherResults(starts)
         if len(starts) >= MAX_STARTS_AT_ONCE:
@@ -222,7 +226,7 @@
         try:
             outcome = await self.log.propose(command)
         finally:
-            self.matching.starting.pop(match.job_id, None)
+            self.matching.end_start(match)
         if isinstance(outcome, Err):
             self.on_refused(taker, outcome)
             return
@@ -253,6 +257,12 @@
         index = self.current()
         for command in list(self.leases.expired(index)):
             await self.log.propose(command)
+        if self.room_changed and index.aside:
+            self.room_changed = False
+            index.offer_again(MAX_OFFERED)
+            self.match_soon()
+        if self.matching.more:
+            self.match_soon()
         now_s = self.clock.seconds()
         if now_s - self.reviewed_s < REVIEW_INTERVAL_S:
             return
@@ -263,7 +273,7 @@
             self.counted_s = now_s
             self.matching.charge_again(index, fleet_capacity(index.state))
         self.matching.charge_calls(self.calls(index))
-        index.offer_again()
+        self.room_changed = True
         self.match_soon()
 
     def calls(self, index: JobIndex) -> Counter[str]:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
@@ -26,7 +26,7 @@
 from mulberryledge_core.decisions.shares import Use, advance_use, share_score
 from mulberryledge_core.decisions.sizes import guessed_size
 from mulberryledge_core.model.decisions import DecisionKind
-from mulberryledge_core.model.jobs import Job
+from mulberryledge_core.model.jobs import Job, JobPhase
 from mulberryledge_core.model.targets import Target
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
@@ -38,6 +38,7 @@
 __all__ = ["Match", "Matching", "QueuePace"]
 
 BLOCKED_MS = 30_000
+MAX_TRIES = 16
 PACE_SMOOTHING = 0.1
 URGENT_MEMORY_S = 600.0
 
@@ -50,6 +51,18 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeptHost:
+    """A host that is kept for a job."""
+
+    host: str
+    job_id: str
+
+    def is_kept_from(self, job: Job, target: Target) -> bool:
+        """Return whether the target is kept, for another job."""
+        return target.host == self.host and job.job_id != self.job_id
+
+
 @dataclass(frozen=True, slots=True)
 class QueuePace:
     """
@@ -92,10 +105,14 @@
         Use of each team by now and recently.
     paces : dict of str to QueuePace
         Pace by queue.
-    reserved : dict of str to str
+    reserved : dict of str to KeptHost
         Host kept for a job that has waited long for room, by service.
     starting : dict of str to Match
         Starts under way in the log.
+    rooms : dict of str to HostRoom
+        Hosts as they are in this round of choices.
+    more : bool
+        Whether a round ended before it had tried all jobs.
     """
 
     def __init__(
@@ -117,8 +134,10 @@
         self.shares: dict[str, FairShare] = {}
         self.uses: dict[str, Use] = {}
         self.paces: dict[str, QueuePace] = defaultdict(QueuePace)
-        self.reserved: dict[str, tuple[str, str]] = {}
+        self.reserved: dict[str, KeptHost] = {}
         self.starting: dict[str, Match] = {}
+        self.rooms: dict[str, HostRoom] = {}
+        self.more = False
 
     def choose(
         self, index: JobIndex, service: str, waiting: Iterable[str]
@@ -139,18 +158,25 @@
         if not targets:
             return None
         now_ms = self.log.time_ms()
-        rooms = self.rooms(index, targets)
+        rooms = self.rooms_of(index, targets)
         held = self.held_for_urgent(index, service)
-        for job_id in index.queues.candidates(service, self.standing(index), now_ms):
-            if job_id in self.starting:
-                continue
-            job = index.state.jobs[job_id]
-            if held and not job.urgent:
-                self.note(DecisionKind.HOLD, f"job/{job_id}", held)
-                continue
-            target = self.place(index, job, targets, rooms)
+        standing = self.standing(index)
+        for _ in range(MAX_TRIES):
+            job_id = next(
+                (
+                    one
+                    for one in index.queues.candidates(service, standing, now_ms)
+                    if one not in self.starting
+                    and (not held or index.state.jobs[one].urgent)
+                ),
+                None,
+            )
+            if job_id is None:
+                return None
+            target = self.place(index, index.state.jobs[job_id], targets, rooms)
             if target is not None:
                 return Match(job_id, target)
+        self.more = True
         return None
 
     def free_targets(self, waiting: Iterable[str]) -> dict[str, Target]:
@@ -215,16 +241,33 @@
             part = dominant_fraction(self.usage.size(job), capacity)
             self.job_parts[job.team] += part
 
-    def rooms(self, index: JobIndex, targets: dict[str, Target]) -> dict[str, HostRoom]:
+    def begin_round(self) -> None:
+        """Forget how full the hosts were in the last round."""
+        self.more = False
+        self.rooms = {}
+
+    def begin_start(self, match: Match) -> None:
+        """Count a match as a start under way."""
+        self.starting[match.job_id] = match
+        self.rooms.pop(self.log.state.targets[match.target].host, None)
+
+    def end_start(self, match: Match) -> None:
+        """Count a start as over."""
+        self.starting.pop(match.job_id, None)
+
+    def rooms_of(
+        self, index: JobIndex, targets: dict[str, Target]
+    ) -> dict[str, HostRoom]:
         """Return the hosts of the targets as placement sees them."""
-        rooms: dict[str, HostRoom] = {}
-        hosts = {target.host for target in targets.values()}
+        missing = {target.host for target in targets.values()} - self.rooms.keys()
         starting: dict[str, list[str]] = defaultdict(list)
-        for match in self.starting.values():
-            starting[self.log.state.targets[match.target].host].append(match.job_id)
-        for name in hosts:
-            rooms[name] = self.room(index, name, starting[name])
-        return rooms
+        if missing:
+            for match in self.starting.values():
+                host = self.log.state.targets[match.target].host
+                starting[host].append(match.job_id)
+        for name in missing:
+            self.rooms[name] = self.room(index, name, starting[name])
+        return self.rooms
 
     def room(self, index: JobIndex, name: str, starting: list[str]) -> HostRoom:
         """Return one host as placement sees it."""
@@ -256,7 +299,7 @@
         declared = guessed_size(job.size, self.usage.largest)
         why = never_fits(declared, self.possible_hosts(job.service))
         if why is not None:
-            index.set_aside(job.job_id, why)
+            index.refuse(job.job_id, why)
             self.note(DecisionKind.REFUSE, f"job/{job.job_id}", why)
             return None
         need = JobNeed(self.usage.size(job), declared, self.usage.is_seen(job))
@@ -267,11 +310,6 @@
         if isinstance(chosen, Err):
             self.block(index, job, chosen.err_value.cause)
             return None
-        self.reserved = {
-            service: kept
-            for service, kept in self.reserved.items()
-            if kept[1] != job.job_id
-        }
         return usable[chosen.ok_value.host]
 
     def possible_hosts(self, service: str) -> list:
@@ -283,12 +321,12 @@
     def usable(self, job: Job, targets: dict[str, Target]) -> dict[str, str]:
         """Return a waiting target by host, for the hosts that may take the job."""
         now_s = self.clock.seconds()
-        kept = self.reserved.get(job.service)
+        kept = self.reservation(job.service)
         peers = {target.name for target in targets_of(self.log.state, job.service)}
         fresh = not peers <= set(job.failed_on)
         usable: dict[str, str] = {}
         for name, target in targets.items():
-            if kept is not None and kept[0] == target.host and kept[1] != job.job_id:
+            if kept is not None and kept.is_kept_from(job, target):
                 continue
             if fresh and name in job.failed_on:
                 continue
@@ -301,14 +339,31 @@
         index.set_aside(job.job_id, cause)
         self.note(DecisionKind.HOLD, f"job/{job.job_id}", cause)
         waited_ms = self.log.time_ms() - job.submitted_ms
-        if waited_ms < BLOCKED_MS or job.service in self.reserved:
+        if waited_ms < BLOCKED_MS or self.reservation(job.service) is not None:
             return
         host = self.host_to_keep(job)
         if host is not None:
-            self.reserved[job.service] = (host, job.job_id)
+            self.reserved[job.service] = KeptHost(host, job.job_id)
             text = f"kept for job {job.job_id!r}, which has waited {waited_ms} ms"
             self.note(DecisionKind.HOLD, f"host/{host}", text)
 
+    def reservation(self, service: str) -> KeptHost | None:
+        """Return the host kept for a job that still waits, if it still serves."""
+        kept = self.reserved.get(service)
+        if kept is None:
+            return None
+        state = self.log.state
+        job = state.jobs.get(kept.job_id)
+        waits = job is not None and job.phase == JobPhase.QUEUED
+        targets = state.indexes.targets_by_host.groups.get(kept.host, {})
+        if waits and any(
+            one.service == service and state.target_serves(one.name)
+            for one in targets.values()
+        ):
+            return kept
+        del self.reserved[service]
+        return None
+
     def host_to_keep(self, job: Job) -> str | None:
         """Return the host with fewest running jobs that can hold the job, if any."""
         state = self.log.state
@@ -325,14 +380,11 @@
         """Return where jobs of the same team and service run."""
         zones: Counter[str] = Counter()
         racks: Counter[str] = Counter()
-        for target in targets_of(index.state, job.service):
-            host = index.state.hosts.get(target.host)
-            if host is None:
-                continue
-            jobs = running_on(index.state, target.name)
-            alike = sum(one.team == job.team for one in jobs)
-            zones[host.availability_zone] += alike
-            racks[host.rack] += alike
+        for name, count in index.kind_hosts[job.service, job.team].items():
+            host = index.state.hosts.get(name)
+            if host is not None:
+                zones[host.availability_zone] += count
+                racks[host.rack] += count
         return Spread(zones, racks)
 
     def held_for_urgent(self, index: JobIndex, service: str) -> str:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/usage.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/usage.py
@@ -49,6 +49,7 @@
         self.estimates: dict[tuple[str, str], SizeEstimate] = {}
         self.measured: dict[str, tuple[Resources, float]] = {}
         self.largest = Resources()
+        self.sizes: dict[tuple[str, str, Resources], Load] = {}
         channel.serve(UsageReport, self.on_report)
 
     async def on_report(self, report: UsageReport) -> Result[object, Refusal]:
@@ -61,6 +62,7 @@
             self.measured[one.target] = (one.used, now)
             for job_usage in one.jobs:
                 self.observe(one.target, job_usage)
+        self.sizes = {}
         return Ok(Acknowledged())
 
     def observe(self, target: str, usage: JobUsage) -> None:
@@ -77,6 +79,7 @@
     def refresh(self) -> None:
         """Bring what depends on the fleet up to date, and forget what is gone."""
         state = self.log.state
+        self.sizes = {}
         self.largest = largest_host(state)
         for name in [one for one in self.measured if one not in state.targets]:
             del self.measured[name]
@@ -85,8 +88,12 @@
 
     def size(self, job: Job) -> Load:
         """Return the corrected size of a job."""
-        estimate = self.estimates.get((job.service, job.team))
-        return corrected_size(job.size, estimate, self.largest)
+        key = (job.service, job.team, job.size)
+        known = self.sizes.get(key)
+        if known is None:
+            estimate = self.estimates.get(key[:2])
+            known = self.sizes[key] = corrected_size(job.size, estimate, self.largest)
+        return known
 
     def is_seen(self, job: Job) -> bool:
         """Return whether the size of a job is measured."""
