--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
@@ -10,6 +10,7 @@
     jobs,
     loans,
     maintenance,
+    members,
     teams,
     upkeep,
 )
@@ -18,7 +19,7 @@
 
 APPLIERS = {
     command: applier
-    for module in (fleet, teams, jobs, loans, maintenance, upkeep)
+    for module in (fleet, teams, jobs, loans, maintenance, members, upkeep)
     for command, applier in module.APPLIERS.items()
 }
 
