Maintain a whole pool under constant calls, by the command line

Cause: waves had no operator commands beyond start, and no run over real sockets.

One scenario runs a daemon, a platform that loses every other answer, 6 targets, 4 constant callers and a job.

--- /dev/null
+++ b/features/maintenance/end_to_end.feature
@@ -0,0 +1,11 @@
+Feature: A whole pool is maintained under constant calls with none cut off
+
+  Scenario: Every host is rebooted once, and each call gets its own whole answer
+    Given a daemon with a platform that loses every other answer
+    And 2 services on 3 hosts each, under constant calls
+    And a job of 1500 ms on the first host
+    When an operator starts a wave over the pool by the command line
+    Then the wave is done within 40 s
+    And each of the 6 hosts was rebooted once with no call or job running
+    And every call was answered whole, and the job ended
+    And the command line shows 6 hosts done
--- /dev/null
+++ b/features/maintenance/steps/end_to_end.py
@@ -0,0 +1,244 @@
+"""Steps on a wave through one real daemon on loopback."""
+
+import json
+import os
+import time
+from itertools import count
+
+from behave import given, then, when
+from cleo.testers.application_tester import ApplicationTester
+from mulberryledge_testing.callers import Caller
+from mulberryledge_testing.platform import StandInPlatform
+from mulberryledge_testing.reactor_thread import run_coroutine
+from mulberryledge_testing.targets import StandInTarget
+from result import Ok
+from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.threads import deferToThread
+
+from mulberryledge_cli.main import make_application
+from mulberryledge_core.commands.fleet import AddHost, CreatePool
+from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, GiveKey
+from mulberryledge_core.keys import KEY_BYTES, digest_secret, make_key
+from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.settings import (
+    DaemonSection,
+    OperatorSection,
+    PlatformSection,
+    Settings,
+    TimingSection,
+)
+
+SALT = bytes(16)
+OPERATOR_KEY = "mlk_operator_test"
+CALL_S = 0.03
+CALLERS = 4
+DOCUMENT = """
+[service]
+name = "{name}"
+team = "dispatch"
+pool = "interior"
+[calls]
+deadline_ms = 5000
+[queue]
+lease_ms = 5000
+[availability]
+min_hosts_serving = 2
+"""
+
+
+class Site:
+    """Targets, callers and the platform around one daemon."""
+
+    def __init__(self, daemon, platform):
+        self.daemon = daemon
+        self.platform = platform
+        self.targets = {}
+        self.down = set()
+        self.busy_at_reboot = []
+        self.jobs = set()
+        self.bad = []
+        self.answered = 0
+        self.calling = True
+        platform.on_reboot = self.on_reboot
+
+    async def propose(self, command):
+        outcome = await self.daemon.log.propose(command)
+        assert isinstance(outcome, Ok), outcome
+
+    async def set_up(self, services, hosts):
+        await self.daemon.start()
+        key = make_key(os.urandom(KEY_BYTES))
+        await self.propose(CreatePool("interior"))
+        await self.propose(CreateTeam("dispatch", upper_limit=64))
+        await self.propose(GiveKey(key.key_id, "dispatch", key.salt, key.digest))
+        url = f"http://127.0.0.1:{self.daemon.callers_port}"
+        self.caller = Caller(reactor, url, key.text)
+        for service in range(services):
+            name = f"service-{service}"
+            await self.propose(ApplyDocument(DOCUMENT.format(name=name), 1))
+            for number in range(hosts):
+                await self.add_host(f"host-{service}-{number}", name, f"z{number}")
+        self.renewing = LoopingCall(self.renew)
+        self.renewing.start(0.3)
+        self.calls = [
+            ensureDeferred(self.call(f"service-{number % services}", number))
+            for number in range(CALLERS)
+        ]
+
+    async def add_host(self, host, service, zone):
+        await self.propose(AddHost(host, "interior", availability_zone=zone, rack="r"))
+        target = StandInTarget(reactor, f"t-{host}", host, service, self.caller)
+        target.delay_s = CALL_S
+        target.listen()
+        await target.announce()
+        self.targets[host] = target
+
+    def renew(self):
+        for host, target in self.targets.items():
+            if host not in self.down:
+                ensureDeferred(target.renew())
+
+    def on_reboot(self, host):
+        target = self.targets[host]
+        if target.running or host in self.jobs:
+            self.busy_at_reboot.append(host)
+        self.down.add(host)
+        ensureDeferred(self.reboot(host, target))
+
+    async def reboot(self, host, target):
+        await target.close()
+        await deferLater(reactor, 0.15)
+        target.instance += "-again"
+        target.listen()
+        self.down.discard(host)
+        await target.announce()
+
+    async def call(self, service, number):
+        path = f"/v1/services/{service}/calls/today"
+        for sequence in count():
+            if not self.calling:
+                return
+            body = f"{service} {number} {sequence}".encode()
+            response = await self.caller.send("POST", path, body)
+            if (response.status, response.body) == (200, b"echo:" + body):
+                self.answered += 1
+            else:
+                self.bad.append(response)
+
+    async def run_job(self, host, seconds):
+        target = self.targets[host]
+        path = f"/v1/queues/{target.service}/jobs"
+        response = await self.caller.send("POST", path, b"settle")
+        self.job_id = json.loads(response.body)["job_id"]
+        taken = await target.take(wait_s=5)
+        self.jobs.add(host)
+        self.job_done = ensureDeferred(self.end_job(host, taken, seconds))
+
+    async def end_job(self, host, taken, seconds):
+        await deferLater(reactor, seconds)
+        self.jobs.discard(host)
+        return await self.targets[host].end(taken, "done", b"settled")
+
+    async def stop(self):
+        self.calling = False
+        for call in self.calls:
+            await call
+        self.renewing.stop()
+        for target in self.targets.values():
+            await target.close()
+        await self.caller.close()
+        cut_off = await self.daemon.stop()
+        await self.platform.close()
+        assert cut_off == 0, cut_off
+
+
+@given("a daemon with a platform that loses every other answer")
+def step_daemon(context):
+    async def start():
+        platform = StandInPlatform(reactor, lambda host: None)
+        turns = count()
+        platform.lose_answer = lambda: next(turns) % 2 == 0
+        return platform
+
+    platform = run_coroutine(start)
+    digest = digest_secret(SALT, "test").hex()
+    settings = Settings(
+        daemon=DaemonSection("entry-1", availability_zone="z0"),
+        operator=OperatorSection("operator", SALT.hex(), digest),
+        platform=PlatformSection(platform.url),
+        timing=TimingSection(target_lease_s=2.0, probation_s=0.2, stop_timeout_s=2.0),
+    )
+    context.opened = open_daemon(reactor, settings)
+    daemon = context.opened.__enter__()
+    context.add_cleanup(context.opened.__exit__, None, None, None)
+    context.site = Site(daemon, platform)
+
+
+@given("{services:d} services on {hosts:d} hosts each, under constant calls")
+def step_services(context, services, hosts):
+    run_coroutine(lambda: context.site.set_up(services, hosts))
+    context.add_cleanup(run_coroutine, context.site.stop)
+
+
+@given("a job of {ms:d} ms on the first host")
+def step_job(context, ms):
+    run_coroutine(lambda: context.site.run_job("host-0-0", ms / 1_000))
+
+
+def operate(context, line):
+    async def run():
+        entry = f"http://127.0.0.1:{context.site.daemon.operators_port}"
+        tester = ApplicationTester(make_application())
+        full = f"{line} --entries {entry} --key {OPERATOR_KEY}"
+        code = await deferToThread(tester.execute, full)
+        return code, tester.io.fetch_output() + tester.io.fetch_error()
+
+    return run_coroutine(run)
+
+
+@when("an operator starts a wave over the pool by the command line")
+def step_start(context):
+    code, shown = operate(context, "wave preview interior")
+    assert code == 0, shown
+    assert "least 3" in shown, shown
+    code, shown = operate(context, "wave start monday interior")
+    assert code == 0, shown
+
+
+@then("the wave is done within {seconds:d} s")
+def step_done(context, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        wave = context.site.daemon.log.state.waves["monday"]
+        if wave.phase != "running":
+            break
+        time.sleep(0.1)
+    assert wave.phase == "done", (wave, context.site.daemon.journal.about(""))
+
+
+@then("each of the {hosts:d} hosts was rebooted once with no call or job running")
+def step_rebooted(context, hosts):
+    site = context.site
+    assert len(site.platform.reboots) == hosts, site.platform.reboots
+    assert {target.instance.count("-again") for target in site.targets.values()} == {1}
+    assert not site.busy_at_reboot, site.busy_at_reboot
+    assert sum(site.platform.requests.values()) > hosts, "answers were lost"
+
+
+@then("every call was answered whole, and the job ended")
+def step_answered(context):
+    site = context.site
+    print(f"{site.answered} calls answered")
+    assert site.answered > 100, site.answered
+    assert not site.bad, site.bad[:3]
+    job = site.daemon.log.state.jobs[site.job_id]
+    assert (job.phase, job.attempt, job.result) == ("done", 1, b"settled"), job
+
+
+@then("the command line shows {hosts:d} hosts done")
+def step_progress(context, hosts):
+    code, shown = operate(context, "wave progress monday")
+    assert code == 0, shown
+    assert f"{hosts} done" in shown, shown
--- /dev/null
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/views.py
@@ -0,0 +1,47 @@
+"""
+mulberryledge_cli.views
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The state of the cluster rebuilt from tables, for decisions shown to an operator.
+"""
+
+import time
+
+from result import Err, Ok, Result
+
+from mulberryledge_cli.client import Failure, OperatorClient
+from mulberryledge_core.codec import from_plain
+from mulberryledge_core.model.hosts import Host, Pool
+from mulberryledge_core.model.maintenance import Permit, Wave
+from mulberryledge_core.model.services import Service
+from mulberryledge_core.state import ClusterState
+
+__all__ = ["fetch_state", "now_ms"]
+
+ROWS = {
+    "pools": Pool,
+    "hosts": Host,
+    "services": Service,
+    "waves": Wave,
+    "permits": Permit,
+}
+
+
+def now_ms() -> int:
+    """Return the wall-clock time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def fetch_state(client: OperatorClient) -> Result[ClusterState, Failure]:
+    """Fetch the tables that waves and budgets depend on."""
+    tables = {}
+    for table, kind in ROWS.items():
+        fetched = client.table(table)
+        if isinstance(fetched, Err):
+            return fetched
+        rows = from_plain(fetched.ok_value, dict[str, kind])
+        if isinstance(rows, Err):
+            text = f"{table}: {rows.err_value.message}"
+            return Err(Failure("bad-answer", f"this release cannot read {text}"))
+        tables[table] = rows.ok_value
+    return Ok(ClusterState(now_ms=now_ms(), **tables))
