Add the operators' commands on members

The log takes AddMember, PromoteMember, DemoteMember and RemoveMember, but no operator could send them. "member promote" votes a daemon in with the folder that the leader sees, so that a wiped disk cannot be promoted under its old identity by a typing mistake. Shown by the command table of features/operations.

--- a/features/operations/commands.feature
+++ b/features/operations/commands.feature
@@ -32,6 +32,14 @@
       | status                                                              | 0    | leader                           |
       | explain                                                             | 0    | none                             |
       | report                                                              | 0    | counted since                    |
+      | member list                                                         | 0    | entry-1                          |
+      | member add entry-2 127.0.0.1 9 --zone bahla                         | 0    | entry-2 is a learner             |
+      | member promote entry-2                                              | 1    | has not greeted the leader       |
+      | member promote entry-3                                              | 1    | member 'entry-3' does not exist  |
+      | member demote entry-1                                               | 1    | entry-1                          |
+      | member remove entry-2                                               | 0    | entry-2 is no member             |
+      | member remove entry-2                                               | 1    | 'entry-2' is no member           |
+      | member add entry-2 127.0.0.1 port                                   | 2    | port 'port': use 1 to 65535      |
       | team remove dispatch                                                | 1    | owns service 'route-plans'       |
       | service remove route-plans                                          | 0    | service route-plans is gone      |
       | host remove host-1                                                  | 0    | host host-1 is gone              |
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
@@ -9,6 +9,7 @@
     fleet,
     jobs,
     maintenance,
+    members,
     report,
     services,
     status,
@@ -23,6 +24,7 @@
     *services.COMMANDS,
     *jobs.COMMANDS,
     *maintenance.COMMANDS,
+    *members.COMMANDS,
     *status.COMMANDS,
     *report.COMMANDS,
 )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -11,7 +11,7 @@
 from twisted.web.http import Request
 
 from mulberryledge_core.codec import from_plain, to_plain
-from mulberryledge_core.commands import fleet, maintenance, teams, work
+from mulberryledge_core.commands import fleet, maintenance, members, teams, work
 from mulberryledge_core.documents import (
     document_diff,
     invalid_document,
@@ -49,6 +49,10 @@
         work.CancelJobs,
         maintenance.StartWave,
         maintenance.SetWavePhase,
+        members.AddMember,
+        members.PromoteMember,
+        members.DemoteMember,
+        members.RemoveMember,
     )
 }
 TABLES = (
