--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/__init__.py
@@ -12,13 +12,14 @@
     maintenance,
     members,
     teams,
+    upkeep,
 )
 
 __all__ = ["get_applier_by_command"]
 
 APPLIERS = {
     command: applier
-    for module in (fleet, teams, jobs, loans, maintenance, members)
+    for module in (fleet, teams, jobs, loans, maintenance, members, upkeep)
     for command, applier in module.APPLIERS.items()
 }
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -30,13 +30,15 @@
     ReportInterface,
     report_routes,
 )
-from mulberryledge_daemon.http.routing import Router
+from mulberryledge_daemon.http.routing import Route, Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
+from mulberryledge_daemon.leader.repair import Repair
 from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
@@ -71,9 +73,25 @@
         )
         self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
         self.lender = Lender(log, log)
-        self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
+        self.repair = Repair(
+            reactor,
+            log,
+            self.platform,
+            repair_policy(timing),
+            timing.target_lease_s,
+            self.journal.note,
+        )
+        self.leases = TargetLeases(
+            reactor, log, log, timing.target_lease_s, self.repair.witness
+        )
         self.jobs = Jobs(reactor, log, log)
-        self.maintenance = Maintenance(log, self.platform, timing.probation_s)
+        self.maintenance = Maintenance(
+            log,
+            self.platform,
+            maintenance_policy(timing),
+            self.session,
+            self.journal.note,
+        )
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
@@ -101,10 +119,7 @@
             *target_routes(self.targets),
         )
         self.listen(listen.callers_port, routes)
-        cluster = cluster_routes(self.operators.admit, self.log.status)
-        reports = report_routes(self.reports, self.operators)
-        operators = (*operator_routes(self.operators), *reports, *cluster)
-        self.listen(listen.operators_port, operators)
+        self.listen(listen.operators_port, self.operator_side())
         await self.open_session()
         for task in (
             self.entry_tick,
@@ -117,6 +132,14 @@
         extra = {"callers_port": self.callers_port, "session": self.session}
         logger.info("started", extra=extra)
 
+    def operator_side(self) -> tuple[Route, ...]:
+        """Return the routes for operators."""
+        return (
+            *operator_routes(self.operators),
+            *report_routes(self.reports, self.operators),
+            *cluster_routes(self.operators.admit, self.log.status),
+        )
+
     async def open_session(self) -> None:
         """Begin this life of the daemon as an entry, as soon as there is a leader."""
         command = OpenSession(self.settings.daemon.name, self.session)
@@ -160,9 +183,11 @@
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
+            self.repair.step_down()
             return
         await self.leases.tick()
         await self.jobs.tick()
+        await self.repair.tick()
         await self.maintenance.tick()
 
     def log_position(self) -> dict[str, int]:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -53,6 +53,9 @@
         members.PromoteMember,
         members.DemoteMember,
         members.RemoveMember,
+        maintenance.HoldHost,
+        maintenance.HoldService,
+        maintenance.ReleaseHost,
     )
 }
 TABLES = (
