Begin leases anew after a leader's absence, and check them less often

A daemon that led, lost the lead and won it again kept the times at which targets were seen in its first term, so its first check declared every target lost; a process that was paused did the same.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -18,9 +18,19 @@
 
 __all__ = ["TargetLeases"]
 
+CHECKS_PER_LEASE = 20
+
 
 class TargetLeases:
-    """Owns the times at which targets were last seen by any entry."""
+    """
+    Owns the times at which targets were last seen by any entry.
+
+    Attributes
+    ----------
+    checked_s : float
+        Time of the last check, in seconds; a long gap means that this daemon did
+        not lead or did not run meanwhile, and then every lease begins anew.
+    """
 
     def __init__(
         self,
@@ -34,6 +44,7 @@
         self.log = log
         self.lease_s = lease_s
         self.witness = witness
+        self.checked_s = clock.seconds()
         self.seen: dict[tuple[str, int], float] = {}
         channel.serve(TargetsSeen, self.on_seen)
 
@@ -50,6 +61,12 @@
     async def tick(self) -> None:
         """Drop targets whose lease ran out; unseen ones begin a lease now."""
         now = self.clock.seconds()
+        since_check_s = now - self.checked_s
+        if since_check_s < self.lease_s / CHECKS_PER_LEASE:
+            return
+        if since_check_s > self.lease_s / 2:
+            self.seen = {}
+        self.checked_s = now
         seen: dict[tuple[str, int], float] = {}
         expired = []
         for target in self.log.state.targets.values():
