--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -10,17 +10,20 @@
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
 from importlib.metadata import version
+from random import Random
 
-from result import Err
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.server import Site
 
-from mulberryledge_core.commands.work import CloseSession, OpenSession
 from mulberryledge_daemon.accounting import Accounting
 from mulberryledge_daemon.entry.calls import Calls
-from mulberryledge_daemon.entry.client import AgentClient
+from mulberryledge_daemon.entry.client import PooledClient
+from mulberryledge_daemon.entry.demand import Demand
+from mulberryledge_daemon.entry.health import TargetHealth
 from mulberryledge_daemon.entry.loans import Loans
+from mulberryledge_daemon.entry.queues import Queues
+from mulberryledge_daemon.entry.reservations import Reservations
+from mulberryledge_daemon.entry.sessions import EntrySession
 from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
 from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
@@ -31,6 +34,7 @@
     report_routes,
 )
 from mulberryledge_daemon.http.routing import Route, Router
+from mulberryledge_daemon.http.server import make_site
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.jobs import Jobs
@@ -39,6 +43,7 @@
 from mulberryledge_daemon.leader.maintenance import Maintenance
 from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
 from mulberryledge_daemon.leader.repair import Repair
+from mulberryledge_daemon.leader.sessions import SessionLeases
 from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
@@ -59,20 +64,33 @@
         self.reactor = reactor
         self.settings = settings
         self.log = log
-        self.session = log.session
         self.stopping = False
         self.loops: list[LoopingCall] = []
         self.ports: list = []
+        self.routers: list[Router] = []
+        self.sites: list = []
+        self.hurried = False
         name = settings.daemon.name
         timing = settings.timing
         self.journal = Journal()
-        self.client = AgentClient(reactor)
+        zone = settings.daemon.availability_zone
+        self.client = PooledClient(reactor)
         self.platform = HttpPlatform(reactor, settings.platform.url)
-        self.loans = Loans(
-            reactor, log, log, self.session, settings.daemon.availability_zone
+        self.session = EntrySession(reactor, log, name, log.session)
+        self.loans = Loans(reactor, log, self.session, TargetHealth(), zone)
+        self.queues = Queues(reactor, log, self.loans)
+        self.demand = Demand(reactor, log, log, self.session, self.loans, self.queues)
+        self.reservations = Reservations(reactor, log, self.session)
+        self.calls = Calls(
+            reactor,
+            log,
+            self.queues,
+            self.reservations,
+            self.client,
+            Random(log.session).random,
         )
-        self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
-        self.lender = Lender(log, log)
+        self.sessions = SessionLeases(reactor, log)
+        self.lender = Lender(reactor, log, log, self.sessions)
         self.repair = Repair(
             reactor,
             log,
@@ -89,13 +107,15 @@
             log,
             self.platform,
             maintenance_policy(timing),
-            self.session,
+            log.session,
             self.journal.note,
         )
-        self.targets = TargetInterface(log, log, name, timing.target_lease_s)
-        self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
-        self.operators = OperatorInterface(log, settings.operator)
+        self.targets = TargetInterface(reactor, log, log, name, timing.target_lease_s)
         self.accounting = Accounting(log, name, settings.daemon.data_folder)
+        self.callers = CallerInterface(
+            reactor, log, self.calls, lambda: self.stopping, self.accounting.observe
+        )
+        self.operators = OperatorInterface(log, settings.operator)
         self.reports = ReportInterface(
             log,
             DaemonIdentity(
@@ -129,7 +149,7 @@
             loop.clock = self.reactor
             loop.start(self.settings.timing.tick_s).addErrback(log_failure)
             self.loops.append(loop)
-        extra = {"callers_port": self.callers_port, "session": self.session}
+        extra = {"callers_port": self.callers_port, "session": self.session.name}
         logger.info("started", extra=extra)
 
     def operator_side(self) -> tuple[Route, ...]:
@@ -142,20 +162,21 @@
 
     async def open_session(self) -> None:
         """Begin this life of the daemon as an entry, as soon as there is a leader."""
-        command = OpenSession(self.settings.daemon.name, self.session)
-        while isinstance(await self.log.propose(command), Err):
+        while not await self.session.ensure_open():
             logger.warning("no leader yet")
 
     async def settle_session(self, cut_off: int) -> None:
         """Return the loans, and end the session unless a call was cut off."""
-        await self.loans.return_idle(everything=True)
+        await self.demand.return_free(everything=True)
         if not cut_off:
-            command = CloseSession(self.settings.daemon.name, self.session)
-            await self.log.propose(command)
+            await self.session.close()
 
     def listen(self, port: int, routes: tuple) -> None:
         """Serve routes on a TCP port."""
-        site = Site(Router(routes))
+        router = Router(routes, lambda: self.stopping)
+        site = make_site(router, self.reactor)
+        self.routers.append(router)
+        self.sites.append(site)
         address = self.settings.listen.address
         self.ports.append(self.reactor.listenTCP(port, site, interface=address))
 
@@ -171,20 +192,23 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send traffic here."""
-        known = self.session in self.log.state.sessions
+        known = self.session.name in self.log.state.sessions
         return known and not self.stopping and self.log.is_fresh()
 
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
-        await self.loans.return_idle(everything=self.stopping)
+        await self.demand.tick(self.stopping)
         self.accounting.tick()
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
+            self.sessions.resign()
             self.repair.step_down()
             return
+        await self.sessions.tick()
+        await self.lender.tick()
         await self.leases.tick()
         await self.jobs.tick()
         await self.repair.tick()
@@ -217,6 +241,15 @@
         self.targets.lease_s = settings.timing.target_lease_s
         return planned
 
+    def hurry(self) -> None:
+        """Cut short a stop that waits for running requests."""
+        self.hurried = True
+
+    def unfinished(self) -> int:
+        """Return how many requests, calls and settlements have not ended."""
+        requests = sum(router.running for router in self.routers)
+        return max(requests, self.loans.in_use(), self.reservations.unsettled)
+
     async def stop(self) -> int:
         """
         Stop gracefully.
@@ -224,15 +257,20 @@
         Returns
         -------
         int
-            Number of calls that the stop cut off.
+            Number of requests that the stop cut off.
         """
         self.stopping = True
         until = self.reactor.seconds() + self.settings.timing.stop_timeout_s
-        while self.loans.running() and self.reactor.seconds() < until:
+        while self.unfinished() and self.reactor.seconds() < until:
+            if self.hurried:
+                break
             await deferLater(self.reactor, STOP_POLL_S)
-        cut_off = self.loans.running()
+        cut_off = self.unfinished()
+        running = dict(self.calls.running)
         for loop in self.loops:
             loop.stop()
+        for site in self.sites:
+            site.close_idle()
         settled = Deferred.fromCoroutine(self.settle_session(cut_off))
         settled.addTimeout(SETTLE_TIMEOUT_S, self.reactor)
         await settled.addErrback(lambda failure: failure.trap(TimeoutError))
@@ -242,7 +280,7 @@
         await self.client.close()
         await self.platform.close()
         await self.log.stop()
-        logger.info("stopped", extra={"cut_off": cut_off})
+        logger.info("stopped", extra={"cut_off": cut_off, "calls": running})
         return cut_off
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
@@ -5,7 +5,7 @@
 Carries out the repair of hosts: from what the entries hear to entries of the log.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
@@ -23,9 +23,9 @@
     RepairPolicy,
     decide_repairs,
 )
-from mulberryledge_core.messages import TargetsSeen
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
+from mulberryledge_core.model.targets import Target
 from mulberryledge_daemon.ports import Platform, ReplicatedLog
 
 __all__ = ["Repair"]
@@ -75,13 +75,11 @@
             ActionKind.PROVE: self.prove,
         }
 
-    def witness(self, message: TargetsSeen) -> None:
+    def witness(self, daemon: str, heard: Iterable[Target]) -> None:
         """Keep which daemon reported, and from which hosts it heard."""
-        self.reports[message.daemon] = self.clock.seconds()
-        for name in message.targets:
-            target = self.log.state.targets.get(name)
-            if target is not None:
-                self.last_heard[target.host] = message.daemon
+        self.reports[daemon] = self.clock.seconds()
+        for target in heard:
+            self.last_heard[target.host] = daemon
 
     def evidence(self) -> Evidence:
         """Return what the entries have reported within the last lease."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -99,15 +99,25 @@
 
 
 def run(daemon: Daemon, path: Path) -> int:
-    """Run a daemon on the reactor; return the process's exit code."""
+    """
+    Run a daemon on the reactor; return the process's exit code.
+
+    The first signal begins a planned stop, the next one hurries it.
+    """
     codes = []
 
     async def stop() -> None:
         codes.append(1 if await daemon.stop() else 0)
         reactor.stop()
 
+    def begin_or_hurry() -> None:
+        if daemon.stopping:
+            daemon.hurry()
+        else:
+            Deferred.fromCoroutine(stop())
+
     def on_signal(number, frame) -> None:
-        reactor.callFromThread(Deferred.fromCoroutine, stop())
+        reactor.callFromThread(begin_or_hurry)
 
     def on_hangup(number, frame) -> None:
         reactor.callFromThread(reload_settings, daemon, path)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
@@ -25,7 +25,6 @@
 )
 from mulberryledge_core.commands.work import Lend, OpenSession, ReturnLoan
 from mulberryledge_core.decisions.repair import RepairPolicy
-from mulberryledge_core.messages import TargetsSeen
 from mulberryledge_core.model.decisions import Decision
 from mulberryledge_core.model.hosts import HostPhase
 from mulberryledge_core.model.maintenance import MaintenanceStep, Wave, WavePhase
@@ -182,7 +181,7 @@
         """Let time pass, then run the tasks of the leader once."""
         self.clock.advance(step_ms)
         for entry in sorted(self.reporting):
-            self.leader.repair.witness(TargetsSeen(entry, ()))
+            self.leader.repair.witness(entry, ())
         self.tick(self.leader)
         self.start_drains()
         out = sum(bool(host.upkeep.absences) for host in self.state.hosts.values())
