--- a/features/docs/commands.feature
+++ b/features/docs/commands.feature
@@ -10,7 +10,7 @@
     When the commands of "docs/operations/a-wave-that-stopped.md" are run
     Then "status" shows "ready"
     When the commands of "docs/operations/service-level-burn.md" are run
-    Then "report" shows "counted since"
+    Then "report" shows "route-plans"
     When the commands of "docs/operations/key-rotation.md" are run
     Then "key list" shows "dispatch"
 
--- a/features/operations/steps/leases.py
+++ b/features/operations/steps/leases.py
@@ -1,5 +1,7 @@
 """Steps on the leases of targets, with a clock of their own."""
 
+from itertools import pairwise
+
 from behave import given, then, when
 from mulberryledge_testing.bench.sizing.fleets import FleetSize, commands_for
 from steps_common import run
@@ -24,7 +26,9 @@
 
 
 def see(context, names):
-    message = TargetsSeen("entry-1", tuple(names))
+    generations = sorted(context.state.targets[name].generation for name in names)
+    gaps = (after - before for before, after in pairwise((0, *generations)))
+    message = TargetsSeen("entry-1", tuple(gaps))
     Deferred.fromCoroutine(context.leader.handler(message))
 
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
@@ -31,7 +31,11 @@
     build_state,
     commands_for,
 )
-from mulberryledge_testing.bench.sizing.processes import DaemonProcess, open_process
+from mulberryledge_testing.bench.sizing.processes import (
+    DaemonProcess,
+    client_usage,
+    open_process,
+)
 
 __all__ = ["run"]
 
@@ -62,6 +66,7 @@
     yield from message_bytes()
     yield from burn_costs()
     yield from process_costs()
+    yield from client_costs()
 
 
 def state_slopes() -> Iterator[Measure]:
@@ -229,3 +234,10 @@
         daemon.send("POST", f"/v1/targets/{name}/lease", target_key())
     spent = (daemon.processor_s() - before) / RENEWALS
     yield Measure("operations.process.renewal", spent * US_PER_S, "us", LOWER)
+
+
+def client_costs() -> Iterator[Measure]:
+    """Yield processor time and memory of one run of the command line."""
+    used = client_usage()
+    yield Measure("operations.client.processor", used.processor_s, "s", LOWER)
+    yield Measure("operations.client.memory", used.memory_mb, "MB", LOWER)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/processes.py
@@ -23,12 +23,20 @@
 from mulberryledge_core.commands import Command
 from mulberryledge_core.keys import KEY_BYTES, make_key
 
-__all__ = ["DaemonProcess", "open_process"]
+__all__ = ["ClientUsage", "DaemonProcess", "client_usage", "open_process"]
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
 KB = 1_024
 OPERATOR = make_key(bytes(KEY_BYTES))
+CLIENT_PROGRAM = """
+from pathlib import Path
+from time import process_time
+from mulberryledge_cli.main import make_application
+make_application().run()
+status = Path("/proc/self/status").read_text()
+print(process_time(), status.partition("VmHWM:")[2].split()[0])
+"""
 SETTINGS = """
 [daemon]
 name = "entry-1"
@@ -44,6 +52,14 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class ClientUsage:
+    """Processor time in seconds and most memory in megabytes of one run."""
+
+    processor_s: float
+    memory_mb: float
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonProcess:
     """A running daemon and a client of it."""
@@ -120,6 +136,14 @@
             running.wait()
 
 
+def client_usage() -> ClientUsage:
+    """Run the operators' command line once in a process of its own."""
+    command = [sys.executable, "-c", CLIENT_PROGRAM]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    processor_s, memory_kb = done.stdout.split()[-2:]
+    return ClientUsage(float(processor_s), int(memory_kb) / KB)
+
+
 def free_port() -> int:
     """Return a TCP port that is free now."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
