--- a/features/path/steps/entries.py
+++ b/features/path/steps/entries.py
@@ -194,7 +194,9 @@
     ]
     done = gatherResults(sent)
     while not done.called:
-        running = sum(daemon.loans.in_use() for daemon in context.daemons.values())
+        running = sum(
+            daemon.entry.loans.in_use() for daemon in context.daemons.values()
+        )
         context.most_running = max(context.most_running, running)
         await deferLater(reactor, 0.002)
     return await done
@@ -233,7 +235,7 @@
 
 @when('the session of "{entry:S}" is closed')
 def step_close_session(context, entry):
-    context.closed = context.daemons[entry].session.name
+    context.closed = context.daemons[entry].entry.session.name
     propose(context, CloseSession(entry, context.closed))
 
 
@@ -397,12 +399,12 @@
 
 @then("no entry has a claim in use")
 def step_no_claims(context):
-    assert not any(daemon.loans.in_use() for daemon in context.daemons.values())
+    assert not any(daemon.entry.loans.in_use() for daemon in context.daemons.values())
 
 
 @then('"{entry:S}" has a session of another name')
 def step_other_session(context, entry):
-    name = context.daemons[entry].session.name
+    name = context.daemons[entry].entry.session.name
     assert name != context.closed and name in context.daemon.log.state.sessions, name
 
 
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -0,0 +1,88 @@
+"""
+mulberryledge_daemon.leader.tasks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Puts the leader's tasks together and runs them while this daemon leads.
+"""
+
+from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.jobs import Jobs
+from mulberryledge_daemon.leader.leases import TargetLeases
+from mulberryledge_daemon.leader.lender import Lender
+from mulberryledge_daemon.leader.maintenance import Maintenance
+from mulberryledge_daemon.leader.moves import Moves
+from mulberryledge_daemon.leader.planner import Planner
+from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
+from mulberryledge_daemon.leader.repair import Repair
+from mulberryledge_daemon.leader.retention import Retention
+from mulberryledge_daemon.leader.sessions import SessionLeases
+from mulberryledge_daemon.leader.usage import Usage
+from mulberryledge_daemon.ports import Platform, ReplicatedLog
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["LeaderTasks"]
+
+
+class LeaderTasks:
+    """Owns the tasks that run on the daemon that leads."""
+
+    def __init__(
+        self,
+        reactor,
+        log: ReplicatedLog,
+        settings: Settings,
+        platform: Platform,
+        journal: Journal,
+    ):
+        timing = settings.timing
+        self.log = log
+        self.sessions = SessionLeases(reactor, log)
+        self.lender = Lender(reactor, log, log, self.sessions)
+        self.repair = Repair(
+            reactor,
+            log,
+            platform,
+            repair_policy(timing),
+            timing.target_lease_s,
+            journal.note,
+        )
+        self.leases = TargetLeases(
+            reactor, log, log, timing.target_lease_s, self.repair.witness
+        )
+        self.usage = Usage(reactor, log, log)
+        self.jobs = Jobs(reactor, log, log, journal, self.usage)
+        self.planner = Planner(reactor, log, self.jobs, self.usage)
+        self.moves = Moves(reactor, log, self.jobs, settings.weights)
+        self.retention = Retention(reactor, log)
+        self.maintenance = Maintenance(
+            log, platform, maintenance_policy(timing), log.session, journal.note
+        )
+
+    async def tick(self) -> None:
+        """Run the periodic tasks, or forget what only a leader may know."""
+        if not self.log.is_leader():
+            self.step_down()
+            return
+        for task in (
+            self.sessions,
+            self.lender,
+            self.leases,
+            self.jobs,
+            self.planner,
+            self.moves,
+            self.retention,
+            self.repair,
+            self.maintenance,
+        ):
+            await task.tick()
+
+    def step_down(self) -> None:
+        """Forget leases, evidence and demand, which a later term gathers anew."""
+        self.sessions.resign()
+        self.repair.step_down()
+        self.jobs.step_down()
+        self.moves.step_down()
+
+    def set_lease(self, lease_s: float) -> None:
+        """Change the length of the leases of targets, in seconds."""
+        self.leases.lease_s = lease_s
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -14,6 +14,7 @@
 
 from mulberryledge_core.codec import from_plain
 from mulberryledge_core.conversion import summary_of
+from mulberryledge_core.decisions.pools import Weights
 from mulberryledge_core.outcomes import Code, Refusal
 from mulberryledge_daemon.settings_checks import settings_faults
 
@@ -153,6 +154,7 @@
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
     logs: LogsSection = LogsSection()
+    weights: Weights = Weights()
     peers: tuple[PeerSection, ...] = field(default=())
 
 
