--- a/packages/mulberryledge-cli/src/mulberryledge_cli/client.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/client.py
@@ -90,7 +90,7 @@
         at the next entry.
         """
         name = type(command).__name__
-        path = f"/v1/commands/{name}?wait_s=0"
+        path = f"/v1/commands/{name}?wait_s={min(POLL_S, self.wait_s)}"
         outcome, resent = self.send("POST", path, to_plain(command))
         if isinstance(outcome, Err) and resent and is_done(name, outcome.err_value):
             return Ok({"index": 0, "detail": "done by an earlier send", "waiting": []})
