--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/ejection.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/ejection.py
@@ -66,15 +66,7 @@
     else:
         latency_s = seconds
     ejections = max(0, health.ejections - 1) if health.on_trial else health.ejections
-    return replace(
-        health,
-        failures=0,
-        latency_s=latency_s,
-        samples=health.samples + 1,
-        ejections=ejections,
-        until_s=0.0,
-        on_trial=False,
-    )
+    return Health(latency_s=latency_s, samples=health.samples + 1, ejections=ejections)
 
 
 def after_failure(health: Health) -> Health:
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
@@ -11,6 +11,8 @@
 
 __all__ = ["Claim", "Plan", "entitlements", "max_min", "plan_loans"]
 
+ROUNDING = 1e-9
+
 
 @dataclass(frozen=True, slots=True)
 class Claim:
@@ -61,43 +63,37 @@
     dict of str to int
         Sums up to the capacity or to all that is wanted, whichever is less.
     """
-    given = dict.fromkeys(wanted, 0)
-    open_claims = sorted(name for name, count in wanted.items() if count > 0)
-    left = min(capacity, sum(wanted.values()))
-    while open_claims and left > 0:
-        total = sum(weights.get(name, 1.0) for name in open_claims)
-        level = left / total
-        parts = {
-            name: min(
-                wanted[name] - given[name], int(level * weights.get(name, 1.0) + 1e-9)
-            )
-            for name in open_claims
-        }
-        if not any(parts.values()):
-            left = _deal(given, wanted, weights, open_claims, left)
-            break
-        for name, part in parts.items():
-            given[name] += part
-            left -= part
-        open_claims = [name for name in open_claims if given[name] < wanted[name]]
+    level = _water_level(capacity, wanted, weights)
+    given = {
+        name: min(count, int(level * weights.get(name, 1.0) + ROUNDING))
+        for name, count in wanted.items()
+    }
+    left = min(capacity, sum(wanted.values())) - sum(given.values())
+    unmet = sorted(name for name in wanted if given[name] < wanted[name])
+    for _ in range(left):
+        name = min(unmet, key=lambda one: given[one] / weights.get(one, 1.0))
+        given[name] += 1
+        if given[name] == wanted[name]:
+            unmet.remove(name)
     return given
 
 
-def _deal(
-    given: dict[str, int],
-    wanted: Mapping[str, int],
-    weights: Mapping[str, float],
-    open_claims: list[str],
-    left: int,
-) -> int:
-    """Deal single units, always to the claimant that has least for its weight."""
-    while left > 0 and open_claims:
-        name = min(open_claims, key=lambda one: given[one] / weights.get(one, 1.0))
-        given[name] += 1
-        left -= 1
-        if given[name] >= wanted[name]:
-            open_claims.remove(name)
-    return left
+def _water_level(
+    capacity: int, wanted: Mapping[str, int], weights: Mapping[str, float]
+) -> float:
+    """Return what a unit of weight gets where demand is not met."""
+    left = float(capacity)
+    total = sum(weights.get(name, 1.0) for name in wanted)
+    by_need = sorted(wanted, key=lambda name: wanted[name] / weights.get(name, 1.0))
+    for name in by_need:
+        weight = weights.get(name, 1.0)
+        if wanted[name] / weight > left / total:
+            return left / total
+        left -= wanted[name]
+        total -= weight
+    return float(max(wanted.values(), default=0)) / min(
+        (weights.get(name, 1.0) for name in wanted), default=1.0
+    )
 
 
 def entitlements(
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/queue_time.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/queue_time.py
@@ -6,7 +6,7 @@
 and then, a short while once they stand, so that refusals come early.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 __all__ = ["QueueTime", "after_run", "allowed_wait_s", "expected_wait_s"]
 
@@ -35,8 +35,9 @@
 def after_run(times: QueueTime, seconds: float) -> QueueTime:
     """Return the times after one more run at a target."""
     if not times.run_s:
-        return replace(times, run_s=seconds)
-    return replace(times, run_s=times.run_s + RUN_WEIGHT * (seconds - times.run_s))
+        return QueueTime(seconds, times.empty_s)
+    run_s = times.run_s + RUN_WEIGHT * (seconds - times.run_s)
+    return QueueTime(run_s, times.empty_s)
 
 
 def allowed_wait_s(times: QueueTime, now_s: float, timeout_s: float) -> float:
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/retries.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/retries.py
@@ -6,7 +6,7 @@
 only within a budget that is a share of the traffic.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from mulberryledge_core.outcomes import RunOutcome
 
@@ -28,14 +28,14 @@
 
 def earn(budget: RetryBudget) -> RetryBudget:
     """Return the budget after one more call."""
-    return replace(budget, saved=min(MAX_SAVED, budget.saved + RETRY_SHARE))
+    return RetryBudget(min(MAX_SAVED, budget.saved + RETRY_SHARE))
 
 
 def spend(budget: RetryBudget) -> RetryBudget | None:
     """Return the budget after one more retry, or None if it does not allow it."""
     if budget.saved < 1.0:
         return None
-    return replace(budget, saved=budget.saved - 1.0)
+    return RetryBudget(budget.saved - 1.0)
 
 
 def may_retry(run: RunOutcome, repeatable: bool, tries: int, left_s: float) -> bool:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/health.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/health.py
@@ -67,8 +67,11 @@
         peers = [self.seen[one] for one in pool if one != key and one in self.seen]
         if not is_outlier(health, peers):
             return
-        if health.on_trial or ejectable(len(pool), self.ejected(pool, now_s)):
+        others = [one for one in pool if one != key]
+        if ejectable(len(pool), self.ejected(others, now_s)):
             self.seen[key] = eject(health, now_s)
+        else:
+            self.seen[key] = Health(ejections=health.ejections)
 
     def ejected(self, pool: list[TargetKey], now_s: float) -> int:
         """Return how many targets of a pool are ejected."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -113,7 +113,12 @@
     """
 
     def __init__(self, resource: Resource, clock: IReactorTime):
-        super().__init__(resource, BoundedRequest, timeout=IDLE_TIMEOUT_S)
+        super().__init__(
+            resource,
+            BoundedRequest,
+            timeout=IDLE_TIMEOUT_S,
+            parsePOSTFormSubmission=False,
+        )
         self.protocol = BoundedChannel
         self.clock = clock
         self.open: set[BoundedChannel] = set()
