--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
@@ -2,5 +2,5 @@
 mulberryledge_core.decisions
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Pure decisions over frozen data: what to lend, route, retry, refuse.
+Decisions as pure functions of the replicated state and of what was observed.
 """
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AvailabilitySection",
     "CallsSection",
+    "ObjectiveSection",
     "QueueSection",
     "Service",
     "ServiceDocument",
@@ -69,6 +70,8 @@
         Runs after which a failing repeatable job is given up.
     max_run_s : int
         Declared longest run time in seconds.
+    max_queued : int
+        Jobs that may wait at once; more are refused.
     may_throttle, may_checkpoint, may_stop : bool
         What the system may do to a running job to reclaim capacity.
     """
@@ -78,6 +81,7 @@
     lease_ms: int = 10_000
     max_attempts: int = 3
     max_run_s: int = 3_600
+    max_queued: int = 10_000
     may_throttle: bool = False
     may_checkpoint: bool = False
     may_stop: bool = False
@@ -99,7 +103,8 @@
     min_hosts_serving : int
         Hosts that must go on serving.
     outage_minutes : int
-        Host minutes of planned outage allowed in a window; zero for no bound.
+        Host minutes, planned and unplanned together, beyond which a window allows
+        no further planned outage; zero for no bound.
     window_days : int
         Length of that window in days.
     """
@@ -112,6 +117,27 @@
     window_days: int = 28
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectiveSection:
+    """
+    The service-level objective of a service.
+
+    Attributes
+    ----------
+    success_share : float
+        Share of calls that must be answered whole and in time.
+    latency_ms : int
+        Time within which an answer counts as in time, in milliseconds; zero
+        stands for the deadline of the calls.
+    window_days : int
+        Length of the window of the error budget, in days.
+    """
+
+    success_share: float = 0.999
+    latency_ms: int = 0
+    window_days: int = 28
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceDocument:
     """A whole service document."""
@@ -121,6 +147,7 @@
     queue: QueueSection | None = None
     size: Resources = Resources()
     availability: AvailabilitySection = AvailabilitySection()
+    objective: ObjectiveSection = ObjectiveSection()
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,11 +162,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service: its document in force and its recent history, oldest first."""
+    """
+    A service: its document in force and its recent history, oldest first.
+
+    Attributes
+    ----------
+    hold : str
+        Why an operator holds its hosts out of maintenance, empty if not.
+    """
 
     name: str
     document: ServiceDocument
     history: tuple[ServiceVersion, ...]
+    hold: str = ""
 
     @property
     def version(self) -> int:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/loans.py
@@ -19,6 +19,7 @@
 from mulberryledge_core.model.sessions import Session, SlotGrant, TeamGrant
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context
 
@@ -108,7 +109,8 @@
             return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
         wanted[target.name] += grant.slots
     for name, count in wanted.items():
-        if slots_in_use(state, name) + count > state.targets[name].slots:
+        usable = usable_slots(state, state.targets[name])
+        if slots_in_use(state, name) + count > usable:
             return refuse(Code.LIMIT, f"target {name!r} has no {count} free slots")
     return None
 
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/tasks.py
@@ -0,0 +1,93 @@
+"""
+mulberryledge_daemon.entry.tasks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Puts the tasks of an entry together, and names the routes that they serve.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from mulberryledge_daemon.entry.calls import Calls
+from mulberryledge_daemon.entry.client import PooledClient
+from mulberryledge_daemon.entry.demand import Demand
+from mulberryledge_daemon.entry.health import TargetHealth
+from mulberryledge_daemon.entry.loans import Loans
+from mulberryledge_daemon.entry.queues import Queues
+from mulberryledge_daemon.entry.reservations import Reservations
+from mulberryledge_daemon.entry.sessions import EntrySession
+from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.http.cancellations import Cancellations, cancellation_routes
+from mulberryledge_daemon.http.routing import Route
+from mulberryledge_daemon.http.targets import TargetInterface, target_routes
+from mulberryledge_daemon.http.usage import UsageInterface, usage_routes
+from mulberryledge_daemon.observations import Observe
+from mulberryledge_daemon.ports import ReplicatedLog
+from mulberryledge_daemon.settings import Settings
+
+__all__ = ["EntryTasks"]
+
+
+class EntryTasks:
+    """Owns the tasks that admit and dispatch work on one daemon."""
+
+    def __init__(
+        self,
+        reactor,
+        log: ReplicatedLog,
+        settings: Settings,
+        stopping: Callable[[], bool],
+        observe: Observe,
+    ):
+        name = settings.daemon.name
+        zone = settings.daemon.availability_zone
+        self.stopping = stopping
+        self.client = PooledClient(reactor)
+        self.session = EntrySession(reactor, log, name, log.session)
+        self.loans = Loans(reactor, log, self.session, TargetHealth(), zone)
+        self.queues = Queues(reactor, log, self.loans)
+        self.demand = Demand(reactor, log, log, self.session, self.loans, self.queues)
+        self.reservations = Reservations(reactor, log, self.session)
+        self.calls = Calls(
+            reactor,
+            log,
+            self.queues,
+            self.reservations,
+            self.client,
+            Random(log.session).random,
+        )
+        self.targets = TargetInterface(
+            reactor, log, log, name, settings.timing.target_lease_s
+        )
+        self.usage_reports = UsageInterface(reactor, self.targets, log, name)
+        self.cancellations = Cancellations(reactor, log)
+        self.callers = CallerInterface(reactor, log, self.calls, stopping, observe)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes for callers and targets."""
+        return (
+            *caller_routes(self.callers),
+            *target_routes(self.targets),
+            *usage_routes(self.usage_reports),
+            *cancellation_routes(self.cancellations),
+        )
+
+    async def tick(self) -> None:
+        """Run the periodic tasks."""
+        await self.targets.tick()
+        await self.usage_reports.tick()
+        await self.demand.tick(self.stopping())
+
+    def unfinished(self) -> int:
+        """Return how many calls and settlements have not ended."""
+        return max(self.loans.in_use(), self.reservations.unsettled)
+
+    async def settle(self, cut_off: int) -> None:
+        """Return the loans, and end the session unless something was cut off."""
+        await self.demand.return_free(everything=True)
+        if not cut_off:
+            await self.session.close()
+
+    def set_lease(self, lease_s: float) -> None:
+        """Change the length of the leases of targets, in seconds."""
+        self.targets.lease_s = lease_s
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
@@ -32,6 +32,7 @@
     "number",
     "query_of",
     "refusal_reply",
+    "whole_number",
 ]
 
 RETRY_AFTER_S = 1
@@ -232,6 +233,14 @@
     return Ok(value)
 
 
+def whole_number(place: str, text: str, least: int, most: int) -> Result[int, Refusal]:
+    """Parse a whole number, or name its place and value."""
+    if text.isdecimal() and least <= int(text) <= most:
+        return Ok(int(text))
+    problem = f"{place}: {text!r} is no whole number from {least} to {most}"
+    return Err(Refusal(Code.BAD_REQUEST, problem))
+
+
 def json_body(request: Request) -> Result[dict, Refusal]:
     """Parse the request body as a JSON object."""
     try:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/leases.py
@@ -5,6 +5,7 @@
 Leases of targets: a target that is silent for a whole lease is lost.
 """
 
+from collections.abc import Callable
 from itertools import accumulate
 
 from result import Ok, Result
@@ -12,7 +13,7 @@
 
 from mulberryledge_core.commands.fleet import DropTarget
 from mulberryledge_core.messages import Acknowledged, TargetsSeen
-from mulberryledge_core.model.targets import TargetPhase
+from mulberryledge_core.model.targets import Target, TargetPhase
 from mulberryledge_core.outcomes import Refusal
 from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
 
@@ -28,10 +29,12 @@
         log: ReplicatedLog,
         channel: LeaderChannel,
         lease_s: float,
+        witness: Callable[[str, list[Target]], None] = lambda daemon, heard: None,
     ):
         self.clock = clock
         self.log = log
         self.lease_s = lease_s
+        self.witness = witness
         self.seen: dict[tuple[str, int], float] = {}
         channel.serve(TargetsSeen, self.on_seen)
 
@@ -39,9 +42,14 @@
         """Renew the leases of targets that an entry heard from."""
         now = self.clock.seconds()
         generations = set(accumulate(message.gaps))
-        for target in self.log.state.targets.values():
-            if target.generation in generations:
-                self.seen[target.name, target.generation] = now
+        heard = [
+            target
+            for target in self.log.state.targets.values()
+            if target.generation in generations
+        ]
+        for target in heard:
+            self.seen[target.name, target.generation] = now
+        self.witness(message.daemon, heard)
         return Ok(Acknowledged())
 
     async def tick(self) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -25,6 +25,7 @@
 from mulberryledge_core.model.sessions import ServiceSlots, SlotGrant, TeamGrant
 from mulberryledge_core.model.targets import Target
 from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use
 from mulberryledge_daemon.leader.sessions import SessionLeases
 from mulberryledge_daemon.ports import AppliedEvent, LeaderChannel, ReplicatedLog
@@ -191,7 +192,7 @@
         ]
         claims.extend(self.job_claims(service, running))
         claims.extend(self.silent_claims(held))
-        capacity = sum(target.slots for target in targets.values())
+        capacity = sum(usable_slots(state, target) for target in targets.values())
         shares = {team.name: team.share for team in state.teams.values()}
         return plan_loans(capacity, held, claims, shares)
 
@@ -273,7 +274,9 @@
         """
         state = self.log.state
         free = {
-            target: target.slots - slots_in_use(state, target.name) - taken[target.name]
+            target: usable_slots(state, target)
+            - slots_in_use(state, target.name)
+            - taken[target.name]
             for target in self.serving(service)
             if target.port and count
         }
