--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
@@ -12,6 +12,8 @@
 __all__ = ["Claim", "Plan", "entitlements", "max_min", "plan_loans"]
 
 ROUNDING = 1e-9
+SCARCE_FACTOR = 2
+NO_RANKS: Mapping[str, int] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,10 @@
 
 
 def max_min(
-    capacity: int, wanted: Mapping[str, int], weights: Mapping[str, float]
+    capacity: int,
+    wanted: Mapping[str, int],
+    weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> dict[str, int]:
     """
     Divide whole units by weighted max-min fairness.
@@ -57,6 +62,8 @@
         Most that each claimant can use.
     weights : mapping of str to float
         Weights greater than zero; 1 for a claimant that is not named.
+    ranks : mapping of str to int
+        Who goes first among equals where units are left over, lowest first.
 
     Returns
     -------
@@ -69,7 +76,8 @@
         for name, count in wanted.items()
     }
     left = min(capacity, sum(wanted.values())) - sum(given.values())
-    unmet = sorted(name for name in wanted if given[name] < wanted[name])
+    unmet = [name for name in wanted if given[name] < wanted[name]]
+    unmet.sort(key=lambda name: (ranks.get(name, 0), name))
     for _ in range(left):
         name = min(unmet, key=lambda one: given[one] / weights.get(one, 1.0))
         given[name] += 1
@@ -97,7 +105,10 @@
 
 
 def entitlements(
-    capacity: int, claims: Collection[Claim], weights: Mapping[str, float]
+    capacity: int,
+    claims: Collection[Claim],
+    weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> dict[str, int]:
     """Return what each holder is entitled to."""
     by_team: dict[str, dict[str, int]] = {}
@@ -108,7 +119,7 @@
     shares = max_min(capacity, totals, weights)
     entitled: dict[str, int] = {}
     for team, parts in by_team.items():
-        for holder, count in max_min(shares[team], parts, {}).items():
+        for holder, count in max_min(shares[team], parts, {}, ranks).items():
             entitled[holder] = entitled.get(holder, 0) + count
     return entitled
 
@@ -118,6 +129,7 @@
     held: Mapping[str, int],
     claims: Collection[Claim],
     weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> Plan:
     """
     Plan the loans of one capacity.
@@ -136,8 +148,14 @@
         What each holder can use, units in use counted in.
     weights : mapping of str to float
         Shares of the teams.
+    ranks : mapping of str to int
+        Which holders go first where there are too few units for each to have
+        some; with more units the ranks are left out, so that they move nothing.
     """
-    entitled = entitlements(capacity, claims, weights)
+    holders = {claim.holder for claim in claims if claim.wanted}
+    if capacity >= SCARCE_FACTOR * len(holders):
+        ranks = NO_RANKS
+    entitled = entitlements(capacity, claims, weights, ranks)
     free = max(0, capacity - sum(held.values()))
     short = {
         holder: count - held.get(holder, 0)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/reservations.py
@@ -91,8 +91,7 @@
             )
             outcome = await self.propose_until(command, deadline_s)
             if is_stale(outcome) and self.clock.seconds() < deadline_s:
-                if not await self.session.ensure_open():
-                    await deferLater(self.clock, RETRY_S)
+                await deferLater(self.clock, RETRY_S)  # a new session is on its way
                 continue
             if isinstance(outcome, Err):
                 self.disown(Granted(command), outcome.err_value)
@@ -118,9 +117,11 @@
         for tries in count():
             outcome = await self.propose_within(command, deadline_s)
             known = isinstance(outcome, Ok) or outcome.err_value.code != Code.NO_LEADER
-            if known or self.clock.seconds() >= deadline_s:
+            left_s = deadline_s - self.clock.seconds()
+            if known or left_s <= 0:
                 return outcome
-            await deferLater(self.clock, min(RETRY_MAX_S, RETRY_S * 2**tries))
+            wait_s = min(left_s, RETRY_MAX_S, RETRY_S * 2**tries)
+            await deferLater(self.clock, wait_s)
         raise AssertionError("count() does not end")
 
     async def propose_within(self, command: Reserve, deadline_s: float) -> Result:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -33,7 +33,9 @@
 __all__ = ["Lender"]
 
 PLAN_DELAY_S = 0.02
-RECALL_INTERVAL_S = 0.5
+REPORT_LIFE_S = 3.0
+TURN_S = 1.0
+RECALL_INTERVAL_S = 0.2
 JOBS = ""  # holder of what running jobs use
 UNRELATED = (CancelJobs, Lend, Recall, Reserve, SettleReservation)
 
@@ -129,6 +131,7 @@
 
     def changes(self) -> list[Lend | Recall]:
         """Return what the present demand calls for, one or two entries a session."""
+        self.forget_silent()
         services, teams = self.wanted_services(), self.wanted_teams()
         queued = Counter(
             job.team
@@ -147,6 +150,13 @@
         commands.extend(self.recall(name, slots, permits) for name in sessions)
         return [command for command in commands if command is not None]
 
+    def forget_silent(self) -> None:
+        """Forget the demand of entries that are silent: they get nothing now."""
+        before_s = self.clock.seconds() - REPORT_LIFE_S
+        for name in list(self.reports):
+            if self.sessions.heard_s.get(name, 0.0) < before_s:
+                del self.reports[name]
+
     def wanted_services(self) -> set[str]:
         """Return the services that calls are reported for."""
         return {
@@ -194,7 +204,17 @@
         claims.extend(self.silent_claims(held))
         capacity = sum(usable_slots(state, target) for target in targets.values())
         shares = {team.name: team.share for team in state.teams.values()}
-        return plan_loans(capacity, held, claims, shares)
+        return plan_loans(capacity, held, claims, shares, self.ranks())
+
+    def ranks(self) -> dict[str, int]:
+        """Return who goes first: entries with waiting calls, in changing order."""
+        names = sorted(self.reports)
+        turn = int(self.clock.seconds() / TURN_S)
+        ranks = {name: (n + turn) % len(names) for n, name in enumerate(names)}
+        for name, report in self.reports.items():
+            if not report.short:
+                ranks[name] += len(names)
+        return ranks
 
     def job_claims(self, service: str, running: Counter[str]) -> list[Claim]:
         """
@@ -236,7 +256,7 @@
             wanted = sum(d.wanted for d in report.demands if d.team == team)
             claims.append(Claim(report.session, team, wanted))
         claims.extend(self.silent_claims(held))
-        return plan_loans(record.upper_limit, held, claims, {})
+        return plan_loans(record.upper_limit, held, claims, {}, self.ranks())
 
     def lend(
         self,
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok, Result
 
+from mulberryledge_core.codec import encode_command
 from mulberryledge_core.commands import Command
 from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget, CreatePool
 from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, GiveKey
@@ -30,19 +31,29 @@
 
 
 class SharedLog:
-    """A log in memory that applies each proposal at once."""
+    """
+    A log in memory that applies each proposal at once.
+
+    Attributes
+    ----------
+    bytes : int
+        Encoded size of all proposals applied.
+    """
 
-    def __init__(self):
+    def __init__(self, now_s: Callable[[], float] = time.time):
+        self.now_s = now_s
+        self.bytes = 0
         self.state = ClusterState()
         self.listeners: list[Callable[[AppliedEvent], None]] = []
         self.handlers: dict[type, Callable] = {}
 
     def time_ms(self) -> int:
         """Return wall-clock time, never below an earlier log time."""
-        return max(self.state.now_ms, time.time_ns() // 1_000_000)
+        return max(self.state.now_ms, int(1_000 * self.now_s()))
 
     async def propose(self, command: Command) -> ApplyResult:
         """Apply a command and announce it."""
+        self.bytes += len(encode_command(command))
         context = Context(self.state.applied_index + 1, self.time_ms())
         outcome = apply(self.state, command, context)
         for listener in self.listeners:
