--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/__init__.py
@@ -2,5 +2,5 @@
 mulberryledge_core.decisions
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Decisions as pure functions over frozen data, one module a decision.
+Decisions as pure functions of the replicated state and of what was observed.
 """
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -14,6 +14,8 @@
     "MESSAGES",
     "Acknowledged",
     "DemandReport",
+    "InForceAsk",
+    "InForceReply",
     "JobLease",
     "JobUsage",
     "NoJob",
@@ -165,6 +167,21 @@
     targets: tuple[TargetUsage, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class InForceAsk:
+    """Wait, at most the given milliseconds, until an index is in force."""
+
+    index: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForceReply:
+    """Daemons on which the index is not known to be in force."""
+
+    waiting: tuple[str, ...] = ()
+
+
 MESSAGES = {
     kind.__name__: kind
     for kind in (
@@ -177,6 +194,8 @@
         RenewJob,
         JobLease,
         UsageReport,
+        InForceAsk,
+        InForceReply,
     )
 }
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/services.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AvailabilitySection",
     "CallsSection",
+    "ObjectiveSection",
     "QueueSection",
     "Service",
     "ServiceDocument",
@@ -102,7 +103,8 @@
     min_hosts_serving : int
         Hosts that must go on serving.
     outage_minutes : int
-        Host minutes of planned outage allowed in a window; zero for no bound.
+        Host minutes, planned and unplanned together, beyond which a window allows
+        no further planned outage; zero for no bound.
     window_days : int
         Length of that window in days.
     """
@@ -115,6 +117,27 @@
     window_days: int = 28
 
 
+@dataclass(frozen=True, slots=True)
+class ObjectiveSection:
+    """
+    The service-level objective of a service.
+
+    Attributes
+    ----------
+    success_share : float
+        Share of calls that must be answered whole and in time.
+    latency_ms : int
+        Time within which an answer counts as in time, in milliseconds; zero
+        stands for the deadline of the calls.
+    window_days : int
+        Length of the window of the error budget, in days.
+    """
+
+    success_share: float = 0.999
+    latency_ms: int = 0
+    window_days: int = 28
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceDocument:
     """A whole service document."""
@@ -124,6 +147,7 @@
     queue: QueueSection | None = None
     size: Resources = Resources()
     availability: AvailabilitySection = AvailabilitySection()
+    objective: ObjectiveSection = ObjectiveSection()
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,11 +162,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service: its document in force and its recent history, oldest first."""
+    """
+    A service: its document in force and its recent history, oldest first.
+
+    Attributes
+    ----------
+    hold : str
+        Why an operator holds its hosts out of maintenance, empty if not.
+    """
 
     name: str
     document: ServiceDocument
     history: tuple[ServiceVersion, ...]
+    hold: str = ""
 
     @property
     def version(self) -> int:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -29,6 +29,7 @@
 from mulberryledge_core.model.services import QueueSection
 from mulberryledge_core.outcomes import ApplyResult, Code
 from mulberryledge_core.state.answers import missing, ok, refuse
+from mulberryledge_core.state.budgets import usable_slots
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context, reservation_id
 
@@ -121,7 +122,7 @@
         return refuse(Code.CONFLICT, f"target {target.name!r} takes no new work")
     if not may_take(state, job, command.key):
         return refuse(Code.BAD_KEY, f"key {command.key!r} may not take this work")
-    if slots_in_use(state, target.name) >= target.slots:
+    if slots_in_use(state, target.name) >= usable_slots(state, target):
         return refuse(Code.LIMIT, f"target {target.name!r} has no free slots")
     if team_headroom(state, job.team) < 1:
         return refuse(Code.LIMIT, f"team {job.team!r} is at its upper limit")
@@ -214,11 +215,12 @@
     )
 
 
-def requeued(job: Job, ctx: Context) -> Job:
+def requeued(job: Job, ctx: Context, not_run: bool = False) -> Job:
     """Return a job that waits again, or is cancelled if that was asked for."""
+    assert job.repeatable or not_run, f"job {job.job_id!r} may not run again"
     if job.cancel_requested:
-        return replace(ended(job, JobPhase.CANCELLED, b"", ctx), target="")
-    return replace(job, phase=JobPhase.QUEUED, target="")
+        return ended(job, JobPhase.CANCELLED, b"", ctx)
+    return replace(job, phase=JobPhase.QUEUED)
 
 
 def finished(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
@@ -240,7 +242,7 @@
 def handed_back(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
     """Return a job that waits again if it has not run or may be repeated."""
     if command.not_run:
-        return requeued(job, ctx)
+        return requeued(job, ctx, not_run=True)
     if not job.repeatable:
         return ended(job, JobPhase.UNKNOWN, command.result, ctx)
     checkpoint = command.result or job.checkpoint
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -8,12 +8,16 @@
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from importlib.metadata import version
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from result import Err
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
 from mulberryledge_core.commands.work import CloseSession, OpenSession
+from mulberryledge_daemon.accounting import Accounting
 from mulberryledge_daemon.entry.calls import Calls
 from mulberryledge_daemon.entry.client import AgentClient
 from mulberryledge_daemon.entry.loans import Loans
@@ -22,9 +26,15 @@
     Cancellations,
     cancellation_routes,
 )
+from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
-from mulberryledge_daemon.http.routing import Router
+from mulberryledge_daemon.http.reports import (
+    DaemonIdentity,
+    ReportInterface,
+    report_routes,
+)
+from mulberryledge_daemon.http.routing import Route, Router
 from mulberryledge_daemon.http.targets import TargetInterface, target_routes
 from mulberryledge_daemon.http.usage import UsageInterface, usage_routes
 from mulberryledge_daemon.journal import Journal
@@ -34,15 +44,19 @@
 from mulberryledge_daemon.leader.maintenance import Maintenance
 from mulberryledge_daemon.leader.moves import Moves
 from mulberryledge_daemon.leader.planner import Planner
+from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
+from mulberryledge_daemon.leader.repair import Repair
 from mulberryledge_daemon.leader.retention import Retention
 from mulberryledge_daemon.leader.usage import Usage
-from mulberryledge_daemon.log.single import open_single_log
+from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon.settings_checks import Reload, plan_reload
 
 __all__ = ["Daemon", "open_daemon"]
 
 STOP_POLL_S = 0.02
+SETTLE_TIMEOUT_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -68,32 +82,62 @@
         )
         self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
         self.lender = Lender(log, log)
-        self.leases = TargetLeases(reactor, log, log, timing.target_lease_s)
         self.usage = Usage(reactor, log, log)
         self.jobs = Jobs(reactor, log, log, self.journal, self.usage)
         self.planner = Planner(reactor, log, self.jobs, self.usage)
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
-        self.maintenance = Maintenance(log, self.platform, timing.probation_s)
+        self.repair = Repair(
+            reactor,
+            log,
+            self.platform,
+            repair_policy(timing),
+            timing.target_lease_s,
+            self.journal.note,
+        )
+        self.leases = TargetLeases(
+            reactor, log, log, timing.target_lease_s, self.repair.witness
+        )
+        self.maintenance = Maintenance(
+            log,
+            self.platform,
+            maintenance_policy(timing),
+            self.session,
+            self.journal.note,
+        )
         self.targets = TargetInterface(log, log, name, timing.target_lease_s)
         self.usage_reports = UsageInterface(reactor, self.targets, log, name)
         self.cancellations = Cancellations(reactor, log)
         self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
         self.operators = OperatorInterface(log, settings.operator)
+        self.accounting = Accounting(log, name, settings.daemon.data_folder)
+        self.reports = ReportInterface(
+            log,
+            DaemonIdentity(
+                name,
+                settings.daemon.region,
+                settings.daemon.availability_zone,
+                version("mulberryledge-daemon"),
+            ),
+            self.journal,
+            self.accounting.burn,
+            self.is_ready,
+        )
 
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
-        await self.log.propose(OpenSession(self.settings.daemon.name, self.session))
+        await self.log.start()
         routes = (
-            *health_routes(self.is_ready),
+            *health_routes(self.is_ready, self.accounting.metrics.text),
             *caller_routes(self.callers),
             *target_routes(self.targets),
             *usage_routes(self.usage_reports),
             *cancellation_routes(self.cancellations),
         )
         self.listen(listen.callers_port, routes)
-        self.listen(listen.operators_port, operator_routes(self.operators))
+        self.listen(listen.operators_port, self.operator_side())
+        await self.open_session()
         for task in (
             self.entry_tick,
             self.leader_tick,
@@ -105,6 +149,27 @@
         extra = {"callers_port": self.callers_port, "session": self.session}
         logger.info("started", extra=extra)
 
+    def operator_side(self) -> tuple[Route, ...]:
+        """Return the routes for operators."""
+        return (
+            *operator_routes(self.operators),
+            *report_routes(self.reports, self.operators),
+            *cluster_routes(self.operators.admit, self.log.status),
+        )
+
+    async def open_session(self) -> None:
+        """Begin this life of the daemon as an entry, as soon as there is a leader."""
+        command = OpenSession(self.settings.daemon.name, self.session)
+        while isinstance(await self.log.propose(command), Err):
+            logger.warning("no leader yet")
+
+    async def settle_session(self, cut_off: int) -> None:
+        """Return the loans, and end the session unless a call was cut off."""
+        await self.loans.return_idle(everything=True)
+        if not cut_off:
+            command = CloseSession(self.settings.daemon.name, self.session)
+            await self.log.propose(command)
+
     def listen(self, port: int, routes: tuple) -> None:
         """Serve routes on a TCP port."""
         site = Site(Router(routes))
@@ -123,27 +188,58 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send traffic here."""
-        return not self.stopping and self.log.is_fresh()
+        known = self.session in self.log.state.sessions
+        return known and not self.stopping and self.log.is_fresh()
 
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
         await self.targets.tick()
         await self.usage_reports.tick()
         await self.loans.return_idle(everything=self.stopping)
+        self.accounting.tick()
 
     async def leader_tick(self) -> None:
         """Run the periodic tasks of the leader."""
         if not self.log.is_leader():
             self.jobs.step_down()
             self.moves.step_down()
+            self.repair.step_down()
             return
         await self.leases.tick()
         await self.jobs.tick()
         await self.planner.tick()
         await self.moves.tick()
         await self.retention.tick()
+        await self.repair.tick()
         await self.maintenance.tick()
 
+    def log_position(self) -> dict[str, int]:
+        """Return the term, where the log has terms, and the applied index."""
+        position = {"index": self.log.state.applied_index}
+        if hasattr(self.log, "term"):
+            position["term"] = self.log.term
+        return position
+
+    def reload(self, settings: Settings) -> Reload:
+        """Take over what may change without a restart."""
+        planned = plan_reload(self.settings, settings)
+        self.settings = replace(
+            self.settings,
+            operator=settings.operator,
+            platform=settings.platform,
+            timing=replace(
+                self.settings.timing,
+                target_lease_s=settings.timing.target_lease_s,
+                stop_timeout_s=settings.timing.stop_timeout_s,
+            ),
+            logs=settings.logs,
+        )
+        self.operators.set_key(settings.operator)
+        self.platform.url = settings.platform.url
+        self.leases.lease_s = settings.timing.target_lease_s
+        self.targets.lease_s = settings.timing.target_lease_s
+        return planned
+
     async def stop(self) -> int:
         """
         Stop gracefully.
@@ -160,13 +256,12 @@
         cut_off = self.loans.running()
         for loop in self.loops:
             loop.stop()
-        await self.loans.return_idle(everything=True)
-        if not cut_off:
-            await self.log.propose(
-                CloseSession(self.settings.daemon.name, self.session)
-            )
+        settled = Deferred.fromCoroutine(self.settle_session(cut_off))
+        settled.addTimeout(SETTLE_TIMEOUT_S, self.reactor)
+        await settled.addErrback(lambda failure: failure.trap(TimeoutError))
         for port in self.ports:
             await maybeDeferred(port.stopListening)
+        self.accounting.save()
         await self.client.close()
         await self.platform.close()
         await self.log.stop()
@@ -178,7 +273,7 @@
 def open_daemon(reactor, settings: Settings) -> Iterator[Daemon]:
     """Open the data folder of a daemon and put the daemon together."""
     with ExitStack() as stack:
-        log = stack.enter_context(open_single_log(settings.daemon.data_folder))
+        log = stack.enter_context(open_log(reactor, settings))
         yield Daemon(reactor, settings, log)
 
 
