--- a/features/maintenance/steps/repair.py
+++ b/features/maintenance/steps/repair.py
@@ -11,7 +11,6 @@
     overdue_hosts,
 )
 from mulberryledge_core.decisions.regions import get_grouping_by_name
-from mulberryledge_core.messages import TargetsSeen
 from mulberryledge_core.model.hosts import HostPhase
 from mulberryledge_core.state import ClusterState, Context, apply
 from mulberryledge_core.state.absences import DAY_MS
@@ -40,7 +39,8 @@
 
 @when('host "{host}" was last heard by "{entry}"')
 def step_heard(context, host, entry):
-    context.world.leader.repair.witness(TargetsSeen(entry, (f"{host}-t",)))
+    target = context.world.state.targets[f"{host}-t"]
+    context.world.leader.repair.witness(entry, (target,))
 
 
 @when('host "{host}" fails')
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
@@ -134,6 +134,8 @@
         Kept answer.
     reserved_ms : int
         Log time of the reservation in milliseconds.
+    token : str
+        Identifies the claim among several on the same request.
     """
 
     request_id: str
@@ -145,3 +147,4 @@
     phase: ReservationPhase = ReservationPhase.RUNNING
     answer: Answer | None = None
     reserved_ms: int = 0
+    token: str = ""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
@@ -7,8 +7,10 @@
 
 from base64 import b64encode
 from dataclasses import dataclass
+from itertools import pairwise
 
 from result import Err, Ok, Result
+from twisted.internet.interfaces import IReactorTime
 from twisted.web.http import Request
 
 from mulberryledge_core.codec import from_plain
@@ -30,6 +32,7 @@
     header_of,
     json_body,
     json_reply,
+    number,
     query_of,
     refusal_reply,
 )
@@ -38,6 +41,9 @@
 __all__ = ["Announcement", "TargetInterface", "target_routes"]
 
 MAX_WAIT_S = 30.0
+MAX_QUERY_WAIT_S = 3_600.0
+MAX_ATTEMPT = 1_000_000
+REPORTS_A_LEASE = 20
 ENDINGS = {
     "done": JobPhase.DONE,
     "failed": JobPhase.FAILED,
@@ -64,6 +70,7 @@
 
     def __init__(
         self,
+        clock: IReactorTime,
         log: ReplicatedLog,
         channel: LeaderChannel,
         daemon: str,
@@ -73,7 +80,10 @@
         self.channel = channel
         self.daemon = daemon
         self.lease_s = lease_s
-        self.seen: set[str] = set()
+        self.clock = clock
+        self.seen: set[int] = set()
+        self.reported: dict[int, float] = {}
+        self.tried_s = 0.0
 
     async def announce(self, request: Request, name: str) -> Reply:
         """Announce a target, or renew its lease by announcing it again."""
@@ -100,7 +110,7 @@
         outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
-        self.seen.add(name)
+        self.note_seen(self.log.state.targets[name])
         return self.lease_reply(name)
 
     async def renew(self, request: Request, name: str) -> Reply:
@@ -108,7 +118,7 @@
         found = self.find_target(request, name)
         if isinstance(found, Err):
             return refusal_reply(found.err_value)
-        self.seen.add(name)
+        self.note_seen(found.ok_value)
         return self.lease_reply(name)
 
     async def leave(self, request: Request, name: str) -> Reply:
@@ -160,14 +170,17 @@
 
     async def renew_job(self, request: Request, job_id: str, attempt: str) -> Reply:
         """Renew the lease of a running job; the reply may wait for an order."""
-        admitted = self.admit_for_job(request, job_id, attempt)
+        admitted = self.admit_for_job(request, job_id)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
+        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
+        if isinstance(fence, Err):
+            return refusal_reply(fence.err_value)
         wait = wait_of(request)
         if isinstance(wait, Err):
             return refusal_reply(wait.err_value)
         key_id = admitted.ok_value.key_id
-        message = RenewJob(job_id, int(attempt), key_id, wait.ok_value)
+        message = RenewJob(job_id, int(fence.ok_value), key_id, wait.ok_value)
         return outcome_reply(await self.channel.ask(message))
 
     async def end_job(
@@ -179,16 +192,19 @@
         A job that is handed back goes on from the body as its checkpoint. With
         ``?not_run=true`` the target states that the job has not begun to run.
         """
-        admitted = self.admit_for_job(request, job_id, attempt)
+        admitted = self.admit_for_job(request, job_id)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
         phase = ENDINGS.get(ending)
         if phase is None:
             text = f"ending {ending!r}: use one of {', '.join(ENDINGS)}"
             return refusal_reply(Refusal(Code.BAD_REQUEST, text))
+        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
+        if isinstance(fence, Err):
+            return refusal_reply(fence.err_value)
         command = EndJob(
             job_id,
-            int(attempt),
+            int(fence.ok_value),
             phase,
             request.content.read(),
             key=admitted.ok_value.key_id,
@@ -196,12 +212,8 @@
         )
         return outcome_reply(await self.log.propose(command))
 
-    def admit_for_job(
-        self, request: Request, job_id: str, attempt: str
-    ) -> Result[TeamKey, Refusal]:
+    def admit_for_job(self, request: Request, job_id: str) -> Result[TeamKey, Refusal]:
         """Check that the key is of the team that owns the job's queue."""
-        if not attempt.isdecimal():
-            return Err(Refusal(Code.BAD_REQUEST, f"attempt {attempt!r}: use a number"))
         admitted = admit(self.log, header_of(request, "Authorization"))
         if isinstance(admitted, Err):
             return admitted
@@ -239,27 +251,34 @@
         }
         return json_reply(body)
 
+    def note_seen(self, target: Target) -> None:
+        """Report a renewal unless the last report of it is recent enough."""
+        last_s = self.reported.get(target.generation)
+        if last_s is None or self.clock.seconds() - last_s >= self.lease_s / 4:
+            self.seen.add(target.generation)
+
     async def tick(self) -> None:
-        """Report the targets seen since the last tick."""
-        if not self.seen:
+        """Report the targets seen since the last report, in batches."""
+        now_s = self.clock.seconds()
+        if not self.seen or now_s - self.tried_s < self.lease_s / REPORTS_A_LEASE:
             return
-        message = TargetsSeen(self.daemon, tuple(sorted(self.seen)))
-        self.seen = set()
-        outcome = await self.channel.ask(message)
+        self.tried_s = now_s
+        batch, self.seen = sorted(self.seen), set()
+        gaps = tuple(b - a for a, b in pairwise([0, *batch]))
+        outcome = await self.channel.ask(TargetsSeen(self.daemon, gaps))
         if isinstance(outcome, Err):
-            self.seen.update(message.targets)
+            self.seen.update(batch)
+            return
+        current = {target.generation for target in self.log.state.targets.values()}
+        self.reported = {one: s for one, s in self.reported.items() if one in current}
+        self.reported.update(dict.fromkeys(batch, now_s))
 
 
 def wait_of(request: Request) -> Result[int, Refusal]:
     """Return how long a request may wait, in milliseconds."""
     text = query_of(request, "wait_s", "0")
-    try:
-        wait_s = float(text)
-    except ValueError:
-        wait_s = -1.0
-    if not wait_s >= 0:
-        return Err(Refusal(Code.BAD_REQUEST, f"wait_s {text!r}: use seconds"))
-    return Ok(int(min(MAX_WAIT_S, wait_s) * 1_000))
+    asked_s = number("wait_s", text, 0, MAX_QUERY_WAIT_S)
+    return asked_s.map(lambda value: int(1_000 * min(MAX_WAIT_S, value)))
 
 
 def outcome_reply(outcome: Result) -> Reply:
