--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -16,6 +16,7 @@
 from behave import given, then, when
 
 from mulberryledge_cli.commands import COMMANDS
+from mulberryledge_core.decisions.pools import Weights
 from mulberryledge_core.keys import split_key
 from mulberryledge_core.model.services import ServiceDocument
 from mulberryledge_daemon.settings import (
@@ -42,6 +43,7 @@
     "platform": PlatformSection,
     "timing": TimingSection,
     "logs": LogsSection,
+    "weights": Weights,
 }
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/lending.py
@@ -11,6 +11,10 @@
 
 __all__ = ["Claim", "Plan", "entitlements", "max_min", "plan_loans"]
 
+ROUNDING = 1e-9
+SCARCE_FACTOR = 2
+NO_RANKS: Mapping[str, int] = {}
+
 
 @dataclass(frozen=True, slots=True)
 class Claim:
@@ -42,7 +46,10 @@
 
 
 def max_min(
-    capacity: int, wanted: Mapping[str, int], weights: Mapping[str, float]
+    capacity: int,
+    wanted: Mapping[str, int],
+    weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> dict[str, int]:
     """
     Divide whole units by weighted max-min fairness.
@@ -55,53 +62,53 @@
         Most that each claimant can use.
     weights : mapping of str to float
         Weights greater than zero; 1 for a claimant that is not named.
+    ranks : mapping of str to int
+        Who goes first among equals where units are left over, lowest first.
 
     Returns
     -------
     dict of str to int
         Sums up to the capacity or to all that is wanted, whichever is less.
     """
-    given = dict.fromkeys(wanted, 0)
-    open_claims = sorted(name for name, count in wanted.items() if count > 0)
-    left = min(capacity, sum(wanted.values()))
-    while open_claims and left > 0:
-        total = sum(weights.get(name, 1.0) for name in open_claims)
-        level = left / total
-        parts = {
-            name: min(
-                wanted[name] - given[name], int(level * weights.get(name, 1.0) + 1e-9)
-            )
-            for name in open_claims
-        }
-        if not any(parts.values()):
-            left = _deal(given, wanted, weights, open_claims, left)
-            break
-        for name, part in parts.items():
-            given[name] += part
-            left -= part
-        open_claims = [name for name in open_claims if given[name] < wanted[name]]
+    level = _water_level(capacity, wanted, weights)
+    given = {
+        name: min(count, int(level * weights.get(name, 1.0) + ROUNDING))
+        for name, count in wanted.items()
+    }
+    left = min(capacity, sum(wanted.values())) - sum(given.values())
+    unmet = [name for name in wanted if given[name] < wanted[name]]
+    unmet.sort(key=lambda name: (ranks.get(name, 0), name))
+    for _ in range(left):
+        name = min(unmet, key=lambda one: given[one] / weights.get(one, 1.0))
+        given[name] += 1
+        if given[name] == wanted[name]:
+            unmet.remove(name)
     return given
 
 
-def _deal(
-    given: dict[str, int],
-    wanted: Mapping[str, int],
-    weights: Mapping[str, float],
-    open_claims: list[str],
-    left: int,
-) -> int:
-    """Deal single units, always to the claimant that has least for its weight."""
-    while left > 0 and open_claims:
-        name = min(open_claims, key=lambda one: given[one] / weights.get(one, 1.0))
-        given[name] += 1
-        left -= 1
-        if given[name] >= wanted[name]:
-            open_claims.remove(name)
-    return left
+def _water_level(
+    capacity: int, wanted: Mapping[str, int], weights: Mapping[str, float]
+) -> float:
+    """Return what a unit of weight gets where demand is not met."""
+    left = float(capacity)
+    total = sum(weights.get(name, 1.0) for name in wanted)
+    by_need = sorted(wanted, key=lambda name: wanted[name] / weights.get(name, 1.0))
+    for name in by_need:
+        weight = weights.get(name, 1.0)
+        if wanted[name] / weight > left / total:
+            return left / total
+        left -= wanted[name]
+        total -= weight
+    return float(max(wanted.values(), default=0)) / min(
+        (weights.get(name, 1.0) for name in wanted), default=1.0
+    )
 
 
 def entitlements(
-    capacity: int, claims: Collection[Claim], weights: Mapping[str, float]
+    capacity: int,
+    claims: Collection[Claim],
+    weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> dict[str, int]:
     """Return what each holder is entitled to."""
     by_team: dict[str, dict[str, int]] = {}
@@ -112,7 +119,7 @@
     shares = max_min(capacity, totals, weights)
     entitled: dict[str, int] = {}
     for team, parts in by_team.items():
-        for holder, count in max_min(shares[team], parts, {}).items():
+        for holder, count in max_min(shares[team], parts, {}, ranks).items():
             entitled[holder] = entitled.get(holder, 0) + count
     return entitled
 
@@ -122,6 +129,7 @@
     held: Mapping[str, int],
     claims: Collection[Claim],
     weights: Mapping[str, float],
+    ranks: Mapping[str, int] = NO_RANKS,
 ) -> Plan:
     """
     Plan the loans of one capacity.
@@ -140,8 +148,14 @@
         What each holder can use, units in use counted in.
     weights : mapping of str to float
         Shares of the teams.
+    ranks : mapping of str to int
+        Which holders go first where there are too few units for each to have
+        some; with more units the ranks are left out, so that they move nothing.
     """
-    entitled = entitlements(capacity, claims, weights)
+    holders = {claim.holder for claim in claims if claim.wanted}
+    if capacity >= SCARCE_FACTOR * len(holders):
+        ranks = NO_RANKS
+    entitled = entitlements(capacity, claims, weights, ranks)
     free = max(0, capacity - sum(held.values()))
     short = {
         holder: count - held.get(holder, 0)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -288,7 +288,8 @@
         if not isinstance(command, EndJob) or command.phase != JobPhase.FAILED:
             return
         job = self.log.state.jobs.get(command.job_id)
-        target = self.log.state.targets.get(job.target) if job else None
+        name = (job.target or job.failed_on[-1]) if job else ""
+        target = self.log.state.targets.get(name)
         host = self.log.state.hosts.get(target.host) if target else None
         if host is not None and host.phase == HostPhase.PROBATION:
             self.failures[host.name] += 1
