Hand the lead over in a planned stop, and stop on a broken invariant

A failure in the log's own code ends the process with code 70 in place of being logged by the reactor. Commands over 8 MB, and commands that the leader does not know, are refused. The simulation no longer promotes a disk that it has wiped: the new pair of voters had lost one of two.

--- a/features/cluster/cluster.feature
+++ b/features/cluster/cluster.feature
@@ -1,7 +1,7 @@
 Feature: A cluster of real daemons keeps its state whatever fails
 
   Background:
-    Given a cluster of 3 voters and 2 learners
+    Given a cluster of 3 voters and 1 learners
 
   Scenario: The leader is killed under writes
     When 40 pools are created through all daemons and the leader is killed after 15
@@ -21,7 +21,10 @@
     And pool "after-repair" is created
     Then every acknowledged pool is on every daemon that runs
 
-  Scenario: All restart after hundreds of changes
+  Scenario: A stopped leader hands over, and all restart after hundreds of changes
+    When the leader is stopped
+    Then its log says that it stopped, and the next leader's term is one higher
+    And every daemon that runs is ready without a pause
     When 300 pools are created
     And every daemon is killed and started again
     Then every acknowledged pool is on every daemon that runs
@@ -40,8 +43,8 @@
     Then every daemon is ready again
 
   Scenario: A removed daemon is told so and disturbs nothing
-    When daemon "e2" is removed
-    Then daemon "e2" stops being ready within 3 seconds
+    When daemon "e1" is removed
+    Then daemon "e1" stops being ready within 3 seconds
     And the term stays the same for 2 seconds
-    When daemon "e2" is added again
+    When daemon "e1" is added again
     Then every daemon is ready again
--- a/features/cluster/steps/cluster.py
+++ b/features/cluster/steps/cluster.py
@@ -225,3 +225,26 @@
     term = view(leader)["term"]
     time.sleep(seconds)
     assert view(leader)["term"] == term and view(leader)["leads"]
+
+
+@when("the leader is stopped")
+def step_stop_leader(context):
+    leader = context.cluster.daemons[context.cluster.leader()]
+    context.term = view(leader)["term"]
+    assert context.cluster.stop(leader.name) == 0
+    context.stopped = leader
+
+
+@then("its log says that it stopped, and the next leader's term is one higher")
+def step_handed_over(context):
+    assert context.stopped.log_lines("stopped")
+    leader = context.cluster.daemons[context.cluster.leader()]
+    assert view(leader)["term"] == context.term + 1, view(leader)
+    lines = [line["leader"] for line in leader.log_lines("leader")]
+    assert lines[-3:-1] == [context.stopped.name, ""], lines
+
+
+@then("every daemon that runs is ready without a pause")
+def step_no_pause(context):
+    for _ in range(20):
+        assert all(one.is_ready() for one in context.cluster.running())
--- a/features/log/disk.feature
+++ b/features/log/disk.feature
@@ -68,3 +68,18 @@
     Then it is accepted
     When the daemon starts again
     Then it has the pools "before" and "after" only
+
+  Scenario: A change that is too large for the log is refused at once
+    Given a daemon alone with pool "before" and a disk that fills up
+    When a pool with a name of 9000000 characters is proposed
+    Then it is refused as "too-large"
+
+  Scenario: A broken invariant stops the process
+    Given a daemon alone with pool "before" and a disk that fills up
+    When an invariant is broken while time passes
+    Then the process ends with code 70 and the log says "invariant broken: stopping"
+
+  Scenario: A command of a later release is refused, and nothing stops
+    Given a daemon alone with pool "before" and a disk that fills up
+    When a daemon of a later release proposes a command that is not known yet
+    Then the proposer is told "unknown command 'FromTheFuture': upgrade this daemon first"
--- a/features/log/steps/disk.py
+++ b/features/log/steps/disk.py
@@ -3,21 +3,26 @@
 import errno
 import logging
 import tempfile
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from random import Random
+from unittest.mock import patch
 
+import cbor2
 from behave import given, then, when
 from result import Err
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import Clock
 
 from mulberryledge_core.commands.fleet import CreatePool
+from mulberryledge_core.consensus import steps
 from mulberryledge_core.consensus.entries import Entry, HardState, Snapshot
+from mulberryledge_daemon.log import guard
 from mulberryledge_daemon.log.disk import Disk
 from mulberryledge_daemon.log.frames import Batch, pack
 from mulberryledge_daemon.log.replicated import ReplicatedLog
 from mulberryledge_daemon.log.storage import StorageFault, open_storage
+from mulberryledge_daemon.peers.messages import Propose
 from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
 
 STEP_S = 0.05
@@ -260,6 +265,55 @@
     assert context.outcome.err_value.code == code, context.outcome
 
 
+@when("a pool with a name of {count:d} characters is proposed")
+def step_propose_large(context, count):
+    step_propose(context, "x" * count)
+
+
+@when("a daemon of a later release proposes a command that is not known yet")
+def step_future(context):
+    data = cbor2.dumps(["FromTheFuture", {}])
+    context.sent = []
+    log = context.alone.log
+    log.network.send = lambda to, message: context.sent.append(message)
+    log.on_message("v9", Propose("session", 1, 1, False, data))
+
+
+@then('the proposer is told "{text}"')
+def step_told(context, text):
+    assert text in context.sent[0].refusal.message, context.sent
+
+
+class Ended(BaseException):
+    """Stands for the end of the process."""
+
+
+@when("an invariant is broken while time passes")
+def step_break(context):
+    context.codes = []
+
+    def end(code):
+        context.codes.append(code)
+        raise Ended
+
+    log = context.alone.log
+    log.node.applied += 1
+    log.node.storage_ok = True
+    with (
+        patch.object(guard.os, "_exit", end),
+        patch.object(steps, "tick", lambda node, now: node.advance_commit(99)),
+        suppress(Ended),
+    ):
+        log.node.log.append(Entry(log.node.log.last_index + 1, log.node.term, 1 << 50))
+        log.tick()
+
+
+@then('the process ends with code {code:d} and the log says "{message}"')
+def step_ended(context, code, message):
+    assert context.codes == [code], context.codes
+    assert message in context.lines.messages, context.lines.messages
+
+
 @then('pool "{pool}" can be read and the daemon is fresh')
 def step_read(context, pool):
     assert pool in context.alone.log.state.pools
--- a/features/log/steps/simulation.py
+++ b/features/log/steps/simulation.py
@@ -26,7 +26,7 @@
 
 
 def votes_despite_leader():
-    def may_vote(node, now):
+    def may_vote(node, now, handed_over):
         return bool(node.folder) and node.storage_ok
 
     return patch.object(election, "_may_vote", may_vote)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
@@ -7,10 +7,21 @@
 
 from mulberryledge_core.consensus import leading
 from mulberryledge_core.consensus.leases import confirmed_ms
-from mulberryledge_core.consensus.messages import NotMember, RequestVote, VoteReply
+from mulberryledge_core.consensus.messages import (
+    HandOver,
+    NotMember,
+    RequestVote,
+    VoteReply,
+)
 from mulberryledge_core.consensus.node import Node, Role
 
-__all__ = ["campaign", "may_campaign", "on_request_vote", "on_vote_reply"]
+__all__ = [
+    "campaign",
+    "may_campaign",
+    "on_hand_over",
+    "on_request_vote",
+    "on_vote_reply",
+]
 
 
 def may_campaign(node: Node) -> bool:
@@ -25,7 +36,7 @@
     return votes and node.storage_ok and not node.removed
 
 
-def campaign(node: Node, now: int, pre: bool = True) -> None:
+def campaign(node: Node, now: int, pre: bool = True, handed_over: bool = False) -> None:
     """Ask the voters for their votes."""
     node.reset_deadline(now)
     node.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
@@ -38,7 +49,7 @@
     last = (node.log.last_index, node.log.last_term)
     for voter in node.log.members.voters():
         if voter.name != node.name:
-            request = RequestVote(voter.folder, term, *last, pre, now)
+            request = RequestVote(voter.folder, term, *last, pre, now, handed_over)
             node.send(voter.name, request, after_sync=not pre)
     if node.sole_voter():
         _count(node, now)
@@ -49,7 +60,9 @@
     if _is_removed(node, sender):
         node.send(sender, NotMember(node.term, node.commit))
         return
-    if request.folder != node.folder or not _may_vote(node, now):
+    if request.folder != node.folder:
+        return
+    if not _may_vote(node, now, request.handed_over):
         return
     if not request.pre and request.term > node.term:
         node.become_follower(request.term, "", now)
@@ -69,9 +82,11 @@
     return bool(committed.members) and committed.find(name) is None
 
 
-def _may_vote(node: Node, now: int) -> bool:
+def _may_vote(node: Node, now: int, handed_over: bool) -> bool:
     if not node.folder or not node.storage_ok:
         return False
+    if handed_over and node.role != Role.LEADER:
+        return True
     quiet_ms = node.timing.election_min_ms
     if node.role == Role.LEADER:
         confirmed = confirmed_ms(node, now)
@@ -92,6 +107,13 @@
     return (request.last_term, request.last_index) >= mine
 
 
+def on_hand_over(node: Node, sender: str, message: HandOver, now: int) -> None:
+    """Stand for election at once, as the leader has resigned."""
+    current = message.term == node.term and node.leader == sender
+    if current and node.role == Role.FOLLOWER and may_campaign(node):
+        campaign(node, now, pre=False, handed_over=True)
+
+
 def on_vote_reply(node: Node, sender: str, reply: VoteReply, now: int) -> None:
     """Count a vote."""
     if not reply.granted:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -36,6 +36,7 @@
     "lead",
     "on_append_reply",
     "on_install_reply",
+    "successor",
     "try_commit",
 ]
 
@@ -147,6 +148,21 @@
     return silent
 
 
+def successor(node: Node, now: int) -> str | None:
+    """Return the voter that holds the whole log and was heard from last."""
+    since = now - node.timing.election_min_ms
+    fit = [
+        (progress.heard_ms, voter.name)
+        for voter in node.log.members.voters()
+        if (progress := node.progress.get(voter.name)) is not None
+        and progress.folder == voter.folder
+        and progress.durable >= node.log.last_index
+        and progress.heard_ms is not None
+        and progress.heard_ms >= since
+    ]
+    return max(fit)[1] if fit else None
+
+
 def lead(node: Node, now: int) -> None:
     """Send heartbeats and resends; step down without a quorum."""
     confirmed = confirmed_ms(node, now)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/messages.py
@@ -16,6 +16,7 @@
     "Append",
     "AppendReply",
     "Grant",
+    "HandOver",
     "Install",
     "InstallReply",
     "NotMember",
@@ -34,6 +35,9 @@
     folder : str
         Data folder whose vote counts for the candidate. The receiver may not hold
         the entry yet that lets it vote.
+    handed_over : bool
+        Whether the leader of the term before has given up its lease for this
+        candidate, so that no voter need wait for it to run out.
     """
 
     folder: str
@@ -42,6 +46,7 @@
     last_term: int
     pre: bool
     sent_ms: int
+    handed_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +146,13 @@
     sent_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Tells a voter that the leader of the term has resigned in its favour."""
+
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class NotMember:
     """Tells a daemon that it is no member any more."""
@@ -157,4 +169,5 @@
     Install,
     InstallReply,
     NotMember,
+    HandOver,
 )
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
@@ -18,6 +18,7 @@
 from mulberryledge_core.consensus.messages import (
     Append,
     AppendReply,
+    HandOver,
     Install,
     InstallReply,
     NotMember,
@@ -32,6 +33,7 @@
     "compact",
     "propose",
     "propose_change",
+    "resign",
     "step",
     "storage_failed",
     "storage_recovered",
@@ -47,6 +49,7 @@
     Install: following.on_install,
     InstallReply: leading.on_install_reply,
     NotMember: following.on_not_member,
+    HandOver: election.on_hand_over,
 }
 MEMBER_COMMANDS = (
     member_commands.AddMember,
@@ -132,6 +135,19 @@
     return count
 
 
+def resign(node: Node, now: int) -> bool:
+    """Give up the lead, and the lease with it, in favour of the best voter."""
+    if node.role != Role.LEADER:
+        return False
+    best, term = leading.successor(node, now), node.term
+    if best is None:
+        return False
+    node.become_follower(term, "", now)
+    node.leader = ""
+    node.send(best, HandOver(term))
+    return True
+
+
 def synced(node: Node, index: int, term: int, now: int) -> None:
     """Take note that the entry and all before it are on disk."""
     if node.log.term_at(index) == term:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/wire.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/wire.py
@@ -9,10 +9,11 @@
 from typing import Any
 
 import cbor2
-from cattrs import Converter, UnstructureStrategy
+from cattrs import BaseValidationError, Converter, UnstructureStrategy
 
 __all__ = ["MessageTable"]
 
+DECODE_ERRORS = (TypeError, LookupError, cbor2.CBORDecodeError, BaseValidationError)
 CONVERTER = Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
@@ -40,5 +41,5 @@
         try:
             number, fields = cbor2.loads(data)
             return CONVERTER.structure(fields, self.kinds[number])
-        except (TypeError, LookupError, cbor2.CBORDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise ValueError(f"no message of this table: {error}") from error
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
@@ -102,8 +102,12 @@
         """Take the leader's reply."""
         if reply.refusal is not None:
             self.settle(reply.number, Err(reply.refusal))
-        else:
+            return
+        try:
             self.settle(reply.number, Ok(decode_named(reply.data)))
+        except ValueError as error:
+            refusal = Refusal(Code.UNAVAILABLE, f"the leader's reply: {error}")
+            self.settle(reply.number, Err(refusal))
 
     def on_closed(self, peer: str) -> None:
         """Give up the requests to a leader that is out of reach."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
@@ -25,6 +25,7 @@
 RESEND_INTERVAL_S = 1.0
 RETRY_INTERVAL_S = 0.1
 MAX_PENDING = 10_000
+MAX_COMMAND_BYTES = 8_388_608
 RETRIED = (Code.NO_LEADER, Code.OVERLOADED)
 
 
@@ -60,11 +61,17 @@
             done = Deferred()
             done.callback(Err(refusal))
             return done
+        data = encode_command(command)
+        if len(data) > MAX_COMMAND_BYTES:
+            text = f"the change has {len(data)} bytes: use at most {MAX_COMMAND_BYTES}"
+            done = Deferred()
+            done.callback(Err(Refusal(Code.TOO_LARGE, text)))
+            return done
         self.sequence += 1
         item = Pending(
             sequence=self.sequence,
             change=isinstance(command, MEMBER_COMMANDS),
-            data=encode_command(command),
+            data=data,
             done=Deferred(),
             deadline_s=self.clock.seconds() + PROPOSE_TIMEOUT_S,
         )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -38,6 +38,7 @@
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
 from mulberryledge_daemon.http.cluster import ClusterStatus
 from mulberryledge_daemon.log.channel import Channel
+from mulberryledge_daemon.log.guard import stop_if_broken
 from mulberryledge_daemon.log.joining import Joining
 from mulberryledge_daemon.log.lives import Lives
 from mulberryledge_daemon.log.proposer import Proposer
@@ -196,6 +197,11 @@
                 return InForce(index, ("the leader",))
             await deferLater(self.reactor, POLL_S)
 
+    @property
+    def term(self) -> int:
+        """Return the term of the log."""
+        return self.node.term
+
     def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
         """Call the listener after each applied command."""
         self.replica.listeners.append(listener)
@@ -213,6 +219,9 @@
         if not self.started:
             return
         self.started = False
+        if steps.resign(self.node, self.now()):
+            self.carry_out()
+            await deferLater(self.reactor, POLL_S)
         self.loop.stop()
         self.writer.stop()
         await self.network.stop()
@@ -238,19 +247,23 @@
 
     def tick(self) -> None:
         """Let time pass."""
-        steps.tick(self.node, self.now())
-        self.proposer.tick()
-        self.joining.notice_loneliness()
-        self.carry_out()
+        with stop_if_broken():
+            steps.tick(self.node, self.now())
+            self.proposer.tick()
+            self.joining.notice_loneliness()
+            self.carry_out()
 
     def on_message(self, sender: str, message: object) -> None:
         """Handle a message of a peer."""
-        handler = self.handlers.get(type(message))
-        if handler is not None:
-            handler(sender, message)
-            return
-        if not self.joining.cluster:
-            return
+        with stop_if_broken():
+            handler = self.handlers.get(type(message))
+            if handler is not None:
+                handler(sender, message)
+            elif self.joining.cluster:
+                self.step(sender, message)
+
+    def step(self, sender: str, message: object) -> None:
+        """Hand a message of the log to the node."""
         steps.step(self.node, sender, message, self.now())
         if isinstance(message, NotMember):
             logger.critical("this daemon was removed", extra={"by": sender})
@@ -258,8 +271,9 @@
 
     def on_synced(self, index: int, term: int) -> None:
         """Take note of what is on disk."""
-        steps.synced(self.node, index, term, self.now())
-        self.carry_out()
+        with stop_if_broken():
+            steps.synced(self.node, index, term, self.now())
+            self.carry_out()
 
     def on_failed(self) -> None:
         """Go on without a disk."""
@@ -302,19 +316,20 @@
     def flush(self) -> None:
         """Send and write what one turn of the reactor has brought together."""
         self.flushing = False
-        flush(self.node, self.now())
-        effects = self.node.take_effects()
-        for effect in effects:
-            self.carry_out_one(effect)
-        self.writer.pump()
-        self.compact()
+        with stop_if_broken():
+            flush(self.node, self.now())
+            for effect in self.node.take_effects():
+                self.carry_out_one(effect)
+            self.writer.pump()
+            self.compact()
 
     def compact(self) -> None:
         """Take a snapshot once there are enough applied entries."""
         node = self.node
         if node.applied - node.log.snapshot.index < SNAPSHOT_ENTRIES:
             return
-        steps.compact(node, self.replica.snapshot())
+        data = self.replica.snapshot() if node.folder else b""
+        steps.compact(node, data)
         logger.info("snapshot taken", extra={"index": node.applied})
         self.carry_out()
 
@@ -352,15 +367,7 @@
         key = (message.session, message.sequence)
         if key in self.accepted or self.replica.proposals.seen(origin):
             return
-        if message.change:
-            command = decode_command(message.data)
-            outcome = steps.propose_change(
-                self.node, command, origin, wall_ms(), self.now()
-            )
-        else:
-            outcome = steps.propose(
-                self.node, message.data, origin, wall_ms(), self.now()
-            )
+        outcome = self.append(message, origin)
         if isinstance(outcome, Err):
             reply = ProposeReply(message.sequence, outcome.err_value)
             if sender == self.name:
@@ -371,6 +378,18 @@
         self.accepted.add(key)
         self.carry_out()
 
+    def append(self, message: Propose, origin: Origin) -> Result[int, Refusal]:
+        """Append a proposal, if this release knows its command."""
+        try:
+            command = decode_command(message.data)
+        except ValueError as error:
+            return Err(Refusal(Code.BAD_REQUEST, f"leader {self.name!r}: {error}"))
+        if message.change:
+            return steps.propose_change(
+                self.node, command, origin, wall_ms(), self.now()
+            )
+        return steps.propose(self.node, message.data, origin, wall_ms(), self.now())
+
     def on_outcome(self, origin: Origin, outcome: ApplyResult) -> None:
         """Resolve a proposal of this daemon."""
         self.proposer.on_outcome(origin, outcome)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
@@ -22,7 +22,7 @@
 
 __all__ = ["Link", "Traffic", "accept_link", "dial_link"]
 
-MAX_MESSAGE_BYTES = 4_194_304
+MAX_MESSAGE_BYTES = 16_777_216
 MAX_QUEUED_BYTES = 2_097_152
 SILENCE_TIMEOUT_S = 6.0
 PING_INTERVAL_S = 2.0
@@ -98,7 +98,7 @@
         """Send a message; return False if the queue is full or the link closed."""
         if self.websocket.state is not State.OPEN:
             return False
-        if self.queued_bytes + len(data) > MAX_QUEUED_BYTES:
+        if self.queue and self.queued_bytes + len(data) > MAX_QUEUED_BYTES:
             return False
         self.websocket.send_binary(data)
         self.pump()
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
@@ -15,6 +15,7 @@
     PromoteMember,
     RemoveMember,
 )
+from mulberryledge_core.consensus.steps import resign
 from mulberryledge_testing.simulation.world import (
     VOTERS,
     Defects,
@@ -82,6 +83,14 @@
         world.crash(member)
 
 
+def hand_over(world: World) -> None:
+    """Have the leader resign, as in a planned stop."""
+    leader = world.leader()
+    if leader is not None:
+        resign(leader.node, world.now(leader))
+        world.carry_out(leader)
+
+
 def cut_pair(world: World) -> None:
     """Cut the connection between two members."""
     one, other = world.random.sample(list(world.members), 2)
@@ -206,7 +215,7 @@
         world.change(DemoteMember(member.name))
     elif member.disk is not None and not known.voter:
         progress = leader.node.progress.get(member.name)
-        if progress is not None:
+        if progress is not None and progress.folder == member.disk.folder:
             world.change(PromoteMember(member.name, progress.folder))
     elif world.random.random() < 0.3:
         world.change(RemoveMember(member.name))
@@ -233,6 +242,7 @@
     (crash, 6),
     (lose_power, 3),
     (cut_pair, 4),
+    (hand_over, 3),
     (cut_from_leader, 1),
     (isolate_leader, 1),
     (pause, 4),
