Run real daemons under load and random faults, with every promise watched

Cause: each part was proved alone; nothing ran them together as separate processes. Change: mulberryledge_testing.endurance drives seven daemons (three voters), 18 targets on six hosts, 24 callers, jobs, key rotation, departures and a wave, and kills, freezes, cuts off and stops daemons at random; a witness compares what callers were told with what targets ran.

--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/endurance/run.py
@@ -0,0 +1,248 @@
+"""
+mulberryledge_testing.endurance.run
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+One run: a cluster, its fleet, load and faults, and the verdict.
+"""
+
+import json
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from twisted.internet.defer import ensureDeferred, gatherResults
+from twisted.internet.task import deferLater
+from twisted.internet.threads import deferToThread
+
+from mulberryledge_core.commands.maintenance import StartWave
+from mulberryledge_testing.endurance.faults import Faults
+from mulberryledge_testing.endurance.gateway import Gateway, NoReply
+from mulberryledge_testing.endurance.load import Load
+from mulberryledge_testing.endurance.scene import (
+    HOSTS,
+    ONCE,
+    POOL,
+    QUEUE,
+    REPEATABLE,
+    TEAMS,
+    setup,
+)
+from mulberryledge_testing.endurance.targets import WitnessedTarget
+from mulberryledge_testing.platform import StandInPlatform
+from mulberryledge_testing.processes import Cluster
+from mulberryledge_testing.relay import Relay
+from mulberryledge_testing.witness import Witness
+
+__all__ = ["Verdict", "run"]
+
+VOTERS = ("v1", "v2", "v3")
+LEARNERS = ("e1", "e2", "e3", "z1")
+RELAYED = ("v3", "z1")  # daemons that the others dial, so a relay can cut them off
+WORKERS = 24
+REBOOT_S = 0.6
+SETTLE_S = 30.0
+COMPARED = ("pools", "hosts", "teams", "keys", "services", "waves")
+SETTINGS = """
+[platform]
+url = "{url}"
+
+[timing]
+target_lease_s = 5.0
+probation_s = 1.0
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """
+    What came of a run.
+
+    Attributes
+    ----------
+    broken : tuple of str
+        Broken promises.
+    replies, faults : Counter
+        Replies by outcome, and faults by kind.
+    jobs_done, reboots : int
+        Jobs whose result was fetched, and hosts that were rebooted.
+    """
+
+    broken: tuple[str, ...]
+    replies: Counter
+    faults: Counter
+    jobs_done: int
+    reboots: int
+
+    def text(self) -> str:
+        """Return the verdict as a line."""
+        return (
+            f"replies {dict(self.replies)}, faults {dict(self.faults)}, jobs done"
+            f" {self.jobs_done}, reboots {self.reboots}, broken {list(self.broken)}"
+        )
+
+
+class Run:
+    """Owns everything of one run."""
+
+    def __init__(self, reactor, folder: Path, seed: int):
+        self.reactor = reactor
+        self.random = Random(seed)
+        self.witness = Witness(limits={team.name: team.upper_limit for team in TEAMS})
+        self.platform = StandInPlatform(reactor, self.on_reboot)
+        self.rebooting: set[str] = set()
+        self.reboots = 0
+        self.cluster = Cluster(folder, extra=SETTINGS.format(url=self.platform.url))
+        for name in (*VOTERS, *LEARNERS):
+            self.cluster.add(name, voter=name in VOTERS)
+        self.relays = {
+            name: Relay(reactor, self.cluster.daemons[name].peers_port)
+            for name in RELAYED
+        }
+        for name, relay in self.relays.items():
+            self.cluster.daemons[name].dialled_port = relay.port
+        for name in self.cluster.daemons:
+            self.cluster.write_settings(name)
+        self.gateway = Gateway(reactor, self.cluster, self.random)
+        self.keys: dict[str, str] = {}
+        self.targets: list[WitnessedTarget] = []
+        self.over = False
+
+    async def prepare(self) -> None:
+        """Start the daemons and set the fleet up."""
+        self.cluster.start()
+        await deferToThread(self.cluster.wait_ready)
+        for command in setup():
+            await self.gateway.operate(command)
+        for team in TEAMS:
+            self.keys[team.name] = await self.gateway.give_key(team.name)
+        owner_key = self.keys[TEAMS[0].name]
+        for host in HOSTS:
+            for service in (REPEATABLE, ONCE, QUEUE):
+                target = WitnessedTarget(
+                    self.gateway,
+                    self.witness,
+                    self.random,
+                    owner_key,
+                    f"{host}-{service}",
+                    host,
+                    service,
+                )
+                await target.announce()
+                self.targets.append(target)
+
+    async def play(self, seconds: float) -> Verdict:
+        """Run load and faults, heal everything, and judge."""
+        load = Load(self.gateway, self.witness, self.random, self.keys)
+        faults = Faults(self.gateway, self.witness, self.random, self.keys, self.relays)
+        tasks = [load.work(self.is_over) for _ in range(WORKERS)]
+        tasks += [target.keep_announced(self.is_over) for target in self.targets]
+        tasks += [
+            target.take_jobs(self.is_over)
+            for target in self.targets
+            if target.service == QUEUE
+        ]
+        tasks += [
+            faults.hurt_daemons(self.is_over),
+            faults.rotate_keys(self.is_over),
+            faults.leave(
+                [one for one in self.targets if one.service == REPEATABLE],
+                self.is_over,
+            ),
+            self.maintain(),
+        ]
+        running = [ensureDeferred(task) for task in tasks]
+        await deferLater(self.reactor, seconds)
+        self.over = True
+        await gatherResults(running)
+        await self.heal(faults)
+        await self.compare()
+        self.witness.check()
+        return Verdict(
+            tuple(self.witness.broken),
+            self.witness.summary(),
+            faults.counts,
+            load.jobs_done,
+            self.reboots,
+        )
+
+    def is_over(self) -> bool:
+        """Return whether load and faults should end."""
+        return self.over
+
+    async def maintain(self) -> None:
+        """Maintain every host of the pool."""
+        await self.gateway.operate(StartWave("monday", POOL, HOSTS, ignore_quiet=True))
+
+    def on_reboot(self, host: str) -> None:
+        """Take a host down; a planned stop must cut off nothing."""
+        self.reboots += 1
+        self.rebooting.add(host)
+        out = sorted(self.rebooting)
+        self.witness.expect(len(out) <= 1, f"hosts {out} reboot at once")
+        for target in self.targets:
+            if target.host == host:
+                text = f"{target.name} was rebooted with {target.running} runs"
+                self.witness.expect(target.running == 0, text)
+                target.up = False
+        self.reactor.callLater(REBOOT_S, self.come_back, host)
+
+    def come_back(self, host: str) -> None:
+        """Bring a host's targets back."""
+        self.rebooting.discard(host)
+        for target in self.targets:
+            if target.host == host:
+                target.restart()
+
+    async def heal(self, faults: Faults) -> None:
+        """Wait until every daemon is well again."""
+        end = self.reactor.seconds() + SETTLE_S
+        while faults.hurt and self.reactor.seconds() < end:
+            await deferLater(self.reactor, 0.1)
+        self.witness.expect(not faults.hurt, f"{faults.hurt} are still hurt")
+        await deferToThread(self.cluster.wait_ready, timeout_s=SETTLE_S)
+
+    async def compare(self) -> None:
+        """Check that all daemons came to the same configuration."""
+        for table in COMPARED:
+            seen = {}
+            for name, caller in self.gateway.operators.items():
+                try:
+                    sent = caller.send("GET", f"/v1/tables/{table}")
+                    response = await self.gateway.wait_for(sent)
+                except NoReply:
+                    self.witness.broken.append(f"{name} does not answer")
+                    continue
+                seen[name] = json.loads(response.body)
+            first = next(iter(seen.values()), None)
+            for name, rows in seen.items():
+                self.witness.expect(rows == first, f"{table} differ on {name}")
+
+    async def close(self) -> None:
+        """End the processes and close all ports."""
+        self.cluster.close()
+        await self.gateway.close()
+        for target in self.targets:
+            await target.port.stopListening()
+        for relay in self.relays.values():
+            await relay.close()
+        await self.platform.close()
+
+
+@asynccontextmanager
+async def running(reactor, folder: Path, seed: int) -> AsyncIterator[Run]:
+    """Set a run up, and end all that it started."""
+    one = Run(reactor, folder, seed)
+    try:
+        await one.prepare()
+        yield one
+    finally:
+        await one.close()
+
+
+async def run(reactor, folder: Path, seconds: float, seed: int) -> Verdict:
+    """Run load and faults for some seconds and return the verdict."""
+    async with running(reactor, folder, seed) as one:
+        return await one.play(seconds)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
@@ -50,6 +50,8 @@
         TCP ports on loopback, the same in each life of the daemon.
     data_folder : Path or None
         Folder of a voter; None for a learner.
+    dialled_port : int
+        Port that the others dial, such as a relay's; zero for the daemon's own.
     """
 
     name: str
@@ -60,6 +62,7 @@
     availability_zone: str
     data_folder: Path | None
     process: subprocess.Popen | None = None
+    dialled_port: int = 0
 
     @property
     def callers_url(self) -> str:
@@ -304,7 +307,7 @@
 [[peers]]
 name = "{daemon.name}"
 address = "{ADDRESS}"
-port = {daemon.peers_port}
+port = {daemon.dialled_port or daemon.peers_port}
 voter = {str(daemon.data_folder is not None).lower()}
 availability_zone = "{daemon.availability_zone}"
 """
