--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -20,6 +20,8 @@
     "JobLease",
     "JobUsage",
     "NoJob",
+    "ReadIndex",
+    "ReadIndexAsk",
     "RenewJob",
     "TakeJob",
     "TakenJob",
@@ -175,6 +177,18 @@
     targets: tuple[TargetUsage, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadIndexAsk:
+    """Ask for the commit index, to read what is committed now."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadIndex:
+    """Commit index of a leader whose quorum lease holds."""
+
+    index: int
+
+
 @dataclass(frozen=True, slots=True)
 class InForceAsk:
     """Wait, at most the given milliseconds, until an index is in force."""
@@ -203,6 +217,8 @@
         JobLease,
         InForceAsk,
         InForceReply,
+        ReadIndexAsk,
+        ReadIndex,
         UsageReport,
     )
 }
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -41,6 +41,7 @@
 __all__ = ["CallerInterface", "caller_routes"]
 
 FORWARDED_HEADERS = ("Content-Type", "Accept")
+CATCH_UP_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.02
 MAX_WAIT_S = 30.0
 MAX_QUERY_WAIT_S = 3_600.0
@@ -205,7 +206,7 @@
 
     async def status(self, request: Request, job_id: str) -> Reply:
         """Return the status of a job of the key's team."""
-        found = self.find_job(request, job_id)
+        found = await self.find_job(request, job_id)
         if isinstance(found, Err):
             return refusal_reply(found.err_value)
         return json_reply(job_status(found.ok_value))
@@ -217,7 +218,7 @@
             return refusal_reply(wait_s.err_value)
         until = self.clock.seconds() + min(MAX_WAIT_S, wait_s.ok_value)
         while True:
-            found = self.find_job(request, job_id)
+            found = await self.find_job(request, job_id)
             if isinstance(found, Err):
                 return refusal_reply(found.err_value)
             job = found.ok_value
@@ -233,7 +234,7 @@
 
     async def cancel(self, request: Request, job_id: str) -> Reply:
         """Cancel a job of the key's team."""
-        found = self.find_job(request, job_id)
+        found = await self.find_job(request, job_id)
         if isinstance(found, Err):
             return refusal_reply(found.err_value)
         command = CancelJobs(found.ok_value.team, (job_id,))
@@ -242,11 +243,17 @@
             return refusal_reply(outcome.err_value)
         return json_reply(job_status(self.log.state.jobs[job_id]))
 
-    def find_job(self, request: Request, job_id: str) -> Result[Job, Refusal]:
-        """Return a job if the key's team submitted it."""
+    async def find_job(self, request: Request, job_id: str) -> Result[Job, Refusal]:
+        """Return a job if the key's team submitted it, at this entry or another."""
         admitted = admit(self.log, header_of(request, "Authorization"))
         if isinstance(admitted, Err):
             return admitted
+        # An entry that lags behind must not deny what another has acknowledged.
+        if job_id not in self.log.state.jobs and not await self.log.catch_up(
+            CATCH_UP_TIMEOUT_S
+        ):
+            text = "this entry cannot know whether the job exists: try another one"
+            return Err(Refusal(Code.NOT_FRESH, text))
         job = self.log.state.jobs.get(job_id)
         if job is None or job.team != admitted.ok_value.team:
             return Err(Refusal(Code.NOT_FOUND, f"job {job_id!r} does not exist"))
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/reads.py
@@ -0,0 +1,62 @@
+"""
+mulberryledge_daemon.log.reads
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Linearizable reads on any daemon: the leader names its commit index under its quorum
+lease, and the daemon waits until it has applied that index.
+"""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from mulberryledge_core.messages import ReadIndex, ReadIndexAsk
+from mulberryledge_core.outcomes import Refusal
+from mulberryledge_daemon.log.channel import Channel
+
+__all__ = ["Reads"]
+
+POLL_S = 0.005
+
+
+class Reads:
+    """
+    Lets readers wait for what was committed when they asked.
+
+    Parameters
+    ----------
+    commit_index, applied_index : callable
+        Return the indexes of this daemon; the first is asked for while it leads.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        channel: Channel,
+        commit_index: Callable[[], int],
+        applied_index: Callable[[], int],
+    ):
+        self.clock = clock
+        self.channel = channel
+        self.commit_index = commit_index
+        self.applied_index = applied_index
+        channel.serve(ReadIndexAsk, self.on_ask)
+
+    async def on_ask(self, ask: ReadIndexAsk) -> Result[object, Refusal]:
+        """Name the commit index, as the leader whose quorum lease holds."""
+        return Ok(ReadIndex(self.commit_index()))
+
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Return whether all that was committed is applied here within the time."""
+        until = self.clock.seconds() + timeout_s
+        outcome = await self.channel.ask(ReadIndexAsk())
+        if isinstance(outcome, Err):
+            return False
+        index = outcome.ok_value.index
+        while self.applied_index() < index:
+            if self.clock.seconds() >= until:
+                return False
+            await deferLater(self.clock, POLL_S)
+        return True
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -41,6 +41,7 @@
 from mulberryledge_daemon.log.joining import Joining
 from mulberryledge_daemon.log.lives import Lives
 from mulberryledge_daemon.log.proposer import Proposer
+from mulberryledge_daemon.log.reads import Reads
 from mulberryledge_daemon.log.replica import Replica
 from mulberryledge_daemon.log.status import cluster_status
 from mulberryledge_daemon.log.storage import Storage
@@ -123,6 +124,12 @@
             reactor, lambda: self.node.leader, self.is_leader, self.network.send
         )
         self.channel.serve(InForceAsk, self.on_in_force)
+        self.reads = Reads(
+            reactor,
+            self.channel,
+            lambda: self.node.commit,
+            lambda: self.state.applied_index,
+        )
         self.accepted: set[tuple[str, int]] = set()
         self.seen_leader = ("", 0)
         self.flushing = False
@@ -196,6 +203,10 @@
                 return InForce(index, ("the leader",))
             await deferLater(self.reactor, POLL_S)
 
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Wait until this daemon has applied all that is committed now."""
+        return await self.reads.catch_up(timeout_s)
+
     def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
         """Call the listener after each applied command."""
         self.replica.listeners.append(listener)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -103,6 +103,13 @@
     def in_force(self, index: int, timeout_s: float) -> Awaitable[InForce]:
         """Wait until the index is in force on every daemon."""
 
+    def catch_up(self, timeout_s: float) -> Awaitable[bool]:
+        """
+        Wait until this daemon has applied all that is committed when it asks.
+
+        Resolves to False if the leader cannot be asked or the time is over.
+        """
+
     def watch(self, listener: Callable[[AppliedEvent], None]) -> None:
         """Call the listener after each applied command."""
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
@@ -126,6 +126,10 @@
         """Return the time of the shared log."""
         return self.log.time_ms()
 
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Return True: all views share one state."""
+        return True
+
     async def in_force(self, index: int, timeout_s: float) -> InForce:
         """Return at once."""
         return InForce(index)
