--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/calendar.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/calendar.py
@@ -21,6 +21,7 @@
     "due_waves",
     "overdue_hosts",
     "pool_phase_days",
+    "turn_started_day",
 ]
 
 CYCLE_DAYS = 56
@@ -44,9 +45,8 @@
     turn_day = turn_started_day(pool, state.pools, now_ms)
     due = [
         host
-        for host in state.hosts.values()
-        if host.pool == pool.name
-        and host.maintained_ms // DAY_MS < turn_day
+        for host in state.indexes.hosts_by_pool.rows(pool.name)
+        if host.maintained_ms // DAY_MS < turn_day
         and host.phase == HostPhase.SERVING
         and not host.upkeep.hold
     ]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -12,6 +12,7 @@
 from result import Ok
 from twisted.internet.defer import ensureDeferred
 
+from mulberryledge_core.commands import work
 from mulberryledge_core.commands.maintenance import (
     AdvancePermit,
     ClaimWave,
@@ -46,7 +47,8 @@
 
 __all__ = ["Maintenance", "MaintenancePolicy"]
 
-PLAN_INTERVAL_MS = 500
+PLAN_INTERVAL_MS = 1_000
+IDLE_PLAN_INTERVAL_MS = 5_000
 TRIAL_FAILURES = 2
 KEEP_WAVES_MS = 60 * 86_400_000
 FORGET_INTERVAL_MS = 3_600_000
@@ -103,7 +105,8 @@
         self.asking: set[str] = set()
         self.answers: dict[str, RebootState] = {}
         self.failures: Counter[str] = Counter()
-        self.plan_after_ms = 0
+        self.planned_ms = 0
+        self.changed = True
         self.forget_after_ms = 0
         self.steps = {
             MaintenanceStep.DRAINING: self.drain,
@@ -121,17 +124,27 @@
         for permit in self.open_permits():
             await self.steps[permit.step](permit)
         now_ms = self.log.time_ms()
-        if now_ms < self.plan_after_ms:
-            return
-        self.plan_after_ms = now_ms + PLAN_INTERVAL_MS
+        if self.is_plan_due(now_ms):
+            self.planned_ms = now_ms
+            self.changed = False
+            await self.plan()
+        if now_ms >= self.forget_after_ms:
+            self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
+            await self.forget(now_ms)
+
+    def is_plan_due(self, now_ms: int) -> bool:
+        """Return whether to plan: soon after a change, else now and then."""
+        interval_ms = PLAN_INTERVAL_MS if self.changed else IDLE_PLAN_INTERVAL_MS
+        return now_ms - self.planned_ms >= interval_ms
+
+    async def plan(self) -> None:
+        """Grant what the budgets allow, for all running waves together."""
+        state = self.log.state
         running = [w for w in state.waves.values() if w.phase == WavePhase.RUNNING]
         if running:
             ledger = Ledger(state)
             for wave in running:
                 await self.advance_wave(wave, ledger)
-        if now_ms >= self.forget_after_ms:
-            self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
-            await self.forget(now_ms)
 
     def open_permits(self) -> list[Permit]:
         """Return the permits of hosts that are out."""
@@ -283,8 +296,10 @@
             self.say(DecisionKind.HOLD, f"host/{permit.host}", reason)
 
     def on_applied(self, event: AppliedEvent) -> None:
-        """Count the jobs that fail on hosts on probation."""
+        """Plan again after a change; count jobs that fail on hosts on probation."""
         command = event.command
+        if type(command) not in work.COMMANDS:
+            self.changed = True
         if not isinstance(command, EndJob) or command.phase != JobPhase.FAILED:
             return
         job = self.log.state.jobs.get(command.job_id)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/eight_weeks.py
@@ -0,0 +1,121 @@
+"""
+mulberryledge_testing.upkeep.eight_weeks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Eight weeks of the calendar at the size to design for, with daily failures.
+"""
+
+from dataclasses import dataclass, replace
+
+from mulberryledge_core.commands.maintenance import SetWavePhase
+from mulberryledge_core.decisions.calendar import (
+    CYCLE_DAYS,
+    due_waves,
+    turn_started_day,
+)
+from mulberryledge_core.model.maintenance import WavePhase
+from mulberryledge_testing.upkeep.checks import check_world
+from mulberryledge_testing.upkeep.fleets import LARGE, Fleet
+from mulberryledge_testing.upkeep.world import START_MS, World
+
+__all__ = ["EightWeeks", "run_eight_weeks"]
+
+DAY_MS = 86_400_000
+MINUTE_MS = 60_000
+IDLE_STEP_MS = 5 * MINUTE_MS
+BUSY_STEP_MS = 20_000
+FAILURES_A_DAY = 21
+RESTARTS_A_DAY = 110
+RESTART_MS = (2 * MINUTE_MS, 10 * MINUTE_MS)
+REPAIR_MS = (4 * 60 * MINUTE_MS, 24 * 60 * MINUTE_MS)
+RESUMES_A_DAY = 4
+
+
+@dataclass(frozen=True, slots=True)
+class EightWeeks:
+    """
+    What eight weeks came to.
+
+    Attributes
+    ----------
+    missed : int
+        Hosts not maintained within the eight weeks.
+    done, stops : int
+        Permits done, and times at which an operator let a stopped wave go on.
+    broken, cut_off : int
+        Permits over a budget, and slots cut off by planned reboots.
+    """
+
+    missed: int
+    done: int
+    stops: int
+    broken: int
+    cut_off: int
+
+
+def run_eight_weeks(
+    seed: int, fleet: Fleet = LARGE, days: int = CYCLE_DAYS
+) -> EightWeeks:
+    """Run the calendar; operators look at stopped waves every six hours."""
+    world = World(fleet, seed)
+    begin_in_turn(world)
+    stops = 0
+    end_ms = START_MS + days * DAY_MS
+    for day in range(days):
+        schedule_failures(world, START_MS + day * DAY_MS)
+    look_ms = START_MS
+    while world.clock.now_ms < end_ms:
+        busy = any(wave.open for wave in world.state.waves.values())
+        world.step(BUSY_STEP_MS if busy else IDLE_STEP_MS)
+        for command in due_waves(world.state, world.clock.now_ms):
+            world.must(command)
+        if world.clock.now_ms >= look_ms:
+            look_ms += DAY_MS // RESUMES_A_DAY
+            stops += resume_stopped(world)
+            check_world(world)
+    missed = sum(
+        host.maintained_ms < START_MS and host.pool != "office"
+        for host in world.state.hosts.values()
+    )
+    done = sum(permit.step == "done" for permit in world.state.permits.values())
+    return EightWeeks(missed, done, stops, len(world.broken), world.cut_off)
+
+
+def begin_in_turn(world: World) -> None:
+    """Count each pool as maintained when its last turn began."""
+    for host in list(world.state.hosts.values()):
+        pool = world.state.pools[host.pool]
+        day = turn_started_day(pool, world.state.pools, START_MS - DAY_MS)
+        done = replace(host, maintained_ms=day * DAY_MS)
+        world.state.hosts[host.name] = done
+
+
+def schedule_failures(world: World, day_ms: int) -> None:
+    """Spread the failures and restarts of a day over it."""
+    hosts = sorted(world.services)
+    kinds = [(FAILURES_A_DAY, REPAIR_MS), (RESTARTS_A_DAY, RESTART_MS)]
+    for count, times in kinds:
+        for _ in range(count):
+            at_ms = day_ms + world.random.randrange(DAY_MS)
+            host = world.random.choice(hosts)
+            back_ms = world.draw(times)
+            world.clock.later(
+                at_ms - world.clock.now_ms,
+                lambda one=host, back=back_ms: fail(world, one, back),
+            )
+
+
+def fail(world: World, host: str, back_ms: int) -> None:
+    """Fail a host."""
+    if host in world.state.hosts:
+        world.fail(host, back_ms)
+
+
+def resume_stopped(world: World) -> int:
+    """Let stopped waves go on; return how many there were."""
+    count = 0
+    for wave in list(world.state.waves.values()):
+        if wave.phase == WavePhase.STOPPED:
+            count += 1
+            world.must(SetWavePhase(wave.name, wave.phase, WavePhase.RUNNING))
+    return count
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
+from math import gcd
 from random import Random
 
 from result import Ok
@@ -127,6 +128,8 @@
             self.must(command)
         for entry in ENTRIES:
             self.must(OpenSession(entry, entry))
+        for service in self.state.services:
+            self.must(OpenSession(ENTRIES[0], f"{ENTRIES[0]}.{service}"))
         for pool in range(self.fleet.pools):
             for number in range(self.fleet.services * self.fleet.hosts):
                 host = f"host-{pool}-{number}"
@@ -137,7 +140,10 @@
 
     def service_number(self, number: int) -> int:
         """Return the service of a host, so that each is spread over the zones."""
-        return number // len(self.fleet.zones) % self.fleet.services
+        zones, services = len(self.fleet.zones), self.fleet.services
+        if gcd(zones, services) == 1:
+            return number % services
+        return number // zones % services
 
     def elect(self, session: str, policy: RepairPolicy | None = None) -> Leader:
         """Return the tasks of a new leader."""
@@ -245,14 +251,19 @@
         if grant is None or slots_in_use(self.state, grant.target):
             return
         if self.state.target_serves(grant.target):
-            self.must(Lend(ENTRIES[0], (grant,)))
+            self.must(Lend(self.session(host), (grant,)))
 
     def return_slot(self, host: str) -> None:
         """End the call of a host."""
         self.drains.discard(host)
-        for grant in self.state.sessions[ENTRIES[0]].slots:
+        session = self.session(host)
+        for grant in self.state.sessions[session].slots:
             if grant.target == f"{host}-t":
-                self.must(ReturnLoan(ENTRIES[0], (grant,)))
+                self.must(ReturnLoan(session, (grant,)))
+
+    def session(self, host: str) -> str:
+        """Return the session that lends the slot of a host."""
+        return f"{ENTRIES[0]}.{self.services[host]}"
 
     def start_drains(self) -> None:
         """Have the calls of hosts that take no new work end after a while."""
@@ -301,8 +312,8 @@
         """Bring a host up; its target announces itself."""
         if host in self.down_since:
             del self.down_since[host]
-            self.return_slot(host)
             if host in self.services:
+                self.return_slot(host)
                 self.announce(host)
 
     def on_applied(self, event: AppliedEvent) -> None:
