--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
@@ -71,6 +71,7 @@
 
     name = "wave start"
     description = "Starts the maintenance of hosts of one pool."
+    help = "Example: <c1>mulberryledge wave start monday interior host-1 host-2</c1>"
     arguments = [WAVE, argument("pool", "Pool of the hosts."), HOSTS]
     options = [
         *COMMON_OPTIONS,
--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
@@ -7,8 +7,9 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import Answer, JobPhase, ReservationPhase
-from mulberryledge_core.model.sessions import SlotGrant, TeamGrant
+from mulberryledge_core.model.sessions import ServiceSlots, SlotGrant, TeamGrant
 
 __all__ = [
     "COMMANDS",
@@ -16,9 +17,11 @@
     "CloseSession",
     "EndJob",
     "ExpireJob",
+    "ForgetAnswers",
     "ForgetWork",
     "Lend",
     "OpenSession",
+    "Recall",
     "Reserve",
     "ReturnLoan",
     "SettleReservation",
@@ -37,6 +40,7 @@
     body: bytes
     urgent: bool = False
     repeatable: bool = True
+    size: Resources | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,14 +58,25 @@
     """
     End the given attempt of a running job.
 
-    ``phase`` is ``DONE``, ``FAILED``, ``CANCELLED``, or ``QUEUED`` to hand a job
-    back that has provably not run or may be repeated.
+    Attributes
+    ----------
+    phase : JobPhase
+        ``DONE``, ``FAILED``, ``CANCELLED``, or ``QUEUED`` to hand the job back.
+    result : bytes
+        Result or failure text; the checkpoint of a job that is handed back.
+    key : str
+        Key of the target, checked if given.
+    not_run : bool
+        Whether the target states that a job it hands back has not begun to run.
+        Otherwise a job that must not be repeated becomes unknown.
     """
 
     job_id: str
     attempt: int
     phase: JobPhase
     result: bytes = b""
+    key: str = ""
+    not_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +97,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Reserve:
-    """Claim the one run of a request that must not be repeated."""
+    """
+    Claim the one run of a request that must not be repeated.
+
+    ``token`` is new for each claim; the same claim again is the same success.
+    """
 
     request_id: str
     team: str
@@ -90,24 +109,39 @@
     digest: bytes
     entry: str
     session: str
+    token: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class SettleReservation:
-    """Record what became of a reserved request."""
+    """Record what became of a reserved request; ``token`` names the claim."""
 
     request_id: str
     team: str
     session: str
     phase: ReservationPhase
     answer: Answer | None = None
+    token: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetAnswers:
+    """Drop the kept answers of what was reserved before ``before_ms``."""
+
+    before_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class ForgetWork:
-    """Drop ended jobs and settled reservations from before ``before_ms``."""
+    """
+    Drop ended jobs and settled reservations from before ``before_ms``.
+
+    Results of jobs that ended before ``results_before_ms`` are dropped as well,
+    while the jobs stay, so that a resend still finds them.
+    """
 
     before_ms: int
+    results_before_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,11 +171,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnLoan:
-    """Lower what is lent to a session by the given amounts."""
+    """
+    Lower what is lent to a session by the given amounts.
+
+    A return with a ``sequence`` above zero takes effect once, however often it is
+    proposed; a session counts its returns up from one.
+    """
 
     session: str
     slots: tuple[SlotGrant, ...] = ()
     permits: tuple[TeamGrant, ...] = ()
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """Ask a session to return capacity as soon as its calls have ended."""
+
+    session: str
+    services: tuple[ServiceSlots, ...] = ()
+    permits: tuple[TeamGrant, ...] = ()
 
 
 COMMANDS = (
@@ -152,9 +201,11 @@
     CancelJobs,
     Reserve,
     SettleReservation,
+    ForgetAnswers,
     ForgetWork,
     OpenSession,
     CloseSession,
     Lend,
     ReturnLoan,
+    Recall,
 )
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -7,20 +7,25 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.decisions.plan import Order
+from mulberryledge_core.model.hosts import Resources
+
 __all__ = [
     "MESSAGES",
     "Acknowledged",
+    "CallDemand",
     "DemandReport",
     "InForceAsk",
     "InForceReply",
     "JobLease",
+    "JobUsage",
     "NoJob",
     "RenewJob",
-    "ServiceDemand",
     "TakeJob",
     "TakenJob",
+    "TargetUsage",
     "TargetsSeen",
-    "TeamDemand",
+    "UsageReport",
     "get_message_by_name",
 ]
 
@@ -31,37 +36,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServiceDemand:
-    """Target slots of one service that an entry could use now."""
+class CallDemand:
+    """Slots that the calls of one team to one service could use at an entry."""
 
     service: str
-    wanted: int
-
-
-@dataclass(frozen=True, slots=True)
-class TeamDemand:
-    """Permits of one team that an entry could use now."""
-
     team: str
     wanted: int
 
 
 @dataclass(frozen=True, slots=True)
 class DemandReport:
-    """What an entry could use beyond its loans; answered by log entries."""
+    """
+    Renews an entry's session and says what its calls could use.
+
+    Answered at once; capacity follows by log entries.
+
+    Attributes
+    ----------
+    short : bool
+        Whether calls wait for more than is on loan.
+    """
 
     session: str
     availability_zone: str
-    services: tuple[ServiceDemand, ...] = ()
-    teams: tuple[TeamDemand, ...] = ()
+    demands: tuple[CallDemand, ...] = ()
+    short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class TargetsSeen:
-    """Targets that renewed their leases at an entry since its last report."""
+    """
+    Targets that renewed their leases at an entry since its last report.
+
+    Attributes
+    ----------
+    gaps : tuple of int
+        Generations in rising order, each as the difference from the one before.
+    """
 
     daemon: str
-    targets: tuple[str, ...]
+    gaps: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +104,7 @@
     attempt: int
     lease_ms: int
     body: bytes
+    checkpoint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,19 +114,65 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewJob:
-    """Renew the lease of one attempt."""
+    """
+    Renew the lease of one attempt.
+
+    Attributes
+    ----------
+    wait_ms : int
+        How long the reply may wait for an order, in milliseconds; the lease
+        counts from the request.
+    """
 
     job_id: str
     attempt: int
     key: str
+    wait_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class JobLease:
-    """A renewed lease; ``cancel_requested`` asks the target to stop the job."""
+    """
+    A renewed lease.
+
+    Attributes
+    ----------
+    cancel_requested : bool
+        Whether the target should stop the job for good.
+    order : Order
+        What the target should do to make room for others.
+    """
 
     lease_ms: int
     cancel_requested: bool
+    order: Order = Order.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class JobUsage:
+    """Measured use of one running job."""
+
+    job_id: str
+    attempt: int
+    used: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class TargetUsage:
+    """Measured use of one target and of its running jobs."""
+
+    target: str
+    generation: int
+    used: Resources
+    jobs: tuple[JobUsage, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """What an entry heard of the use of targets since its last report."""
+
+    daemon: str
+    targets: tuple[TargetUsage, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +203,7 @@
         JobLease,
         InForceAsk,
         InForceReply,
+        UsageReport,
     )
 }
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -2,38 +2,36 @@
 mulberryledge_daemon.daemon
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Puts the tasks and adapters of one daemon together and runs them.
+One daemon from its start to its planned stop.
 """
 
 import logging
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from importlib.metadata import version
 
-from result import Err
 from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.task import LoopingCall, deferLater
-from twisted.web.server import Site
 
-from mulberryledge_core.commands.work import CloseSession, OpenSession
-from mulberryledge_daemon.entry.calls import Calls
-from mulberryledge_daemon.entry.client import AgentClient
-from mulberryledge_daemon.entry.loans import Loans
-from mulberryledge_daemon.http.callers import CallerInterface, caller_routes
+from mulberryledge_daemon.accounting import Accounting
+from mulberryledge_daemon.entry.tasks import EntryTasks
 from mulberryledge_daemon.http.cluster import cluster_routes
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.operators import OperatorInterface, operator_routes
-from mulberryledge_daemon.http.routing import Router
-from mulberryledge_daemon.http.targets import TargetInterface, target_routes
+from mulberryledge_daemon.http.reports import (
+    DaemonIdentity,
+    ReportInterface,
+    report_routes,
+)
+from mulberryledge_daemon.http.routing import Route, Router
+from mulberryledge_daemon.http.server import make_site
 from mulberryledge_daemon.journal import Journal
-from mulberryledge_daemon.leader.jobs import Jobs
-from mulberryledge_daemon.leader.leases import TargetLeases
-from mulberryledge_daemon.leader.lender import Lender
-from mulberryledge_daemon.leader.maintenance import Maintenance
-from mulberryledge_daemon.leader.policies import maintenance_policy, repair_policy
-from mulberryledge_daemon.leader.repair import Repair
+from mulberryledge_daemon.leader.tasks import LeaderTasks
 from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon.settings_checks import Reload, plan_reload
 
 __all__ = ["Daemon", "open_daemon"]
 
@@ -50,84 +48,68 @@
         self.reactor = reactor
         self.settings = settings
         self.log = log
-        self.session = log.session
         self.stopping = False
+        self.hurried = False
         self.loops: list[LoopingCall] = []
         self.ports: list = []
+        self.routers: list[Router] = []
+        self.sites: list = []
         name = settings.daemon.name
-        timing = settings.timing
         self.journal = Journal()
-        self.client = AgentClient(reactor)
         self.platform = HttpPlatform(reactor, settings.platform.url)
-        self.loans = Loans(
-            reactor, log, log, self.session, settings.daemon.availability_zone
+        self.accounting = Accounting(log, name, settings.daemon.data_folder)
+        self.entry = EntryTasks(
+            reactor, log, settings, lambda: self.stopping, self.accounting.observe
         )
-        self.calls = Calls(reactor, log, self.loans, self.client, name, self.session)
-        self.lender = Lender(log, log)
-        self.repair = Repair(
-            reactor,
-            log,
-            self.platform,
-            repair_policy(timing),
-            timing.target_lease_s,
-            self.journal.note,
-        )
-        self.leases = TargetLeases(
-            reactor, log, log, timing.target_lease_s, self.repair.witness
-        )
-        self.jobs = Jobs(reactor, log, log)
-        self.maintenance = Maintenance(
+        self.leader = LeaderTasks(reactor, log, settings, self.platform, self.journal)
+        self.operators = OperatorInterface(log, settings.operator)
+        self.reports = ReportInterface(
             log,
-            self.platform,
-            maintenance_policy(timing),
-            self.session,
-            self.journal.note,
+            DaemonIdentity(
+                name,
+                settings.daemon.region,
+                settings.daemon.availability_zone,
+                version("mulberryledge-daemon"),
+            ),
+            self.journal,
+            self.accounting.burn,
+            self.is_ready,
         )
-        self.targets = TargetInterface(log, log, name, timing.target_lease_s)
-        self.callers = CallerInterface(reactor, log, self.calls, lambda: self.stopping)
-        self.operators = OperatorInterface(log, settings.operator)
 
     async def start(self) -> None:
         """Open the session, listen, and start the periodic tasks."""
         listen = self.settings.listen
         await self.log.start()
-        routes = (
-            *health_routes(self.is_ready),
-            *caller_routes(self.callers),
-            *target_routes(self.targets),
-        )
-        self.listen(listen.callers_port, routes)
-        cluster = cluster_routes(self.operators.admit, self.log.status)
-        operators = (*operator_routes(self.operators), *cluster)
-        self.listen(listen.operators_port, operators)
-        await self.open_session()
-        for task in (
-            self.entry_tick,
-            self.leader_tick,
-        ):
+        health = health_routes(self.is_ready, self.accounting.metrics.text)
+        self.listen(listen.callers_port, (*health, *self.entry.routes()))
+        self.listen(listen.operators_port, self.operator_side())
+        while not await self.entry.session.ensure_open():
+            logger.warning("no leader yet")
+        for task in (self.entry_tick, self.leader.tick):
             loop = LoopingCall(lambda run=task: Deferred.fromCoroutine(run()))
             loop.clock = self.reactor
             loop.start(self.settings.timing.tick_s).addErrback(log_failure)
             self.loops.append(loop)
-        extra = {"callers_port": self.callers_port, "session": self.session}
+        extra = {
+            "callers_port": self.callers_port,
+            "session": self.entry.session.name,
+        }
         logger.info("started", extra=extra)
 
-    async def open_session(self) -> None:
-        """Begin this life of the daemon as an entry, as soon as there is a leader."""
-        command = OpenSession(self.settings.daemon.name, self.session)
-        while isinstance(await self.log.propose(command), Err):
-            logger.warning("no leader yet")
-
-    async def settle_session(self, cut_off: int) -> None:
-        """Return the loans, and end the session unless a call was cut off."""
-        await self.loans.return_idle(everything=True)
-        if not cut_off:
-            command = CloseSession(self.settings.daemon.name, self.session)
-            await self.log.propose(command)
+    def operator_side(self) -> tuple[Route, ...]:
+        """Return the routes for operators."""
+        return (
+            *operator_routes(self.operators),
+            *report_routes(self.reports, self.operators),
+            *cluster_routes(self.operators.admit, self.log.status),
+        )
 
-    def listen(self, port: int, routes: tuple) -> None:
+    def listen(self, port: int, routes: tuple[Route, ...]) -> None:
         """Serve routes on a TCP port."""
-        site = Site(Router(routes))
+        router = Router(routes, lambda: self.stopping)
+        site = make_site(router, self.reactor)
+        self.routers.append(router)
+        self.sites.append(site)
         address = self.settings.listen.address
         self.ports.append(self.reactor.listenTCP(port, site, interface=address))
 
@@ -143,23 +125,49 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send traffic here."""
-        known = self.session in self.log.state.sessions
+        known = self.entry.session.name in self.log.state.sessions
         return known and not self.stopping and self.log.is_fresh()
 
     async def entry_tick(self) -> None:
         """Run the periodic tasks of an entry."""
-        await self.targets.tick()
-        await self.loans.return_idle(everything=self.stopping)
-
-    async def leader_tick(self) -> None:
-        """Run the periodic tasks of the leader."""
-        if not self.log.is_leader():
-            self.repair.step_down()
-            return
-        await self.leases.tick()
-        await self.jobs.tick()
-        await self.repair.tick()
-        await self.maintenance.tick()
+        await self.entry.tick()
+        self.accounting.tick()
+
+    def log_position(self) -> dict[str, int]:
+        """Return the term, where the log has terms, and the applied index."""
+        position = {"index": self.log.state.applied_index}
+        if hasattr(self.log, "term"):
+            position["term"] = self.log.term
+        return position
+
+    def reload(self, settings: Settings) -> Reload:
+        """Take over what may change without a restart."""
+        planned = plan_reload(self.settings, settings)
+        self.settings = replace(
+            self.settings,
+            operator=settings.operator,
+            platform=settings.platform,
+            timing=replace(
+                self.settings.timing,
+                target_lease_s=settings.timing.target_lease_s,
+                stop_timeout_s=settings.timing.stop_timeout_s,
+            ),
+            logs=settings.logs,
+        )
+        self.operators.set_key(settings.operator)
+        self.platform.url = settings.platform.url
+        self.leader.set_lease(settings.timing.target_lease_s)
+        self.entry.set_lease(settings.timing.target_lease_s)
+        return planned
+
+    def hurry(self) -> None:
+        """Cut short a stop that waits for running requests."""
+        self.hurried = True
+
+    def unfinished(self) -> int:
+        """Return how many requests, calls and settlements have not ended."""
+        requests = sum(router.running for router in self.routers)
+        return max(requests, self.entry.unfinished())
 
     async def stop(self) -> int:
         """
@@ -168,26 +176,36 @@
         Returns
         -------
         int
-            Number of calls that the stop cut off.
+            Number of requests that the stop cut off.
         """
         self.stopping = True
-        until = self.reactor.seconds() + self.settings.timing.stop_timeout_s
-        while self.loans.running() and self.reactor.seconds() < until:
-            await deferLater(self.reactor, STOP_POLL_S)
-        cut_off = self.loans.running()
+        cut_off = await self.finish_requests()
+        running = dict(self.entry.calls.running)
         for loop in self.loops:
             loop.stop()
-        settled = Deferred.fromCoroutine(self.settle_session(cut_off))
+        for site in self.sites:
+            site.close_idle()
+        settled = Deferred.fromCoroutine(self.entry.settle(cut_off))
         settled.addTimeout(SETTLE_TIMEOUT_S, self.reactor)
         await settled.addErrback(lambda failure: failure.trap(TimeoutError))
         for port in self.ports:
             await maybeDeferred(port.stopListening)
-        await self.client.close()
+        self.accounting.save()
+        await self.entry.client.close()
         await self.platform.close()
         await self.log.stop()
-        logger.info("stopped", extra={"cut_off": cut_off})
+        logger.info("stopped", extra={"cut_off": cut_off, "calls": running})
         return cut_off
 
+    async def finish_requests(self) -> int:
+        """Wait for running requests; return how many did not end in time."""
+        until = self.reactor.seconds() + self.settings.timing.stop_timeout_s
+        while self.unfinished() and self.reactor.seconds() < until:
+            if self.hurried:
+                break
+            await deferLater(self.reactor, STOP_POLL_S)
+        return self.unfinished()
+
 
 @contextmanager
 def open_daemon(reactor, settings: Settings) -> Iterator[Daemon]:
