Put off jobs that hold a drain, and ask the budgets before a planner's drain

Cause: a drain only waited for jobs; moves between pools made targets leave without a budget check.

Change: a job on a draining host checkpoints at once where allowed, and stops after long_drain_s only where it may be repeated; LeaveTarget has within_budgets, which the planner of moves sets.

--- a/features/maintenance/steps/waves.py
+++ b/features/maintenance/steps/waves.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 from mulberryledge_testing.upkeep.chaos import Chaos
@@ -10,7 +11,12 @@
 from mulberryledge_testing.upkeep.world import World
 from result import Err, Ok
 
-from mulberryledge_core.commands.fleet import DropTarget, MoveHost, RemoveHost
+from mulberryledge_core.commands.fleet import (
+    DropTarget,
+    LeaveTarget,
+    MoveHost,
+    RemoveHost,
+)
 from mulberryledge_core.commands.maintenance import (
     AdvancePermit,
     GrantPermit,
@@ -31,6 +37,7 @@
     WavePhase,
 )
 from mulberryledge_core.model.sessions import SlotGrant
+from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.ports import RebootState
 
 SECOND_MS = 1_000
@@ -379,6 +386,63 @@
     assert job.phase == JobPhase.RUNNING, job
 
 
+@given('the queues allow "{allowed}" and their jobs are {kind}')
+def step_queues(context, allowed, kind):
+    world = context.world
+    repeatable = kind == "repeatable"
+    for service in list(world.state.services.values()):
+        queue = replace(
+            service.document.queue, repeatable=repeatable, **{allowed: True}
+        )
+        document = replace(service.document, queue=queue)
+        world.state.services[service.name] = replace(service, document=document)
+    context.orders = {}
+    orders = SimpleNamespace(order=lambda one, order: keep_order(context, one, order))
+    world.put_off = make_put_off(world.leader.log, orders)
+
+
+def keep_order(context, attempt, order):
+    context.orders[attempt.job_id] = order
+
+
+@then('the canary\'s job was asked to "{order}"')
+def step_asked(context, order):
+    number = canary(context).host.rpartition("-")[2]
+    assert context.orders.get(f"job-{number}", "none") == order, context.orders
+    others = set(context.orders) - {f"job-{number}"}
+    assert not others, context.orders
+
+
+@when("a planner drains hosts of one service one after the other")
+def step_planner_drains(context):
+    context.outcomes = [leave(context, host, True) for host in one_service(context)]
+
+
+def one_service(context):
+    services = context.world.services
+    return [host for host in services if services[host] == "service-0-0"][:2]
+
+
+def leave(context, host, within_budgets):
+    target = context.world.state.targets[f"{host}-t"]
+    command = LeaveTarget(target.name, target.generation, within_budgets)
+    return context.world.propose(command)
+
+
+@then('the second drain is refused with "{code}"')
+def step_second_drain(context, code):
+    first, second = context.outcomes
+    assert isinstance(first, Ok), first
+    assert isinstance(second, Err), second
+    assert second.err_value.code == code, second
+
+
+@then("a target that says so itself leaves")
+def step_leaves(context):
+    outcome = leave(context, one_service(context)[1], False)
+    assert isinstance(outcome, Ok), outcome
+
+
 @then("no wave and no permit is kept")
 def step_forgotten(context):
     state = context.world.state
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -123,6 +123,26 @@
       | wait   | draining |
       | skip   | serving  |
 
+  Scenario Outline: Jobs that may be put off are, and no others
+    Given the queues allow "<allowed>" and their jobs are <kind>
+    When a job of an hour runs on the canary
+    And a wave over pool 0 starts
+    And 3 minutes go by
+    Then the canary's job was asked to "<order>"
+
+    Examples:
+      | allowed        | kind            | order      |
+      | may_checkpoint | repeatable      | checkpoint |
+      | may_stop       | repeatable      | stop       |
+      | may_stop       | not repeatable  | none       |
+      | may_checkpoint | not repeatable  | none       |
+      | may_throttle   | repeatable      | none       |
+
+  Scenario: A planner's drain asks the budgets, a target's own leave does not
+    When a planner drains hosts of one service one after the other
+    Then the second drain is refused with "budget"
+    And a target that says so itself leaves
+
   Scenario: Finished waves are dropped after their time, with their permits
     When a wave over pool 0 starts
     And the wave ends
--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/fleet.py
@@ -102,10 +102,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveTarget:
-    """Give a target no new work."""
+    """
+    Give a target no new work.
+
+    ``within_budgets`` refuses what no budget would allow as a planned outage; a
+    target that says by itself that it leaves is believed.
+    """
 
     name: str
     generation: int
+    within_budgets: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/drains.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/drains.py
@@ -25,6 +25,8 @@
         Slots of the host that are lent to entries or in use by jobs.
     job : str
         Running job that is expected to end last, empty if none runs.
+    jobs : tuple of Job
+        All running jobs.
     end_ms : int
         Log time at which that job must have ended by its declared run time.
     """
@@ -32,6 +34,7 @@
     slots: int
     job: str = ""
     end_ms: int = 0
+    jobs: tuple[Job, ...] = ()
 
     @property
     def is_over(self) -> bool:
@@ -48,7 +51,8 @@
     if not jobs:
         return Drain(slots)
     last = max(jobs, key=lambda job: expected_end_ms(state, job))
-    return Drain(slots, last.job_id, expected_end_ms(state, last))
+    end_ms = expected_end_ms(state, last)
+    return Drain(slots, last.job_id, end_ms, tuple(jobs))
 
 
 def expected_end_ms(state: ClusterState, job: Job) -> int:
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/fleet.py
@@ -257,8 +257,13 @@
     target = state.targets.get(command.name)
     if target is None or target.generation != command.generation:
         return missing("target", command.name)
+    host = state.hosts.get(target.host)
+    if command.within_budgets and host is not None:
+        refusal = budget_refusal(state, host)
+        if refusal is not None:
+            return refuse(Code.BUDGET, refusal)
     state.targets[target.name] = replace(target, phase=TargetPhase.LEAVING)
-    if target.host in state.hosts:
+    if host is not None:
         cause = AbsenceCause.LEFT
         open_absence(state, target.host, target.service, cause, ctx)
     return ok(ctx.index)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -22,11 +22,12 @@
 )
 from mulberryledge_core.commands.work import EndJob
 from mulberryledge_core.decisions.drains import Drain, drain_of
+from mulberryledge_core.decisions.plan import Order
 from mulberryledge_core.decisions.quiet import in_quiet
 from mulberryledge_core.decisions.waves import candidates, choose_hosts
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
-from mulberryledge_core.model.jobs import JobPhase
+from mulberryledge_core.model.jobs import Job, JobPhase
 from mulberryledge_core.model.maintenance import (
     OPEN_STEPS,
     LongJobs,
@@ -38,6 +39,7 @@
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.absences import serving_target
 from mulberryledge_core.state.budgets import Ledger
+from mulberryledge_daemon.leader.drains import PutOff, ignore_job
 from mulberryledge_daemon.ports import (
     AppliedEvent,
     Platform,
@@ -51,6 +53,10 @@
 IDLE_PLAN_INTERVAL_MS = 5_000
 TRIAL_FAILURES = 2
 KEEP_WAVES_MS = 60 * 86_400_000
+ORDER_KINDS = {
+    Order.CHECKPOINT: DecisionKind.CHECKPOINT,
+    Order.STOP: DecisionKind.STOP,
+}
 FORGET_INTERVAL_MS = 3_600_000
 
 
@@ -87,6 +93,8 @@
         Session of this daemon, under which it claims the waves that it drives.
     note : callable
         Keeps a decision.
+    put_off : callable
+        Asks a job on a draining host to make room, where it may be asked.
     """
 
     def __init__(
@@ -96,12 +104,15 @@
         policy: MaintenancePolicy,
         session: str,
         note: Callable[[Decision], None],
+        put_off: PutOff = ignore_job,
     ):
         self.log = log
         self.platform = platform
         self.policy = policy
         self.session = session
         self.note = note
+        self.put_off = put_off
+        self.put_off_orders: dict[tuple[str, int], Order] = {}
         self.asking: set[str] = set()
         self.answers: dict[str, RebootState] = {}
         self.failures: Counter[str] = Counter()
@@ -150,6 +161,7 @@
         """Return the permits of hosts that are out."""
         state = self.log.state
         if not any(wave.open for wave in state.waves.values()):
+            self.put_off_orders.clear()
             return []
         return [one for one in state.permits.values() if one.step in OPEN_STEPS]
 
@@ -206,13 +218,27 @@
             reason = "the quiet time ended before the drain"
             await self.advance(permit, MaintenanceStep.CANCELLED, reason)
             return
-        if not drain.job or now_ms - permit.step_ms < self.policy.long_drain_ms:
+        is_long = now_ms - permit.step_ms >= self.policy.long_drain_ms
+        for job in drain.jobs:
+            self.ask_to_make_room(job, is_long)
+        if not drain.job or not is_long:
             return
         cause = f"job {drain.job!r} holds the drain, expected end {drain.end_ms} ms"
         self.say(DecisionKind.HOLD, f"host/{permit.host}", cause)
         if wave.long_jobs == LongJobs.SKIP:
             await self.advance(permit, MaintenanceStep.CANCELLED, cause)
 
+    def ask_to_make_room(self, job: Job, is_long: bool) -> None:
+        """Ask a job to checkpoint or stop, once for each attempt and order."""
+        attempt = (job.job_id, job.attempt)
+        if attempt in self.put_off_orders:
+            return
+        order = self.put_off(job, is_long)
+        if order in ORDER_KINDS:
+            self.put_off_orders[attempt] = order
+            cause = "it holds the drain of its host and may be put off"
+            self.say(ORDER_KINDS[order], f"job/{job.job_id}", cause)
+
     async def reboot(self, permit: Permit) -> None:
         """Ask the platform for the reboot and wait for the host to announce."""
         answer = self.answers.get(permit.permit_id)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/moves.py
@@ -164,7 +164,9 @@
         targets = state.indexes.targets_by_host.rows(move.host)
         for target in targets:
             if target.phase == TargetPhase.SERVING:
-                await self.log.propose(LeaveTarget(target.name, target.generation))
+                await self.log.propose(
+                    LeaveTarget(target.name, target.generation, within_budgets=True)
+                )
         if any(slots_in_use(state, target.name) for target in targets):
             return
         command = MoveHost(move.host, move.from_pool, move.to_pool)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -6,6 +6,7 @@
 """
 
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
@@ -55,7 +56,12 @@
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
         self.maintenance = Maintenance(
-            log, platform, maintenance_policy(timing), log.session, journal.note
+            log,
+            platform,
+            maintenance_policy(timing),
+            log.session,
+            journal.note,
+            make_put_off(log, self.jobs),
         )
 
     async def tick(self) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
@@ -32,6 +32,7 @@
 from mulberryledge_core.model.sessions import SlotGrant
 from mulberryledge_core.outcomes import ApplyResult
 from mulberryledge_core.state.limits import slots_in_use
+from mulberryledge_daemon.leader.drains import PutOff, ignore_job
 from mulberryledge_daemon.leader.maintenance import Maintenance, MaintenancePolicy
 from mulberryledge_daemon.leader.repair import Repair
 from mulberryledge_daemon.ports import AppliedEvent, RebootState
@@ -115,6 +116,7 @@
         self.most_out = 0
         self.moves = 0
         self.drains: set[str] = set()
+        self.put_off: PutOff = ignore_job
         self.released: set[str] = set()
         self.served: dict[str, str] = {}
         self.leader = self.elect("leader-1")
@@ -154,6 +156,7 @@
             MaintenancePolicy(probation_ms=probation_ms),
             session,
             self.decisions.append,
+            lambda job, is_long: self.put_off(job, is_long),
         )
         if policy is None:
             policy = RepairPolicy(probation_ms=probation_ms)
