--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
@@ -100,6 +100,7 @@
 
     name = "wave preview"
     description = "Shows rounds, expected end and the budget that binds."
+    help = "Example: <c1>mulberryledge wave preview interior</c1>"
     arguments = [argument("pool", "Pool of the hosts."), HOSTS]
     options = [*COMMON_OPTIONS, IGNORE_QUIET]
 
@@ -124,6 +125,7 @@
 
     name = "wave progress"
     description = "Shows how far a wave is and when it is expected to end."
+    help = "Example: <c1>mulberryledge wave progress monday</c1>"
     arguments = [WAVE]
 
     def handle(self) -> int:
@@ -167,6 +169,7 @@
 
     name = "wave pause"
     description = "Takes no further host out; hosts that are out finish."
+    help = "Example: <c1>mulberryledge wave pause monday</c1>"
     phase = WavePhase.PAUSED
 
 
@@ -175,6 +178,7 @@
 
     name = "wave resume"
     description = "Lets a paused or stopped wave go on, after a stop with a canary."
+    help = "Example: <c1>mulberryledge wave resume monday</c1>"
     phase = WavePhase.RUNNING
 
 
@@ -183,6 +187,7 @@
 
     name = "wave abandon"
     description = "Ends a wave; draining hosts serve again, rebooting ones finish."
+    help = "Example: <c1>mulberryledge wave abandon monday</c1>"
     phase = WavePhase.ABANDONED
 
 
@@ -213,6 +218,7 @@
 
     name = "hold set"
     description = "Holds a host, or the hosts of a service, out of maintenance."
+    help = "Example: <c1>mulberryledge hold set host host-1 --reason disk</c1>"
 
     def handle(self) -> int:
         """Begin the hold."""
@@ -224,6 +230,7 @@
 
     name = "hold end"
     description = "Ends the hold of a host or service."
+    help = "Example: <c1>mulberryledge hold end host host-1</c1>"
 
     def handle(self) -> int:
         """End the hold."""
@@ -235,6 +242,7 @@
 
     name = "host release"
     description = "Counts a host that is out for a service no longer."
+    help = "Example: <c1>mulberryledge host release host-1 route-plans</c1>"
     arguments = [argument("host", "The host."), argument("service", "The service.")]
 
     def handle(self) -> int:
