Stop waves on relapses, cancel drains that outlast the quiet time, start due waves

Cause: hosts lost just after their maintenance did not stop a wave; a drain ending after the quiet time was rebooted; nothing started the calendar's waves.

--- a/features/maintenance/steps/repair.py
+++ b/features/maintenance/steps/repair.py
@@ -1,6 +1,7 @@
 """Steps on the repair over a fleet in memory."""
 
 from behave import given, then, when
+from mulberryledge_testing.upkeep.fakes import run_now
 from waves import MINUTE_MS, SECOND_MS, host_of, pass_time, pass_until
 
 from mulberryledge_core.commands.fleet import AddHost, CreatePool
@@ -15,6 +16,7 @@
 from mulberryledge_core.state import ClusterState, Context, apply
 from mulberryledge_core.state.absences import DAY_MS
 from mulberryledge_core.state.budgets import service_hosts
+from mulberryledge_daemon.leader.calendar import Calendar
 
 
 def phases(context, names):
@@ -251,3 +253,17 @@
         pool = context.state.pools[context.state.hosts[host].pool]
         assert host in {one.name for one in due_hosts(context.state, pool, now_ms)}
         assert not overdue_hosts(context.state, now_ms), day
+
+
+@when("the calendar is {setting} and the leader looks twice")
+def step_calendar(context, setting):
+    world = context.world
+    calendar = Calendar(world.leader.log, setting == "on", world.decisions.append)
+    for _ in range(2):
+        run_now(calendar.tick())
+        world.clock.advance(2 * MINUTE_MS)
+
+
+@then("{count:d} waves have started")
+def step_started(context, count):
+    assert len(context.world.state.waves) == count, context.world.state.waves
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -29,6 +29,12 @@
       | fails its first jobs       | failed 2 jobs       |
       | is failed by the platform  | the platform failed |
 
+  Scenario: Hosts that are lost soon after their maintenance stop the wave
+    When a wave over pool 0 starts
+    And its canary is done, proved and lost again
+    Then the wave stops and names its canary and "lost soon after"
+    And it goes no further in an hour
+
   Scenario: A host that never comes back stays counted as lost
     When a wave over pool 0 starts
     And its canary never comes back
@@ -52,6 +58,13 @@
       | 1380  | 120  | 121  | no hosts |
       | 0     | 0    | 700  | hosts    |
 
+  Scenario: A drain that outlasts the quiet time ends without a reboot
+    Given pool 0 is quiet from minute 60 to 80
+    When drains take 30 minutes
+    And a wave over pool 0 starts at minute 60
+    And 25 minutes go by
+    Then no host is out and none was rebooted
+
   Scenario: Two waves over pools that share services
     Given every other host of pool 1 serves a service of pool 0
     When a wave over pool 0 starts
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
@@ -196,6 +196,8 @@
         Permits that are not over.
     streak : int
         Hosts done since the start or the last stop; the wave widens with it.
+    resumed_ms : int
+        Log time at which the wave last went on after a stop, zero if never.
     """
 
     name: str
@@ -212,6 +214,7 @@
     revision: int = 0
     open: int = 0
     streak: int = 0
+    resumed_ms: int = 0
 
     def permit_id(self, host: str) -> str:
         """Return the identifier of the one permit that the wave may hold for a host."""
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -37,6 +37,7 @@
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
 from mulberryledge_core.state.budgets import Ledger
 from mulberryledge_core.state.limits import slots_in_use
+from mulberryledge_core.state.stops import enter_wave_phase, stop_wave
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["APPLIERS", "GROWTH", "width"]
@@ -124,16 +125,6 @@
     return ok(ctx.index)
 
 
-def enter_wave_phase(
-    state: ClusterState, wave: Wave, phase: WavePhase, reason: str
-) -> None:
-    """Replace the phase; a wave that goes on after a stop begins with a canary."""
-    streak = 0 if wave.phase == WavePhase.STOPPED else wave.streak
-    state.waves[wave.name] = replace(
-        wave, phase=phase, reason=reason, revision=wave.revision + 1, streak=streak
-    )
-
-
 def claim_wave(state: ClusterState, command: ClaimWave, ctx: Context) -> ApplyResult:
     """Make one daemon the only one that may drive the wave."""
     wave = state.waves.get(command.name)
@@ -310,12 +301,6 @@
         close_absence(state, name, service, ctx)
 
 
-def stop_wave(state: ClusterState, wave: Wave, reason: str) -> None:
-    """Stop a wave until an operator lets it go on."""
-    if wave.phase in (WavePhase.RUNNING, WavePhase.PAUSED):
-        enter_wave_phase(state, wave, WavePhase.STOPPED, reason)
-
-
 def forget_waves(
     state: ClusterState, command: ForgetWaves, ctx: Context
 ) -> ApplyResult:
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/stops.py
@@ -0,0 +1,34 @@
+"""
+mulberryledge_core.state.stops
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Changes of a wave's phase.
+"""
+
+from dataclasses import replace
+
+from mulberryledge_core.model.maintenance import Wave, WavePhase
+from mulberryledge_core.state.tables import ClusterState
+
+__all__ = ["enter_wave_phase", "stop_wave"]
+
+
+def enter_wave_phase(
+    state: ClusterState, wave: Wave, phase: WavePhase, reason: str
+) -> None:
+    """Replace the phase; a wave that goes on after a stop begins with a canary."""
+    stopped = wave.phase == WavePhase.STOPPED
+    state.waves[wave.name] = replace(
+        wave,
+        phase=phase,
+        reason=reason,
+        revision=wave.revision + 1,
+        streak=0 if stopped else wave.streak,
+        resumed_ms=state.now_ms if stopped else wave.resumed_ms,
+    )
+
+
+def stop_wave(state: ClusterState, wave: Wave, reason: str) -> None:
+    """Stop a wave until an operator lets it go on."""
+    if wave.phase in (WavePhase.RUNNING, WavePhase.PAUSED):
+        enter_wave_phase(state, wave, WavePhase.STOPPED, reason)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -24,6 +24,7 @@
 from mulberryledge_core.decisions.drains import Drain, drain_of
 from mulberryledge_core.decisions.plan import Order
 from mulberryledge_core.decisions.quiet import in_quiet
+from mulberryledge_core.decisions.relapses import relapse_cause
 from mulberryledge_core.decisions.waves import candidates, choose_hosts
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
@@ -181,8 +182,12 @@
             await self.log.propose(ForgetWaves(before_ms))
 
     async def advance_wave(self, wave: Wave, ledger: Ledger) -> None:
-        """Ask for permits for the hosts that go next."""
+        """Ask for permits for the hosts that go next, unless the wave must stop."""
         wave = self.log.state.waves[wave.name]
+        cause = relapse_cause(self.log.state, wave, self.log.time_ms())
+        if cause:
+            await self.stop(wave, cause)
+            return
         choice = choose_hosts(self.log.state, wave, self.log.time_ms(), ledger)
         for blocked in choice.blocked[:1]:
             self.say(DecisionKind.HOLD, f"wave/{wave.name}", blocked.cause)
@@ -203,8 +208,12 @@
         state = self.log.state
         wave = state.waves[permit.wave]
         drain = drain_of(state, permit.host)
+        quiet = in_quiet(state.pools[wave.pool], self.log.time_ms())
         if wave.phase == WavePhase.ABANDONED:
             await self.advance(permit, MaintenanceStep.CANCELLED, "wave abandoned")
+        elif not wave.ignore_quiet and not quiet:
+            reason = "the quiet time ended before the drain"
+            await self.advance(permit, MaintenanceStep.CANCELLED, reason)
         elif drain.is_over:
             await self.advance(permit, MaintenanceStep.REBOOTING)
         else:
@@ -212,13 +221,7 @@
 
     async def wait_for_drain(self, wave: Wave, permit: Permit, drain: Drain) -> None:
         """Tell the operator of a long job; skip the host where the wave says so."""
-        now_ms = self.log.time_ms()
-        pool = self.log.state.pools[wave.pool]
-        if not wave.ignore_quiet and not in_quiet(pool, now_ms):
-            reason = "the quiet time ended before the drain"
-            await self.advance(permit, MaintenanceStep.CANCELLED, reason)
-            return
-        is_long = now_ms - permit.step_ms >= self.policy.long_drain_ms
+        is_long = self.log.time_ms() - permit.step_ms >= self.policy.long_drain_ms
         for job in drain.jobs:
             self.ask_to_make_room(job, is_long)
         if not drain.job or not is_long:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -6,6 +6,7 @@
 """
 
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.calendar import Calendar
 from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
@@ -63,6 +64,7 @@
             journal.note,
             make_put_off(log, self.jobs),
         )
+        self.calendar = Calendar(log, settings.maintenance.calendar, journal.note)
 
     async def tick(self) -> None:
         """Run the periodic tasks, or forget what only a leader may know."""
@@ -79,6 +81,7 @@
             self.retention,
             self.repair,
             self.maintenance,
+            self.calendar,
         ):
             await task.tick()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -22,6 +22,7 @@
     "DaemonSection",
     "ListenSection",
     "LogsSection",
+    "MaintenanceSection",
     "OperatorSection",
     "PeerSection",
     "PlatformSection",
@@ -137,6 +138,21 @@
     repair_replace_s: float = 900.0
 
 
+@dataclass(frozen=True, slots=True)
+class MaintenanceSection:
+    """
+    What the leader begins by itself.
+
+    Attributes
+    ----------
+    calendar : bool
+        Whether the leader starts a wave for each pool in turn, so that each host is
+        maintained once in eight weeks.
+    """
+
+    calendar: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class LogsSection:
     """Level of the log: ``debug``, ``info``, ``warning`` or ``error``."""
@@ -153,6 +169,7 @@
     operator: OperatorSection = OperatorSection()
     platform: PlatformSection = PlatformSection()
     timing: TimingSection = TimingSection()
+    maintenance: MaintenanceSection = MaintenanceSection()
     logs: LogsSection = LogsSection()
     weights: Weights = Weights()
     peers: tuple[PeerSection, ...] = field(default=())
