--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -216,11 +216,12 @@
     )
 
 
-def requeued(job: Job, ctx: Context) -> Job:
+def requeued(job: Job, ctx: Context, not_run: bool = False) -> Job:
     """Return a job that waits again, or is cancelled if that was asked for."""
+    assert job.repeatable or not_run, f"job {job.job_id!r} may not run again"
     if job.cancel_requested:
-        return replace(ended(job, JobPhase.CANCELLED, b"", ctx), target="")
-    return replace(job, phase=JobPhase.QUEUED, target="")
+        return ended(job, JobPhase.CANCELLED, b"", ctx)
+    return replace(job, phase=JobPhase.QUEUED)
 
 
 def finished(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
@@ -243,7 +244,7 @@
 def handed_back(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
     """Return a job that waits again if it has not run or may be repeated."""
     if command.not_run:
-        return requeued(job, ctx)
+        return requeued(job, ctx, not_run=True)
     if not job.repeatable:
         return ended(job, JobPhase.UNKNOWN, command.result, ctx)
     checkpoint = command.result or job.checkpoint
