Ask the platform every 2 s, drain nothing without one, tell a cause once

Change: one request a permit in 2 s (never longer than the probation); waves hold without a platform; causes name fixed times.

--- a/features/maintenance/steps/waves.py
+++ b/features/maintenance/steps/waves.py
@@ -275,6 +275,23 @@
     context.world.must(RemoveHost(name))
 
 
+@when("there is no platform")
+def step_no_platform(context):
+    context.world.platform.is_set = False
+
+
+@when('host "{host}" is lost for {minutes:d} minutes')
+def step_lose(context, host, minutes):
+    context.world.fail(host, minutes * MINUTE_MS)
+
+
+@then("each cause of a wait is told in the same words")
+def step_same_words(context):
+    told = [one for one in context.world.decisions if one.kind == "hold"]
+    assert len(told) > 20, told
+    assert len({one.cause for one in told}) < 10, {one.cause for one in told}
+
+
 @when("the wave ends")
 def step_end(context):
     pass_until(context, lambda: wave(context).phase == WavePhase.DONE)
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -156,6 +156,18 @@
     Then the second drain is refused with "budget"
     And a target that says so itself leaves
 
+  Scenario: Without a platform no host is drained
+    When there is no platform
+    And a wave over pool 0 starts
+    And 2 minutes go by
+    Then the wave has taken no hosts out
+
+  Scenario: What binds a wave is told once
+    When host "host-0-0" is lost for 60 minutes
+    And a wave over pool 0 starts
+    And 20 minutes go by
+    Then each cause of a wait is told in the same words
+
   Scenario: Finished waves are dropped after their time, with their permits
     When a wave over pool 0 starts
     And the wave ends
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
@@ -146,7 +146,7 @@
         return Choice()
     left_ms = quiet_left_ms(state.pools[wave.pool], now_ms)
     if not wave.ignore_quiet and left_ms < EXPECTED_OUTAGE_MS:
-        cause = f"pool {wave.pool!r} has {left_ms} ms of quiet time left"
+        cause = f"pool {wave.pool!r}: too little or no quiet time is left"
         return Choice(blocked=(Blocked(waiting[0].name, cause),))
     if ledger is None:
         ledger = Ledger(state, services_of(waiting))
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/budgets.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/budgets.py
@@ -33,6 +33,7 @@
 LOSS_SETTLE_MS = 600_000
 MINUTE_MS = 60_000
 TRIAL_SLOTS = 1
+UNPLANNED_LOSS = "unplanned_loss"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,8 @@
     field : str
         Name in the section ``[availability]``, or ``unplanned_loss``.
     bound, value : int
-        Allowed value, and the value that would come about.
+        Allowed value, and the value that would come about; for an unplanned loss
+        the log times of the loss and of the end of the wait.
     """
 
     service: str
@@ -55,6 +57,11 @@
 
     def text(self) -> str:
         """Return a sentence for people."""
+        if self.field == UNPLANNED_LOSS:
+            return (
+                f"service {self.service!r}: {self.field} is at {self.bound} ms,"
+                f" wait until {self.value} ms or until the host proved itself"
+            )
         return (
             f"service {self.service!r}: {self.field} is {self.bound},"
             f" {self.value} would be reached"
@@ -174,9 +181,9 @@
             count = self.counts.get(name)
             if count is None or not count.loss_ms:
                 continue
-            age_ms = self.now_ms - count.loss_ms
-            if age_ms < LOSS_SETTLE_MS:
-                return Binding(name, "unplanned_loss", LOSS_SETTLE_MS, age_ms)
+            until_ms = count.loss_ms + LOSS_SETTLE_MS
+            if self.now_ms < until_ms:
+                return Binding(name, UNPLANNED_LOSS, count.loss_ms, until_ms)
         return None
 
     def take(self, host: Host) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -52,6 +52,7 @@
 
 PLAN_INTERVAL_MS = 1_000
 IDLE_PLAN_INTERVAL_MS = 5_000
+MAX_POLL_MS = 2_000
 TRIAL_FAILURES = 2
 KEEP_WAVES_MS = 60 * 86_400_000
 ORDER_KINDS = {
@@ -83,6 +84,11 @@
     timeout_ms: int = 900_000
     long_drain_ms: int = 30_000
 
+    @property
+    def poll_ms(self) -> int:
+        """Time between requests to the platform about one reboot."""
+        return min(MAX_POLL_MS, self.probation_ms)
+
 
 class Maintenance:
     """
@@ -115,6 +121,7 @@
         self.put_off = put_off
         self.put_off_orders: dict[tuple[str, int], Order] = {}
         self.asking: set[str] = set()
+        self.asked_ms: dict[str, int] = {}
         self.answers: dict[str, RebootState] = {}
         self.failures: Counter[str] = Counter()
         self.planned_ms = 0
@@ -153,7 +160,11 @@
         """Grant what the budgets allow, for all running waves together."""
         state = self.log.state
         running = [w for w in state.waves.values() if w.phase == WavePhase.RUNNING]
-        if running:
+        if running and not self.platform.is_set:
+            for wave in running:
+                cause = "settings name no platform that could reboot hosts"
+                self.say(DecisionKind.HOLD, f"wave/{wave.name}", cause)
+        elif running:
             ledger = Ledger(state)
             for wave in running:
                 await self.advance_wave(wave, ledger)
@@ -274,9 +285,14 @@
 
     def ask(self, permit: Permit) -> None:
         """Ask the platform without waiting; one question a permit at a time."""
-        if permit.permit_id not in self.asking:
-            self.asking.add(permit.permit_id)
-            ensureDeferred(self.exchange(permit.permit_id, permit.host))
+        name = permit.permit_id
+        now_ms = self.log.time_ms()
+        early = now_ms - self.asked_ms.get(name, 0) < self.policy.poll_ms
+        if early or name in self.asking or self.answers.get(name) == RebootState.UP:
+            return
+        self.asked_ms[name] = now_ms
+        self.asking.add(name)
+        ensureDeferred(self.exchange(name, permit.host))
 
     async def exchange(self, permit_id: str, host: str) -> None:
         """Ask for the reboot, which the platform carries out once a permit."""
@@ -316,6 +332,7 @@
             return
         if step not in OPEN_STEPS:
             self.answers.pop(permit.permit_id, None)
+            self.asked_ms.pop(permit.permit_id, None)
             self.failures.pop(permit.host, None)
         if step == MaintenanceStep.FAILED:
             self.say(
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/platform.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/platform.py
@@ -31,6 +31,7 @@
     def __init__(self, reactor, url: str):
         self.reactor = reactor
         self.url = url
+        self.is_set = bool(url)
         self.pool = HTTPConnectionPool(reactor)
         self.agent = Agent(reactor, TIMEOUT_S, pool=self.pool)
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -243,7 +243,16 @@
 
 
 class Platform(Protocol):
-    """The platform's host operations."""
+    """
+    The platform's host operations.
+
+    Attributes
+    ----------
+    is_set : bool
+        Whether there is a platform to ask.
+    """
+
+    is_set: bool
 
     def reboot(self, host: str, permit_id: str) -> Awaitable[RebootState]:
         """Ask for a reboot; the same permit again is the same reboot."""
