Roll service documents out by waves, from acceptance to the last host

Cause: a version that needs restarts had no way through the budgets.

Change: a wave may carry a service and version; it stops once another version is in force, and its end tells the time since the version was accepted. wave roll-out.

--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -156,6 +156,18 @@
     Then the second drain is refused with "budget"
     And a target that says so itself leaves
 
+  Scenario: A service document is rolled out by a wave within the same budgets
+    When version 2 of "service-0-0" is accepted and rolled out
+    Then the wave ends with all 6 hosts done and none cut off
+    And the time from acceptance to the last host is told
+
+  Scenario: A roll-out stops when another version is accepted
+    When version 2 of "service-0-0" is accepted and rolled out
+    And version 3 of "service-0-0" is accepted
+    And 10 minutes go by
+    Then the wave is "stopped" because of "is at version 3 now"
+    And rolling version 2 out again is refused with "conflict"
+
   Scenario: Without a platform no host is drained
     When there is no platform
     And a wave over pool 0 starts
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
@@ -13,6 +13,7 @@
 from mulberryledge_cli.client import Failure
 from mulberryledge_cli.commands.base import (
     COMMON_OPTIONS,
+    EXIT_OK,
     EXIT_REFUSED,
     OperatorCommand,
 )
@@ -24,6 +25,7 @@
     SetWavePhase,
     StartWave,
 )
+from mulberryledge_core.decisions.rollouts import rollout_ms, rollout_waves
 from mulberryledge_core.decisions.waves import Plan, Progress, plan_wave, wave_progress
 from mulberryledge_core.model.maintenance import LongJobs, Wave, WavePhase
 from mulberryledge_core.state import ClusterState
@@ -95,6 +97,30 @@
         return self.show(self.client().propose(command), f"wave {command.name} runs")
 
 
+class WaveRollOut(MaintenanceCommand):
+    """Roll a service document out."""
+
+    name = "wave roll-out"
+    description = "Restarts the hosts of a service by waves, for its version in force."
+    arguments = [argument("service", "The service.")]
+
+    def handle(self) -> int:
+        """Start a wave in each pool that has hosts of the service."""
+        fetched = self.state()
+        if isinstance(fetched, Err):
+            return self.fail(fetched.err_value)
+        state = fetched.ok_value
+        name = self.argument("service")
+        if name not in state.services:
+            failure = Failure("not-found", f"service {name!r} does not exist")
+            return self.fail(failure)
+        codes = [EXIT_OK]
+        for command in rollout_waves(state, state.services[name]):
+            outcome = self.client().propose(command)
+            codes.append(self.show(outcome, f"wave {command.name} runs"))
+        return max(codes)
+
+
 class WavePreview(MaintenanceCommand):
     """Show what a wave would do."""
 
@@ -139,6 +165,11 @@
         progress = wave_progress(fetched.ok_value, wave.ok_value, now_ms())
         for line in progress_lines(progress):
             self.line(line)
+        took_ms = rollout_ms(fetched.ok_value, wave.ok_value)
+        if took_ms is not None:
+            version = wave.ok_value.version
+            text = f"version {version} reached the last host after {took_ms / 1_000} s"
+            self.line(text)
         return 0
 
 
@@ -283,6 +314,7 @@
 
 COMMANDS = (
     WaveStart,
+    WaveRollOut,
     WavePreview,
     WaveProgress,
     WavePause,
--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/maintenance.py
@@ -27,13 +27,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StartWave:
-    """Start the maintenance of hosts of one pool."""
+    """
+    Start the maintenance of hosts of one pool.
+
+    With a service and a version, the wave rolls that version out to hosts of the
+    service, and takes no further host out once another version is in force.
+    """
 
     name: str
     pool: str
     hosts: tuple[str, ...]
     ignore_quiet: bool = False
     long_jobs: LongJobs = LongJobs.WAIT
+    service: str = ""
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/maintenance.py
@@ -198,6 +198,10 @@
         Hosts done since the start or the last stop; the wave widens with it.
     resumed_ms : int
         Log time at which the wave last went on after a stop, zero if never.
+    ended_ms : int
+        Log time at which the wave was done or abandoned, zero before.
+    service, version : str, int
+        Service document that the wave rolls out; empty and zero for none.
     """
 
     name: str
@@ -215,6 +219,9 @@
     open: int = 0
     streak: int = 0
     resumed_ms: int = 0
+    ended_ms: int = 0
+    service: str = ""
+    version: int = 0
 
     def permit_id(self, host: str) -> str:
         """Return the identifier of the one permit that the wave may hold for a host."""
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -80,7 +80,8 @@
         return bad_name("wave", command.name)
     present = state.waves.get(command.name)
     if present is not None:
-        if (present.pool, present.hosts) == (command.pool, command.hosts):
+        fields = ("pool", "hosts", "service", "version")
+        if all(getattr(present, one) == getattr(command, one) for one in fields):
             return ok(present.index, "present")
         return refuse(Code.EXISTS, f"wave {command.name!r} exists with other hosts")
     if not command.hosts:
@@ -91,6 +92,11 @@
         host = state.hosts.get(name)
         if host is None or host.pool != command.pool:
             return missing(f"host of pool {command.pool!r}", name)
+        if command.service and command.service not in host.upkeep.services:
+            return missing(f"host of service {command.service!r}", name)
+    refusal = rollout_refusal(state, command.service, command.version)
+    if refusal is not None:
+        return refusal
     state.waves[command.name] = Wave(
         name=command.name,
         pool=command.pool,
@@ -100,10 +106,25 @@
         long_jobs=command.long_jobs,
         index=ctx.index,
         revision=1,
+        service=command.service,
+        version=command.version,
     )
     return ok(ctx.index)
 
 
+def rollout_refusal(state: ClusterState, name: str, version: int) -> ApplyResult | None:
+    """Return why a version of a service may not be rolled out, or None."""
+    if not name:
+        return None
+    service = state.services.get(name)
+    if service is None:
+        return missing("service", name)
+    if service.version != version:
+        text = f"service {name!r} is at version {service.version}, not {version}"
+        return refuse(Code.CONFLICT, text)
+    return None
+
+
 def set_wave_phase(
     state: ClusterState, command: SetWavePhase, ctx: Context
 ) -> ApplyResult:
@@ -177,6 +198,9 @@
         return refuse(Code.STALE, f"wave {wave.name!r} is driven by {wave.holder!r}")
     if wave.phase != WavePhase.RUNNING:
         return refuse(Code.CONFLICT, f"wave {wave.name!r} is {wave.phase}")
+    refusal = rollout_refusal(state, wave.service, wave.version)
+    if refusal is not None:
+        return refusal
     if wave.open >= width(wave):
         text = f"wave {wave.name!r} may have {width(wave)} hosts out for now"
         return refuse(Code.LIMIT, text)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/stops.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/stops.py
@@ -18,12 +18,14 @@
 ) -> None:
     """Replace the phase; a wave that goes on after a stop begins with a canary."""
     stopped = wave.phase == WavePhase.STOPPED
+    ended = phase in (WavePhase.DONE, WavePhase.ABANDONED)
     state.waves[wave.name] = replace(
         wave,
         phase=phase,
         reason=reason,
         revision=wave.revision + 1,
         streak=0 if stopped else wave.streak,
+        ended_ms=state.now_ms if ended else 0,
         resumed_ms=state.now_ms if stopped else wave.resumed_ms,
     )
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -25,6 +25,7 @@
 from mulberryledge_core.decisions.plan import Order
 from mulberryledge_core.decisions.quiet import in_quiet
 from mulberryledge_core.decisions.relapses import relapse_cause
+from mulberryledge_core.decisions.rollouts import overtaken_cause, rollout_ms
 from mulberryledge_core.decisions.waves import candidates, choose_hosts
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
@@ -195,7 +196,9 @@
     async def advance_wave(self, wave: Wave, ledger: Ledger) -> None:
         """Ask for permits for the hosts that go next, unless the wave must stop."""
         wave = self.log.state.waves[wave.name]
-        cause = relapse_cause(self.log.state, wave, self.log.time_ms())
+        cause = overtaken_cause(self.log.state, wave) or relapse_cause(
+            self.log.state, wave, self.log.time_ms()
+        )
         if cause:
             await self.stop(wave, cause)
             return
@@ -213,6 +216,14 @@
         if not wave.open and not candidates(self.log.state, wave):
             command = SetWavePhase(wave.name, WavePhase.RUNNING, WavePhase.DONE)
             await self.log.propose(command)
+            self.tell_rollout(self.log.state.waves[wave.name])
+
+    def tell_rollout(self, wave: Wave) -> None:
+        """Tell how long a roll-out took from acceptance to its last host."""
+        took_ms = rollout_ms(self.log.state, wave)
+        if took_ms is not None:
+            cause = f"version {wave.version} reached the last host after {took_ms} ms"
+            self.say(DecisionKind.PERMIT, f"service/{wave.service}", cause)
 
     async def drain(self, permit: Permit) -> None:
         """Go on to the reboot once nothing runs on the host."""
