--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -28,6 +28,7 @@
     "PlatformSection",
     "Settings",
     "TimingSection",
+    "TlsSection",
     "load_settings",
 ]
 
@@ -160,6 +161,24 @@
     level: LogLevel = LogLevel.INFO
 
 
+@dataclass(frozen=True, slots=True)
+class TlsSection:
+    """
+    PEM files for mutual TLS between daemons; all empty for none.
+
+    Attributes
+    ----------
+    certificate, private_key : str
+        Of this daemon; the certificate carries the daemon's name.
+    authority : str
+        Certificates whose signature the others' certificates must carry.
+    """
+
+    certificate: str = ""
+    private_key: str = ""
+    authority: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon."""
@@ -171,6 +190,7 @@
     timing: TimingSection = TimingSection()
     maintenance: MaintenanceSection = MaintenanceSection()
     logs: LogsSection = LogsSection()
+    tls: TlsSection = TlsSection()
     weights: Weights = Weights()
     peers: tuple[PeerSection, ...] = field(default=())
 
