--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/maintenance.py
@@ -37,6 +37,7 @@
 from mulberryledge_core.state.answers import bad_name, missing, ok, refuse
 from mulberryledge_core.state.budgets import Ledger
 from mulberryledge_core.state.limits import slots_in_use
+from mulberryledge_core.state.stops import enter_wave_phase, stop_wave
 from mulberryledge_core.state.tables import ClusterState, Context
 
 __all__ = ["APPLIERS", "GROWTH", "width"]
@@ -79,7 +80,8 @@
         return bad_name("wave", command.name)
     present = state.waves.get(command.name)
     if present is not None:
-        if (present.pool, present.hosts) == (command.pool, command.hosts):
+        fields = ("pool", "hosts", "service", "version")
+        if all(getattr(present, one) == getattr(command, one) for one in fields):
             return ok(present.index, "present")
         return refuse(Code.EXISTS, f"wave {command.name!r} exists with other hosts")
     if not command.hosts:
@@ -90,6 +92,11 @@
         host = state.hosts.get(name)
         if host is None or host.pool != command.pool:
             return missing(f"host of pool {command.pool!r}", name)
+        if command.service and command.service not in host.upkeep.services:
+            return missing(f"host of service {command.service!r}", name)
+    refusal = rollout_refusal(state, command.service, command.version)
+    if refusal is not None:
+        return refusal
     state.waves[command.name] = Wave(
         name=command.name,
         pool=command.pool,
@@ -99,10 +106,25 @@
         long_jobs=command.long_jobs,
         index=ctx.index,
         revision=1,
+        service=command.service,
+        version=command.version,
     )
     return ok(ctx.index)
 
 
+def rollout_refusal(state: ClusterState, name: str, version: int) -> ApplyResult | None:
+    """Return why a version of a service may not be rolled out, or None."""
+    if not name:
+        return None
+    service = state.services.get(name)
+    if service is None:
+        return missing("service", name)
+    if service.version != version:
+        text = f"service {name!r} is at version {service.version}, not {version}"
+        return refuse(Code.CONFLICT, text)
+    return None
+
+
 def set_wave_phase(
     state: ClusterState, command: SetWavePhase, ctx: Context
 ) -> ApplyResult:
@@ -124,16 +146,6 @@
     return ok(ctx.index)
 
 
-def enter_wave_phase(
-    state: ClusterState, wave: Wave, phase: WavePhase, reason: str
-) -> None:
-    """Replace the phase; a wave that goes on after a stop begins with a canary."""
-    streak = 0 if wave.phase == WavePhase.STOPPED else wave.streak
-    state.waves[wave.name] = replace(
-        wave, phase=phase, reason=reason, revision=wave.revision + 1, streak=streak
-    )
-
-
 def claim_wave(state: ClusterState, command: ClaimWave, ctx: Context) -> ApplyResult:
     """Make one daemon the only one that may drive the wave."""
     wave = state.waves.get(command.name)
@@ -186,6 +198,9 @@
         return refuse(Code.STALE, f"wave {wave.name!r} is driven by {wave.holder!r}")
     if wave.phase != WavePhase.RUNNING:
         return refuse(Code.CONFLICT, f"wave {wave.name!r} is {wave.phase}")
+    refusal = rollout_refusal(state, wave.service, wave.version)
+    if refusal is not None:
+        return refusal
     if wave.open >= width(wave):
         text = f"wave {wave.name!r} may have {width(wave)} hosts out for now"
         return refuse(Code.LIMIT, text)
@@ -310,12 +325,6 @@
         close_absence(state, name, service, ctx)
 
 
-def stop_wave(state: ClusterState, wave: Wave, reason: str) -> None:
-    """Stop a wave until an operator lets it go on."""
-    if wave.phase in (WavePhase.RUNNING, WavePhase.PAUSED):
-        enter_wave_phase(state, wave, WavePhase.STOPPED, reason)
-
-
 def forget_waves(
     state: ClusterState, command: ForgetWaves, ctx: Context
 ) -> ApplyResult:
