--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
@@ -17,7 +17,9 @@
 
 from mulberryledge_core.codec import decode_command, encode, encode_command
 from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget
+from mulberryledge_core.commands.work import EndJob, StartJob, SubmitJob
 from mulberryledge_core.messages import TargetsSeen
+from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.outcomes import RunOutcome
 from mulberryledge_core.state import ClusterState, Context, apply, restore, snapshot
 from mulberryledge_daemon.burn.recorder import BurnRecorder
@@ -26,6 +28,7 @@
 from mulberryledge_testing.bench.measures import LOWER, Measure
 from mulberryledge_testing.bench.sizing.fits import slope_measures
 from mulberryledge_testing.bench.sizing.fleets import (
+    JOB_BODY_BYTES,
     TWO_YEARS,
     FleetSize,
     build_state,
@@ -64,6 +67,7 @@
     yield from two_year_state()
     yield from command_costs()
     yield from message_bytes()
+    yield from record_bytes()
     yield from burn_costs()
     yield from process_costs()
     yield from client_costs()
@@ -142,6 +146,18 @@
     yield from slope_measures(name, "bytes", sizes, costs)
 
 
+def record_bytes() -> Iterator[Measure]:
+    """Yield the bytes that one job puts into the log from submission to end."""
+    job_id, target = f"{0:032x}", "target-1"
+    records = (
+        SubmitJob(job_id, "service-1", "team-1", bytes(JOB_BODY_BYTES)),
+        StartJob(job_id, target, 1_000_000, "000000000000"),
+        EndJob(job_id, 1, JobPhase.DONE, b"done"),
+    )
+    total = sum(len(encode_command(record)) for record in records)
+    yield Measure("operations.record_bytes_per_job", total, "bytes", LOWER)
+
+
 def burn_costs() -> Iterator[Measure]:
     """Yield the cost of counting a call, and of keeping the counts."""
     state = build_state(FleetSize(teams=BURN_SERIES))
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/fleets.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/fleets.py
@@ -16,7 +16,7 @@
 from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.state import ClusterState, Context, apply
 
-__all__ = ["TWO_YEARS", "FleetSize", "build_state", "commands_for"]
+__all__ = ["JOB_BODY_BYTES", "TWO_YEARS", "FleetSize", "build_state", "commands_for"]
 
 POOLS = 21
 ZONES = 7
