--- a/features/operations/environment.py
+++ b/features/operations/environment.py
@@ -62,4 +62,6 @@
     context.operator_key = OPERATOR_KEY
     if "daemon" in scenario.effective_tags:
         context.daemon = use_fixture(running_daemon, context)
-        context.entry = f"http://127.0.0.1:{context.daemon.operators_port}"
+        context.entries = context.entry = (
+            f"http://127.0.0.1:{context.daemon.operators_port}"
+        )
--- a/features/operations/steps/commands.py
+++ b/features/operations/steps/commands.py
@@ -7,35 +7,15 @@
 from pathlib import Path
 
 from behave import given, then, when
-from cleo.testers.application_tester import ApplicationTester
 from mulberryledge_testing.reactor_thread import run_coroutine
+from steps_common import DOCUMENT, operate
 
-from mulberryledge_cli.main import make_application
 from mulberryledge_core.commands.fleet import CreatePool
 from mulberryledge_core.commands.teams import CreateTeam, GiveKey
 from mulberryledge_core.keys import digest_secret, matches, split_key
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_daemon.ports import InForce
 
-DOCUMENT = """[service]
-name = "plans"
-team = "dispatch"
-pool = "interior"
-[calls]
-deadline_ms = {deadline}
-"""
-
-
-def operate(context, line, connect=True):
-    """Run one command line and keep what it gave."""
-    if connect:
-        entries = getattr(context, "entries", context.entry)
-        line += f" --entries {entries} --key {context.operator_key}"
-    tester = ApplicationTester(make_application())
-    context.code = tester.execute(line)
-    context.shown = tester.io.fetch_output() + tester.io.fetch_error()
-    return context.code
-
 
 def serve_once_more(context, answer):
     """Serve raw TCP on loopback; return the URL."""
@@ -131,6 +111,7 @@
     apply_document(context, deadline, "")
 
 
+@given('the operator gives team "{team}" a key')
 @when('the operator gives team "{team}" a key')
 def step_give(context, team):
     operate(context, f"key give {team}")
--- a/features/operations/steps_common.py
+++ b/features/operations/steps_common.py
@@ -1,10 +1,34 @@
 """Small fakes and helpers that the steps share."""
 
 import logging
+import time
 from contextlib import contextmanager
 
+from cleo.testers.application_tester import ApplicationTester
+
+from mulberryledge_cli.main import make_application
 from mulberryledge_core.state import Context, apply
 
+DOCUMENT = """[service]
+name = "plans"
+team = "dispatch"
+pool = "interior"
+[calls]
+deadline_ms = {deadline}
+"""
+
+
+def operate(context, line, connect=True):
+    """Run one command line and keep what it gave."""
+    if connect:
+        line += f" --entries {context.entries} --key {context.operator_key}"
+    tester = ApplicationTester(make_application())
+    began = time.monotonic()
+    context.code = tester.execute(line)
+    context.took_s = time.monotonic() - began
+    context.shown = tester.io.fetch_output() + tester.io.fetch_error()
+    return context.code
+
 
 def run(state, command):
     """Apply a command at the next index."""
