--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -11,7 +11,8 @@
 from twisted.web.http import Request
 
 from mulberryledge_core.codec import from_plain, to_plain
-from mulberryledge_core.commands import fleet, maintenance, members, teams, work
+from mulberryledge_core.commands import fleet, maintenance, teams, work
+from mulberryledge_core.consensus.steps import MEMBER_COMMANDS
 from mulberryledge_core.documents import (
     document_diff,
     invalid_document,
@@ -49,13 +50,10 @@
         work.CancelJobs,
         maintenance.StartWave,
         maintenance.SetWavePhase,
-        members.AddMember,
-        members.PromoteMember,
-        members.DemoteMember,
-        members.RemoveMember,
         maintenance.HoldHost,
         maintenance.HoldService,
         maintenance.ReleaseHost,
+        *MEMBER_COMMANDS,
     )
 }
 TABLES = (
