--- a/features/docs/commands.feature
+++ b/features/docs/commands.feature
@@ -23,3 +23,7 @@
   Scenario: Every value of a service document and of the settings is documented
     Then "docs/SERVICES.md" names every value of a service document
     And "docs/SETTINGS.md" names every value of the settings
+
+  Scenario: Every route and every code is documented, and no other
+    Then "docs/API.md" names every route of the daemon and no other
+    And "docs/API.md" names every code with its status
--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -14,15 +14,21 @@
 
 import httpx
 from behave import given, then, when
+from twisted.internet.task import Clock
 
 from mulberryledge_cli.commands import COMMANDS
 from mulberryledge_core.keys import split_key
 from mulberryledge_core.model.services import ServiceDocument
-from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.http.health import health_routes
+from mulberryledge_daemon.http.routing import STATUS
+from mulberryledge_daemon.settings import DaemonSection, OperatorSection, Settings
 
 ROOT = Path.cwd()
 BIN = Path(sys.executable).parent
 BLOCK = re.compile(r"^```sh\n(.*?)^```$", re.DOTALL | re.MULTILINE)
+ROUTE = re.compile(r"`(GET|POST|PUT|DELETE|\*) (/[^` ]+)`")
+STATUS_ROW = re.compile(r"^\| (\d{3}) \| (.*) \|$", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 NAMED = re.compile(r"\bmulberryledge ((?:[a-z][a-z-]+ ?){1,2})")
 VARIABLE = re.compile(r"\$([A-Z_]+)")
@@ -218,3 +224,27 @@
 @then('"{page}" names every value of the settings')
 def step_settings(context, page):
     assert_named(page, values_of(Settings))
+
+
+def routes_of(daemon):
+    """Return method and pattern of every route."""
+    health = health_routes(daemon.is_ready, bytes)
+    routes = (*health, *daemon.entry.routes(), *daemon.operator_side())
+    return {(route.method, route.pattern) for route in routes}
+
+
+@then('"{page}" names every route of the daemon and no other')
+def step_routes(context, page):
+    settings = Settings(DaemonSection("entry-1"), operator=OperatorSection())
+    with open_daemon(Clock(), settings) as daemon:
+        served = routes_of(daemon)
+    text = (ROOT / page).read_text().replace("any method on `", "`* ")
+    named = set(ROUTE.findall(text))
+    assert named == served, named ^ served
+
+
+@then('"{page}" names every code with its status')
+def step_codes(context, page):
+    rows = dict(STATUS_ROW.findall((ROOT / page).read_text()))
+    for code, status in STATUS.items():
+        assert f"`{code}`" in rows[str(status)], code
