Filter the list of jobs at the entry, and say when it is cut

"job list" fetched up to 2,000 jobs of any phase and filtered them in the client, so with more jobs than that the wanted ones could be missing without a word. The entry filters by queue, team and phase, shows the last 20,000, and the command line says how many there are.

--- a/features/operations/commands.feature
+++ b/features/operations/commands.feature
@@ -150,6 +150,22 @@
     When the operator runs "pool create interior --json"
     Then it shows JSON with "index, detail, waiting"
 
+  Scenario: Jobs are listed by queue, team and phase, without their bodies
+    Given team "dispatch" with pool "interior" is set up
+    And a document with deadline 1000 and a queue is applied with number 1
+    And 3 jobs are queued by team "dispatch", of which one is cancelled
+    When the operator runs "job list --phase queued --service plans --team dispatch"
+    Then it shows 2 lines with "queued" and none with "cancelled"
+    When the operator runs "job list --phase cancelled"
+    Then it shows 1 lines with "cancelled" and none with "queued"
+    When the operator runs "job show job-1"
+    Then it shows "body_bytes"
+    And it does not show "secret plan"
+    When the operator runs "job cancel dispatch job-1 job-2"
+    Then the exit code is 0
+    When the operator runs "job list --team nobody"
+    Then it shows "none"
+
   Scenario: Decisions explain what happened
     Given the daemon decided to pause "wave/monday" because "two hosts are out"
     When the operator runs "explain wave/monday"
--- a/features/operations/steps/commands.py
+++ b/features/operations/steps/commands.py
@@ -12,6 +12,7 @@
 
 from mulberryledge_core.commands.fleet import CreatePool
 from mulberryledge_core.commands.teams import CreateTeam, GiveKey
+from mulberryledge_core.commands.work import CancelJobs, SubmitJob
 from mulberryledge_core.keys import digest_secret, matches, split_key
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_daemon.ports import InForce
@@ -217,3 +218,29 @@
 def step_decided(context, subject, cause):
     decision = Decision(1_000, DecisionKind.PAUSE, subject, cause)
     context.daemon.journal.note(decision)
+
+
+@given("a document with deadline {deadline:d} and a queue is applied with number 1")
+def step_queue(context, deadline):
+    path = Path(context.folder) / "queue.toml"
+    path.write_text(DOCUMENT.format(deadline=deadline) + "[queue]\n")
+    assert operate(context, f"service apply {path}") == 0, context.shown
+
+
+@given('{count:d} jobs are queued by team "{team}", of which one is cancelled')
+def step_jobs(context, count, team):
+    jobs = [SubmitJob(f"job-{n}", "plans", team, b"secret plan") for n in range(count)]
+    for command in (*jobs, CancelJobs(team, ("job-0",))):
+        outcome = run_coroutine(lambda one=command: context.daemon.log.propose(one))
+        assert outcome.is_ok(), outcome
+
+
+@then('it shows {count:d} lines with "{text}" and none with "{other}"')
+def step_lines(context, count, text, other):
+    lines = [line for line in context.shown.splitlines() if text in line]
+    assert len(lines) == count and other not in context.shown, context.shown
+
+
+@then('it does not show "{text}"')
+def step_hidden(context, text):
+    assert text not in context.shown, context.shown
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/jobs.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/jobs.py
@@ -5,6 +5,8 @@
 Commands on queued and running jobs.
 """
 
+from urllib.parse import urlencode
+
 from cleo.helpers import argument, option
 from result import Err
 
@@ -31,19 +33,18 @@
 
     def handle(self) -> int:
         """List the jobs that match every given option."""
-        found = self.client().table("jobs")
-        if isinstance(found, Err):
-            return self.fail(found.err_value)
         wanted = {
             name: value
             for name in ("service", "team", "phase")
             if (value := self.option(name))
         }
-        jobs = {
-            job_id: job
-            for job_id, job in found.ok_value.items()
-            if all(job[name] == value for name, value in wanted.items())
-        }
+        path = f"/v1/tables/jobs?{urlencode(wanted)}"
+        found = self.client().exchange("GET", path, None)
+        if isinstance(found, Err):
+            return self.fail(found.err_value)
+        jobs, total = found.ok_value["rows"], found.ok_value["total"]
+        if total > len(jobs):
+            self.line_error(f"the last {len(jobs)} of {total} jobs are shown")
         ordered = sorted(jobs.values(), key=lambda job: job["submitted_ms"])
         rows = [
             (
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/operators.py
@@ -67,7 +67,8 @@
     "permits",
 )
 IN_FORCE_TIMEOUT_S = 8.0
-MAX_ROWS = 2_000
+MAX_ROWS = 20_000
+JOB_FILTERS = ("service", "team", "phase")
 
 
 class OperatorInterface:
@@ -179,6 +180,8 @@
             return refusal_reply(Refusal(Code.NOT_FOUND, text))
         if name:
             rows = {name: rows[name]}
+        if table == "jobs":
+            rows = filtered(request, rows)
         shown = dict(list(rows.items())[-MAX_ROWS:])
         return json_reply(
             {
@@ -195,6 +198,18 @@
         return None
 
 
+def filtered(request: Request, jobs: dict[str, Job]) -> dict[str, Job]:
+    """Return the jobs that match every filter of the query."""
+    wanted = [
+        (field, value) for field in JOB_FILTERS if (value := query_of(request, field))
+    ]
+    return {
+        job_id: job
+        for job_id, job in jobs.items()
+        if all(getattr(job, field) == value for field, value in wanted)
+    }
+
+
 def operator_key(operator: OperatorSection) -> TeamKey:
     """Return the operators' key as it is stored."""
     salt, digest = bytes.fromhex(operator.salt), bytes.fromhex(operator.digest)
