Give each test process ports of its own, and show logs of what is not ready

In a run of all suites side by side one start of five daemons was not ready within 20 s, and nothing said why. The harness took ports from the kernel's range for outgoing connections and let go of them before the daemons listened; a suite beside it could take them.

--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -4,7 +4,6 @@
 import re
 import shlex
 import shutil
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 
 import httpx
 from behave import given, then, when
+from mulberryledge_testing.ports import free_ports
 from twisted.internet.task import Clock
 
 from mulberryledge_cli.commands import COMMANDS
@@ -40,20 +40,14 @@
     return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 
 
-def free_ports(count):
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [str(listener.getsockname()[1]) for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
-
-
 class Shell:
     """Runs the lines of the docs: our own programs, variables and plain calls."""
 
     def __init__(self, folder):
         self.folder = Path(folder)
-        self.ports = dict(zip((CALLERS, OPERATORS), free_ports(2), strict=True))
+        self.ports = dict(
+            zip((CALLERS, OPERATORS), map(str, free_ports(2)), strict=True)
+        )
         self.variables = {"PATH": os.environ["PATH"], "PWD": str(folder)}
         self.started = []
         self.shown = ""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/sizing/processes.py
@@ -7,7 +7,6 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -22,6 +21,7 @@
 from mulberryledge_core.codec import to_plain
 from mulberryledge_core.commands import Command
 from mulberryledge_core.keys import KEY_BYTES, make_key
+from mulberryledge_testing.ports import free_ports
 
 __all__ = ["ClientUsage", "DaemonProcess", "client_usage", "open_process"]
 
@@ -110,7 +110,7 @@
     with TemporaryDirectory() as folder:
         text = SETTINGS.format(
             data_folder=f'data_folder = "{folder}/data"' if durable else "",
-            port=free_port(),
+            port=free_ports(1)[0],
             key_id=OPERATOR.key_id,
             salt=OPERATOR.salt.hex(),
             digest=OPERATOR.digest.hex(),
@@ -144,12 +144,6 @@
     return ClientUsage(float(processor_s), int(memory_kb) / KB)
 
 
-def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
-
-
 def wait_for_start(log: Path, running: subprocess.Popen) -> int:
     """Return the callers' port once the daemon has logged it."""
     end = time.monotonic() + START_TIMEOUT_S
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
@@ -13,7 +13,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -26,6 +25,7 @@
 
 from mulberryledge_cli.client import OperatorClient
 from mulberryledge_core.keys import digest_secret
+from mulberryledge_testing.ports import free_ports
 
 __all__ = ["Cluster", "DaemonProcess", "running_cluster", "wait_until"]
 
@@ -36,6 +36,7 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
+LOG_CHARS = 2_000
 HTTP_TIMEOUT_S = 2.0
 
 
@@ -182,11 +183,14 @@
     def wait_ready(self, *names: str, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until the named daemons, or all that run, are ready."""
         daemons = [self.daemons[name] for name in names] or list(self.running())
-        wait_until(
-            lambda: all(one.is_ready() for one in daemons),
-            f"ready: {[one.name for one in daemons]}",
-            timeout_s,
-        )
+        try:
+            wait_until(
+                lambda: all(one.is_ready() for one in daemons), "ready", timeout_s
+            )
+        except TimeoutError as error:
+            for one in daemons:
+                error.add_note(f"{one.name}: {one.log_path.read_text()[-LOG_CHARS:]}")
+            raise
 
     def leader(self, timeout_s: float = READY_TIMEOUT_S) -> str:
         """Return the name of the daemon that leads; wait for one."""
@@ -308,15 +312,3 @@
 voter = {str(daemon.data_folder is not None).lower()}
 availability_zone = "{daemon.availability_zone}"
 """
-
-
-def free_ports(count: int) -> tuple[int, ...]:
-    """Return TCP ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((ADDRESS, 0))
-        return tuple(one.getsockname()[1] for one in sockets)
-    finally:
-        for one in sockets:
-            one.close()
