Keep a late resend from bringing a removed service back, and name the proofs

After RemoveService a resend of the first ApplyDocument created the service again, as a new service begins with version 1. The last versions of 1,000 removed services are kept, and the next text takes the number after. docs/PROMISES.md names a scenario for each promise and failure, and a test checks that each is there.

--- a/features/docs/commands.feature
+++ b/features/docs/commands.feature
@@ -27,3 +27,6 @@
   Scenario: Every route and every code is documented, and no other
     Then "docs/API.md" names every route of the daemon and no other
     And "docs/API.md" names every code with its status
+
+  Scenario: Every scenario that a promise names is there
+    Then every scenario in "docs/PROMISES.md" is in its suite
--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -29,6 +29,7 @@
 BLOCK = re.compile(r"^```sh\n(.*?)^```$", re.DOTALL | re.MULTILINE)
 ROUTE = re.compile(r"`(GET|POST|PUT|DELETE|\*) (/[^` ]+)`")
 STATUS_ROW = re.compile(r"^\| (\d{3}) \| (.*) \|$", re.MULTILINE)
+PROMISE_ROW = re.compile(r"\| ([a-z]+) \| ([A-Z][^|]+) \|$", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 NAMED = re.compile(r"\bmulberryledge ((?:[a-z][a-z-]+ ?){1,2})")
 VARIABLE = re.compile(r"\$([A-Z_]+)")
@@ -242,3 +243,13 @@
     rows = dict(STATUS_ROW.findall((ROOT / page).read_text()))
     for code, status in STATUS.items():
         assert f"`{code}`" in rows[str(status)], code
+
+
+@then('every scenario in "{page}" is in its suite')
+def step_promises(context, page):
+    rows = PROMISE_ROW.findall((ROOT / page).read_text())
+    assert len(rows) > 30, len(rows)
+    for suite, scenario in rows:
+        features = (ROOT / "features" / suite).glob("*.feature")
+        text = "\n".join(one.read_text() for one in features)
+        assert f": {scenario}\n" in text, (suite, scenario)
--- a/features/operations/documents.feature
+++ b/features/operations/documents.feature
@@ -69,6 +69,16 @@
     When a document with "deadline_ms = 5000" in "calls" is applied as version 7
     Then it is refused as "conflict"
 
+  Scenario: A late resend does not bring a removed service back
+    When a document with "deadline_ms = 5000" in "calls" is applied as version 1
+    Then it is accepted
+    When service "route-plans" is removed
+    And a document with "deadline_ms = 5000" in "calls" is applied as version 1
+    Then it is refused as "conflict"
+    And the refusal says "was removed at version 1, so the next is 2, not 1"
+    When a document with "deadline_ms = 5000" in "calls" is applied as version 2
+    Then it is accepted
+
   Scenario: Operators race with equal numbers and resend after lost answers
     When operators race and resend in random ways
     Then each number has one text, resends succeed and nothing reverts
--- a/features/operations/steps/documents.py
+++ b/features/operations/steps/documents.py
@@ -8,7 +8,7 @@
 from steps_common import run
 
 from mulberryledge_core.commands.fleet import AddHost, CreatePool
-from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam
+from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, RemoveService
 from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.state import ClusterState
 
@@ -48,6 +48,16 @@
     assert isinstance(run(context.state, command), Ok)
 
 
+@when('service "{name}" is removed')
+def step_remove(context, name):
+    assert isinstance(run(context.state, RemoveService(name)), Ok)
+
+
+@then('the refusal says "{text}"')
+def step_refusal(context, text):
+    assert text in context.outcome.err_value.message, context.outcome
+
+
 @then("it is accepted")
 def step_accepted(context):
     assert isinstance(context.outcome, Ok), context.outcome
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -35,6 +35,7 @@
 HISTORY_VERSIONS = 20
 FIRST_VERSION = 1
 WITHDRAWN_KEYS = 10_000
+REMOVED_SERVICES = 1_000
 
 
 def create_team(state: ClusterState, command: CreateTeam, ctx: Context) -> ApplyResult:
@@ -147,17 +148,20 @@
     faults = (*reading.faults, *reference_faults(state, reading))
     if faults or reading.document is None:
         return Err(invalid_document(faults))
-    if command.version != next_version(present):
-        return refuse(Code.CONFLICT, _version_conflict(name, command, history))
+    wanted = next_version(state, name)
+    if command.version != wanted:
+        return refuse(Code.CONFLICT, _version_conflict(name, command, history, wanted))
     if present is not None and _owner(reading.document) != _owner(present.document):
         text = f"service.team: {name!r} is owned by {_owner(present.document)!r}"
         return refuse(Code.CONFLICT, text)
     return _accept(state, reading.document, command, history, ctx)
 
 
-def next_version(service: Service | None) -> int:
+def next_version(state: ClusterState, name: str) -> int:
     """Return the number that the next text of a service takes."""
-    return FIRST_VERSION if service is None else service.version + 1
+    present = state.services.get(name)
+    latest = state.removed_services.get(name, 0) if present is None else present.version
+    return latest + 1
 
 
 def _resend_detail(command: ApplyDocument, history: tuple[ServiceVersion, ...]) -> str:
@@ -166,18 +170,17 @@
 
 
 def _version_conflict(
-    name: str, command: ApplyDocument, history: tuple[ServiceVersion, ...]
+    name: str, command: ApplyDocument, history: tuple[ServiceVersion, ...], wanted: int
 ) -> str:
-    if not history:
-        return (
-            f"service {name!r} does not exist, so its first version is"
-            f" {FIRST_VERSION}, not {command.version}"
-        )
-    latest = history[-1].version
-    taken = "; another text won it" if command.version <= latest else ""
+    if history:
+        taken = "; another text won it" if command.version < wanted else ""
+        now = f"is at version {wanted - 1}"
+    else:
+        taken = ""
+        removed = f"was removed at version {wanted - 1}"
+        now = "does not exist" if wanted == FIRST_VERSION else removed
     return (
-        f"service {name!r} is at version {latest}, so the next is {latest + 1},"
-        f" not {command.version}{taken}"
+        f"service {name!r} {now}, so the next is {wanted}, not {command.version}{taken}"
     )
 
 
@@ -201,6 +204,10 @@
             return refuse(
                 Code.IN_USE, f"service {command.name!r} has job {job.job_id!r}"
             )
+    state.removed_services.pop(command.name, None)
+    state.removed_services[command.name] = state.services[command.name].version
+    while len(state.removed_services) > REMOVED_SERVICES:
+        del state.removed_services[next(iter(state.removed_services))]
     del state.services[command.name]
     forget_service(state, command.name, ctx)
     return ok(ctx.index)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
@@ -87,6 +87,8 @@
         Keyed by :func:`reservation_id`.
     withdrawn_keys : dict of str to int
         Log times, in milliseconds, of the last withdrawals.
+    removed_services : dict of str to int
+        Last versions of the services that were removed most recently.
     sessions : dict of str to Session
         Keyed by session identifier.
     indexes : Indexes
@@ -102,6 +104,7 @@
     keys: dict[str, TeamKey] = field(default_factory=dict)
     withdrawn_keys: dict[str, int] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
+    removed_services: dict[str, int] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     reservations: dict[str, Reservation] = field(default_factory=dict)
     sessions: dict[str, Session] = field(default_factory=dict)
