--- a/features/operations/documents.feature
+++ b/features/operations/documents.feature
@@ -82,3 +82,7 @@
   Scenario: Operators race with equal numbers and resend after lost answers
     When operators race and resend in random ways
     Then each number has one text, resends succeed and nothing reverts
+
+  Scenario: Operators race, withdraw, remove and resend at any later time
+    When the soak of operators runs with seeds 1 to 60
+    Then every kind of command was accepted
--- a/features/operations/steps/documents.py
+++ b/features/operations/steps/documents.py
@@ -4,11 +4,19 @@
 from hypothesis import given as property_of
 from hypothesis import settings
 from hypothesis import strategies as st
+from mulberryledge_testing.soak.groups.operations import run as soak_operators
 from result import Err, Ok
 from steps_common import run
 
 from mulberryledge_core.commands.fleet import AddHost, CreatePool
-from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, RemoveService
+from mulberryledge_core.commands.teams import (
+    ApplyDocument,
+    CreateTeam,
+    GiveKey,
+    RemoveService,
+    RemoveTeam,
+    WithdrawKey,
+)
 from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.state import ClusterState
 
@@ -152,3 +160,17 @@
 @then("each number has one text, resends succeed and nothing reverts")
 def step_raced(context):
     assert max(context.races) >= 3, context.races
+
+
+@when("the soak of operators runs with seeds {first:d} to {last:d}")
+def step_soak(context, first, last):
+    context.accepted = ""
+    for number in range(first, last + 1):
+        print(f"seed {number}")
+        context.accepted += soak_operators(number)
+
+
+@then("every kind of command was accepted")
+def step_every_kind(context):
+    for kind in (ApplyDocument, RemoveService, RemoveTeam, GiveKey, WithdrawKey):
+        assert kind.__name__ in context.accepted, kind
