Find room for what is due when processors run out before slots

Jobs that found no room on any host were set aside and came back only after others had taken what came free; the planner saw neither them nor a lack of processors; a new leader charged uses against a capacity of one slot until its first count; running jobs were summed with two deviations each; every event looked at all queues; and kept hosts were kept for teams that lacked a slot, not room.

Change: a kind without room is passed over for the round but stays in its queue, the next job that is due keeps a host until room has gathered, a service without room counts as full, expected sizes are summed and charged and only the job to place counts its deviation, throttled jobs go on once there is room, rounds look at the queues that changed.

--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/sizes.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/sizes.py
@@ -103,21 +103,36 @@
 
 
 def corrected_size(
-    declared: Resources, estimate: SizeEstimate | None, largest: Resources
+    declared: Resources,
+    estimate: SizeEstimate | None,
+    largest: Resources,
+    deviations: float = DEVIATIONS,
 ) -> Load:
     """
-    Return the size by which a job is placed and charged.
+    Return the size by which a job is placed.
 
     With few reports the declared size still counts; its weight falls with each
     report. Accelerators are whole devices and can't be shared, so the declared
     number is the least.
+
+    Parameters
+    ----------
+    declared : Resources
+        Declared size.
+    estimate : SizeEstimate or None
+        What was measured of jobs of the kind.
+    largest : Resources
+        Largest host.
+    deviations : float
+        Deviations above the mean to count; zero gives the expected size, by
+        which running jobs are summed up and teams are charged.
     """
     guess = guessed_size(declared, largest)
     if estimate is None or not estimate.samples:
         return guess
     measured = Load(
         1.0,
-        estimate.processors + DEVIATIONS * estimate.processors_off,
+        estimate.processors + deviations * estimate.processors_off,
         estimate.memory_mb,
         max(estimate.accelerators, declared.accelerators),
     )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -20,7 +20,7 @@
 from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.outcomes import Code, Refusal
 from mulberryledge_core.state import ClusterState
-from mulberryledge_core.state.limits import team_in_use
+from mulberryledge_core.state.limits import team_headroom, team_in_use
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.job_index import JobIndex, RunningEntry, changed_jobs
 from mulberryledge_daemon.leader.job_leases import Attempt, JobLeases
@@ -75,6 +75,7 @@
         self.takers: dict[str, OrderedDict[str, Taker]] = defaultdict(OrderedDict)
         self.index: JobIndex | None = None
         self.round_due = False
+        self.due: set[str] = set()
         self.room_changed = False
         self.reviewed_s = 0.0
         self.counted_s = 0.0
@@ -92,6 +93,8 @@
             self.index = JobIndex(self.log.state)
             self.leases.reset()
             self.reviewed_s = self.counted_s = 0.0
+            self.matching.uses = {}
+            self.matching.charge_again(self.index, fleet_capacity(self.log.state))
             self.usage.refresh()
         return self.index
 
@@ -115,7 +118,7 @@
         timer = self.clock.callLater(
             request.wait_ms / 1_000, self.answer, taker, Ok(NoJob())
         )
-        self.match_soon()
+        self.match_soon(request.service)
         try:
             return await taker.done
         finally:
@@ -164,7 +167,15 @@
         if isinstance(command, AddHost | AnnounceTarget | DropTarget):
             self.usage.refresh()
             index.offer_refused()
-        self.match_soon()
+        self.match_soon(self.queue_changed(command))
+
+    def queue_changed(self, command: object) -> str | None:
+        """Return the one queue whose matches a command may change; None for all."""
+        job_ids = changed_jobs(command)
+        job = self.log.state.jobs.get(job_ids[0]) if len(job_ids) == 1 else None
+        if job is None or team_headroom(self.log.state, job.team) <= 1:
+            return None
+        return job.service
 
     def on_ended(self, entry: RunningEntry, command: object) -> None:
         """Learn from how an attempt ended."""
@@ -181,22 +192,26 @@
             run_s = (job.ended_ms - job.started_ms) / 1_000
             self.matching.observe_run(entry.service, run_s)
 
-    def match_soon(self) -> None:
-        """Start a matching round unless one is due."""
-        if not self.round_due and any(self.takers.values()):
+    def match_soon(self, service: str | None = None) -> None:
+        """Start a matching round of one queue, or of all, unless one is due."""
+        queues = (service,) if service is not None else tuple(self.takers)
+        self.due.update(name for name in queues if self.takers.get(name))
+        if self.due and not self.round_due:
             self.round_due = True
             self.clock.callLater(0, lambda: ensureDeferred(self.match()))
 
     async def match(self) -> None:
         """Choose jobs for the waiting targets and lease them through the log."""
         self.round_due = False
+        due, self.due = self.due, set()
         if not self.log.is_leader():
             self.step_down()
             return
         index = self.current()
-        self.matching.begin_round()
+        self.matching.begin_round(due)
         starts = []
-        for service, queue in list(self.takers.items()):
+        for service in sorted(due):
+            queue = self.takers[service]
             while queue and len(starts) < MAX_STARTS_AT_ONCE:
                 match = self.choose(index, service, queue)
                 if match is None:
@@ -261,8 +276,6 @@
             self.room_changed = False
             index.offer_again(MAX_OFFERED)
             self.match_soon()
-        if self.matching.more:
-            self.match_soon()
         now_s = self.clock.seconds()
         if now_s - self.reviewed_s < REVIEW_INTERVAL_S:
             return
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
@@ -26,7 +26,7 @@
 from mulberryledge_core.decisions.shares import Use, advance_use, share_score
 from mulberryledge_core.decisions.sizes import guessed_size
 from mulberryledge_core.model.decisions import DecisionKind
-from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.model.jobs import Job
 from mulberryledge_core.model.targets import Target
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
@@ -37,8 +37,9 @@
 
 __all__ = ["Match", "Matching", "QueuePace"]
 
-BLOCKED_MS = 30_000
+BLOCKED_MS = 1_000
 MAX_TRIES = 16
+MAX_KEPT_FRACTION = 0.25
 PACE_SMOOTHING = 0.1
 URGENT_MEMORY_S = 600.0
 
@@ -53,14 +54,12 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptHost:
-    """A host that is kept for a job."""
+    """A host that is kept for the next job, or next urgent one, of a team."""
 
     host: str
-    job_id: str
-
-    def is_kept_from(self, job: Job, target: Target) -> bool:
-        """Return whether the target is kept, for another job."""
-        return target.host == self.host and job.job_id != self.job_id
+    service: str
+    team: str
+    urgent: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,13 +105,13 @@
     paces : dict of str to QueuePace
         Pace by queue.
     reserved : dict of str to KeptHost
-        Host kept for a job that has waited long for room, by service.
+        Hosts kept for jobs that are due and find no room, by name.
     starting : dict of str to Match
         Starts under way in the log.
     rooms : dict of str to HostRoom
         Hosts as they are in this round of choices.
-    more : bool
-        Whether a round ended before it had tried all jobs.
+    blocked : dict
+        Why the next job of a team on a service found no room in this round.
     """
 
     def __init__(
@@ -137,7 +136,7 @@
         self.reserved: dict[str, KeptHost] = {}
         self.starting: dict[str, Match] = {}
         self.rooms: dict[str, HostRoom] = {}
-        self.more = False
+        self.blocked: dict[tuple[str, str], str] = {}
 
     def choose(
         self, index: JobIndex, service: str, waiting: Iterable[str]
@@ -160,23 +159,19 @@
         now_ms = self.log.time_ms()
         rooms = self.rooms_of(index, targets)
         held = self.held_for_urgent(index, service)
-        standing = self.standing(index)
-        for _ in range(MAX_TRIES):
-            job_id = next(
-                (
-                    one
-                    for one in index.queues.candidates(service, standing, now_ms)
-                    if one not in self.starting
-                    and (not held or index.state.jobs[one].urgent)
-                ),
-                None,
-            )
-            if job_id is None:
-                return None
-            target = self.place(index, index.state.jobs[job_id], targets, rooms)
+        tries = MAX_TRIES
+        for job_id in index.queues.candidates(service, self.standing(index), now_ms):
+            job = index.state.jobs[job_id]
+            if job_id in self.starting or (service, job.team) in self.blocked:
+                continue
+            if held and not job.urgent:
+                continue
+            target = self.place(index, job, targets, rooms)
             if target is not None:
                 return Match(job_id, target)
-        self.more = True
+            tries -= 1
+            if not tries:
+                break
         return None
 
     def free_targets(self, waiting: Iterable[str]) -> dict[str, Target]:
@@ -216,7 +211,7 @@
 
     def charge(self, job: Job, sign: int) -> None:
         """Add a job that starts to its team's use, or take away one that ended."""
-        part = sign * dominant_fraction(self.usage.size(job), self.capacity)
+        part = sign * dominant_fraction(self.usage.expected(job), self.capacity)
         self.job_parts[job.team] = max(0.0, self.job_parts[job.team] + part)
         self.update_use(job.team)
 
@@ -238,13 +233,15 @@
         self.job_parts = Counter()
         for job_id in index.running:
             job = index.state.jobs[job_id]
-            part = dominant_fraction(self.usage.size(job), capacity)
+            part = dominant_fraction(self.usage.expected(job), capacity)
             self.job_parts[job.team] += part
 
-    def begin_round(self) -> None:
-        """Forget how full the hosts were in the last round."""
-        self.more = False
+    def begin_round(self, services: Iterable[str]) -> None:
+        """Forget how full hosts and services were in the last round."""
         self.rooms = {}
+        again = set(services)
+        kept = self.blocked.items()
+        self.blocked = {key: why for key, why in kept if key[0] not in again}
 
     def begin_start(self, match: Match) -> None:
         """Count a match as a start under way."""
@@ -303,14 +300,20 @@
             self.note(DecisionKind.REFUSE, f"job/{job.job_id}", why)
             return None
         need = JobNeed(self.usage.size(job), declared, self.usage.is_seen(job))
-        usable = self.usable(job, targets)
+        usable = self.usable(index, job, targets)
         chosen = choose_host(
             [rooms[name] for name in usable], need, self.spread(index, job)
         )
         if isinstance(chosen, Err):
             self.block(index, job, chosen.err_value.cause)
+            if usable:
+                self.keep_host_for(job)
             return None
-        return usable[chosen.ok_value.host]
+        host = chosen.ok_value.host
+        kept = self.reserved.get(host)
+        if kept is not None and kept.team == job.team:
+            del self.reserved[host]
+        return usable[host]
 
     def possible_hosts(self, service: str) -> list:
         """Return the capacity of each host that may run jobs of the service."""
@@ -318,15 +321,16 @@
         names = {target.host for target in targets_of(state, service)}
         return [state.hosts[name].resources for name in names if name in state.hosts]
 
-    def usable(self, job: Job, targets: dict[str, Target]) -> dict[str, str]:
+    def usable(
+        self, index: JobIndex, job: Job, targets: dict[str, Target]
+    ) -> dict[str, str]:
         """Return a waiting target by host, for the hosts that may take the job."""
         now_s = self.clock.seconds()
-        kept = self.reservation(job.service)
         peers = {target.name for target in targets_of(self.log.state, job.service)}
         fresh = not peers <= set(job.failed_on)
         usable: dict[str, str] = {}
         for name, target in targets.items():
-            if kept is not None and kept.is_kept_from(job, target):
+            if self.kept_for_others(index, job, target):
                 continue
             if fresh and name in job.failed_on:
                 continue
@@ -335,34 +339,49 @@
         return usable
 
     def block(self, index: JobIndex, job: Job, cause: str) -> None:
-        """Set a job aside until something changes; keep a host for an old one."""
-        index.set_aside(job.job_id, cause)
+        """
+        Pass over a job that finds no room.
+
+        Jobs of a kind that was measured have one size, so the team's next job
+        would find no room either. Otherwise only the job itself is set aside.
+        """
         self.note(DecisionKind.HOLD, f"job/{job.job_id}", cause)
+        if self.usage.is_seen(job) or job.urgent:
+            self.blocked[job.service, job.team] = cause
+        else:
+            index.set_aside(job.job_id, cause)
+
+    def keep_host_for(self, job: Job) -> None:
+        """Keep a host for a job that is due, so that room for it can gather."""
         waited_ms = self.log.time_ms() - job.submitted_ms
-        if waited_ms < BLOCKED_MS or self.reservation(job.service) is not None:
+        due_ms = 0 if job.urgent else BLOCKED_MS
+        if waited_ms < due_ms or not self.may_keep_more(job):
             return
         host = self.host_to_keep(job)
         if host is not None:
-            self.reserved[job.service] = KeptHost(host, job.job_id)
+            self.reserved[host] = KeptHost(host, job.service, job.team, job.urgent)
             text = f"kept for job {job.job_id!r}, which has waited {waited_ms} ms"
             self.note(DecisionKind.HOLD, f"host/{host}", text)
 
-    def reservation(self, service: str) -> KeptHost | None:
-        """Return the host kept for a job that still waits, if it still serves."""
-        kept = self.reserved.get(service)
+    def may_keep_more(self, job: Job) -> bool:
+        """Return whether one more host of a service may be kept for the team."""
+        kept = [one for one in self.reserved.values() if one.service == job.service]
+        if any(one.team == job.team and one.urgent == job.urgent for one in kept):
+            return False
+        hosts = {target.host for target in targets_of(self.log.state, job.service)}
+        return len(kept) < max(1, int(len(hosts) * MAX_KEPT_FRACTION))
+
+    def kept_for_others(self, index: JobIndex, job: Job, target: Target) -> bool:
+        """Return whether the target's host is kept for another team or for urgency."""
+        kept = self.reserved.get(target.host)
         if kept is None:
-            return None
-        state = self.log.state
-        job = state.jobs.get(kept.job_id)
-        waits = job is not None and job.phase == JobPhase.QUEUED
-        targets = state.indexes.targets_by_host.groups.get(kept.host, {})
-        if waits and any(
-            one.service == service and state.target_serves(one.name)
-            for one in targets.values()
-        ):
-            return kept
-        del self.reserved[service]
-        return None
+            return False
+        lane = index.queues.lanes[kept.service].get(kept.team)
+        waits = lane is not None and (lane.urgents > 0 or not kept.urgent)
+        if not waits or not self.log.state.target_serves(target.name):
+            del self.reserved[target.host]
+            return False
+        return job.team != kept.team or (kept.urgent and not job.urgent)
 
     def host_to_keep(self, job: Job) -> str | None:
         """Return the host with fewest running jobs that can hold the job, if any."""
@@ -370,7 +389,9 @@
         declared = guessed_size(job.size, self.usage.largest)
         busy: Counter[str] = Counter()
         for target in targets_of(state, job.service):
-            if target.name in job.failed_on or not state.target_serves(target.name):
+            if target.name in job.failed_on or target.host in self.reserved:
+                continue
+            if not state.target_serves(target.name):
                 continue
             if never_fits(declared, [state.hosts[target.host].resources]) is None:
                 busy[target.host] += slots_in_use(state, target.name)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
@@ -75,6 +75,7 @@
         shares = fair_shares(claimants, capacity)
         self.jobs.matching.shares = shares
         rooms = self.rooms(state, demands)
+        self.release(index, {one.service for one in rooms if one.free <= 0})
         running = self.running(index, {one.service for one in rooms if one.free <= 0})
         for reclaim in plan_reclaims(rooms, demands, running, tasks, shares):
             attempt = Attempt(reclaim.job_id, reclaim.attempt)
@@ -82,6 +83,14 @@
             subject = f"job/{reclaim.job_id}"
             self.jobs.note(KINDS[reclaim.order], subject, reclaim.cause)
 
+    def release(self, index: JobIndex, full: set[str]) -> None:
+        """Let throttled jobs of services with room go on."""
+        for attempt, order in list(self.jobs.leases.orders.items()):
+            entry = index.running.get(attempt.job_id)
+            if order != Order.THROTTLE or entry is None or entry.service in full:
+                continue
+            self.jobs.order(attempt, Order.NONE)
+
     def claimants(
         self, index: JobIndex, demands: list[QueueDemand], tasks: Counter[str]
     ) -> Iterator[Claimant]:
@@ -109,22 +118,24 @@
         return Load(max(1.0, part * slots))
 
     def size(self, index: JobIndex, demand: QueueDemand) -> Load:
-        """Return the corrected size of the next job of a team on a service."""
+        """Return the expected size of the next job of a team on a service."""
         lane = index.queues.lanes[demand.service][demand.team]
         head = lane.head(False) or lane.head(True)
-        return self.usage.size(index.state.jobs[head[1]])
+        return self.usage.expected(index.state.jobs[head[1]])
 
     def rooms(
         self, state: ClusterState, demands: list[QueueDemand]
     ) -> tuple[ServiceRoom, ...]:
         """Return the free slots of the services that have work waiting."""
         rooms = []
+        crowded = {service for service, _ in self.jobs.matching.blocked}
         for service in sorted({demand.service for demand in demands}):
             free = 0
             for target in targets_of(state, service):
                 if state.target_serves(target.name):
                     free += target.slots - slots_in_use(state, target.name)
-            rooms.append(ServiceRoom(service, free))
+            short = free > 0 and service in crowded
+            rooms.append(ServiceRoom(service, 0 if short else free, short))
         return tuple(rooms)
 
     def running(self, index: JobIndex, services: set[str]) -> Iterator[RunningJob]:
@@ -138,18 +149,21 @@
                 for job in running_on(state, target.name):
                     if job.service != service:
                         continue
-                    ordered = Attempt(job.job_id, job.attempt) in orders
+                    order = orders.get(Attempt(job.job_id, job.attempt), Order.NONE)
+                    allowed = allowed_orders(job, queue)
+                    if order == Order.THROTTLE:
+                        allowed = tuple(one for one in allowed if one != order)
                     yield RunningJob(
                         job_id=job.job_id,
                         attempt=job.attempt,
                         service=service,
                         team=job.team,
-                        orders=allowed_orders(job, queue),
+                        orders=allowed,
                         ran_ms=now_ms - job.started_ms,
                         waited_ms=now_ms - job.submitted_ms,
                         stops=job.stops,
                         urgent=job.urgent,
-                        ordered=ordered,
+                        ordered=order in (Order.CHECKPOINT, Order.STOP),
                     )
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/usage.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/usage.py
@@ -87,12 +87,18 @@
             del self.estimates[key]
 
     def size(self, job: Job) -> Load:
-        """Return the corrected size of a job."""
+        """Return the corrected size of a job, by which it is placed."""
+        estimate = self.estimates.get((job.service, job.team))
+        return corrected_size(job.size, estimate, self.largest)
+
+    def expected(self, job: Job) -> Load:
+        """Return the expected size of a job, by which its team is charged."""
         key = (job.service, job.team, job.size)
         known = self.sizes.get(key)
         if known is None:
             estimate = self.estimates.get(key[:2])
-            known = self.sizes[key] = corrected_size(job.size, estimate, self.largest)
+            known = corrected_size(job.size, estimate, self.largest, 0.0)
+            self.sizes[key] = known
         return known
 
     def is_seen(self, job: Job) -> bool:
@@ -101,7 +107,7 @@
 
     def host_load(self, targets: Iterable[str], jobs: Iterable[Job]) -> Load:
         """
-        Return the load of a host: the larger of corrected sizes and measured use.
+        Return the load of a host: the larger of expected sizes and measured use.
 
         Parameters
         ----------
@@ -110,7 +116,7 @@
         jobs : iterable of Job
             Jobs that run on it.
         """
-        expected = total(self.size(job) for job in jobs)
+        expected = total(self.expected(job) for job in jobs)
         since = self.clock.seconds() - REPORT_VALID_S
         used = Load()
         for name in targets:
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/capacity/__init__.py
@@ -0,0 +1,6 @@
+"""
+mulberryledge_testing.bench.capacity
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Modelled demand, baselines and figures of the capacity measures.
+"""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/model.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/model.py
@@ -5,6 +5,7 @@
 A modelled fleet: hosts, workers, teams and the leader's capacity tasks.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -175,8 +176,10 @@
             size = Resources(float(site.processors), site.memory_mb)
             self.must(AddHost(host, pool, "here", zone, rack, size))
         name = f"{service}-on-{host}"
+        shared = pool not in site.service_names
+        slots = math.ceil(site.slots / site.services) if shared else site.slots
         worker = ModelWorker(
-            self.clock, self.log, self.truth, name, service, site.slots, "k"
+            self.clock, self.log, self.truth, name, service, slots, "k"
         )
         worker.on_start = self.on_start
         worker.on_done = self.on_done
