--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/placement.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/placement.py
@@ -74,11 +74,14 @@
         Corrected size, and the size by declaration alone.
     seen : bool
         Whether the corrected size is measured.
+    urgent : bool
+        Whether one more job of unmeasured size is allowed for it.
     """
 
     size: Load
     declared: Load
     seen: bool = False
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +125,7 @@
     size = need.size if room.load.slots else need.declared
     if not covers(room.capacity, add(room.load, size)):
         return f"host {room.host!r} has no room for {describe(size)}"
-    if not need.seen and room.unseen >= MAX_UNSEEN_PER_HOST:
+    if not need.seen and room.unseen >= MAX_UNSEEN_PER_HOST + need.urgent:
         return f"host {room.host!r} runs {room.unseen} jobs of unmeasured size"
     return None
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/plan.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/plan.py
@@ -5,8 +5,9 @@
 One plan of the fleet: each team's fair share, and what to reclaim where it is full.
 """
 
+import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -20,6 +21,8 @@
     "Reclaim",
     "RunningJob",
     "ServiceRoom",
+    "due_demands",
+    "excess_tasks",
     "fair_shares",
     "plan_reclaims",
 ]
@@ -133,66 +136,96 @@
     }
 
 
-def plan_reclaims(
+def excess_tasks(
+    tasks: Mapping[str, int], shares: Mapping[str, FairShare]
+) -> dict[str, float]:
+    """Return by how many tasks each running team is above its share."""
+    return {
+        team: count - _fair(shares, team) for team, count in tasks.items() if count > 0
+    }
+
+
+def due_demands(
     rooms: Iterable[ServiceRoom],
     demands: Iterable[QueueDemand],
+    tasks: Mapping[str, int],
+    shares: Mapping[str, FairShare],
+) -> tuple[QueueDemand, ...]:
+    """
+    Return the demands that running jobs should make room for, most pressing first.
+
+    These are of services without room, of teams that are below their share and
+    have waited for :data:`RECLAIM_AFTER_MS`, or have urgent jobs.
+    """
+    full = {one.service for one in rooms if one.free <= 0}
+    due = [
+        one
+        for one in demands
+        if one.service in full and _slots_due(one, tasks, shares) > 0
+    ]
+    return tuple(sorted(due, key=_most_pressing))
+
+
+def plan_reclaims(
+    rooms: Iterable[ServiceRoom],
+    due: Iterable[QueueDemand],
     running: Iterable[RunningJob],
-    tasks: Counter[str],
-    shares: dict[str, FairShare],
+    tasks: Mapping[str, int],
+    shares: Mapping[str, FairShare],
 ) -> tuple[Reclaim, ...]:
     """
     Return what to throttle, checkpoint or stop so that teams get back to share.
 
-    Only a service without room is looked at, only for a team that is below its
-    share and has waited for :data:`RECLAIM_AFTER_MS`, and only at the cost of
-    teams above theirs. An urgent job may also displace an ordinary job of its
-    own team.
+    Room is made only at the cost of teams above their share, of the one furthest
+    above first, and of the job that loses least. An urgent job may also displace
+    an ordinary job of its own team, and of any team while its own is below share.
 
     Parameters
     ----------
     rooms : iterable of ServiceRoom
         Free slots by service.
-    demands : iterable of QueueDemand
-        What waits.
+    due : iterable of QueueDemand
+        Result of :func:`due_demands`.
     running : iterable of RunningJob
         What runs; jobs that may not be touched have no orders.
-    tasks : Counter of str
+    tasks : mapping of str to int
         Calls and jobs running by team, over the whole fleet.
-    shares : dict of str to FairShare
+    shares : mapping of str to FairShare
         Fair shares by team.
     """
     full = {one.service: one for one in rooms if one.free <= 0}
-    if not full:
-        return ()
-    victims: dict[str, list[RunningJob]] = defaultdict(list)
+    victims: dict[str, dict[str, list[RunningJob]]] = defaultdict(dict)
     under_way: Counter[str] = Counter()
     for job in running:
-        if job.service in full and job.ordered:
+        if job.ordered:
             under_way[job.service] += 1
         elif job.service in full and _may_reclaim(job, full[job.service]):
-            victims[job.service].append(job)
-    excess = {
-        team: tasks[team] - _fair(shares, team) for team in tasks if tasks[team] > 0
-    }
+            victims[job.service].setdefault(job.team, []).append(job)
+    for teams in victims.values():
+        for jobs in teams.values():
+            jobs.sort(key=_loss, reverse=True)
+    excess = excess_tasks(tasks, shares)
     reclaims: list[Reclaim] = []
-    for demand in sorted(demands, key=_most_pressing):
-        if demand.service not in full:
-            continue
-        pool = victims[demand.service]
-        wanted = _slots_due(demand, tasks, shares) - under_way[demand.service]
-        wanted = min(wanted, len(pool))
-        for _ in range(max(0, wanted)):
-            victim = _pick(pool, excess, demand)
+    for demand in due:
+        wanted = _slots_due(demand, tasks, shares)
+        coming = min(wanted, under_way[demand.service])
+        under_way[demand.service] -= coming
+        for _ in range(wanted - coming):
+            below = tasks.get(demand.team, 0) < _fair(shares, demand.team)
+            victim = _pick(victims[demand.service], excess, demand, below)
             if victim is None:
                 break
-            pool.remove(victim)
             excess[victim.team] -= 1
             room = full[demand.service]
             reclaims.append(_reclaim(victim, demand, room, tasks, shares))
-        under_way[demand.service] = max(0, under_way[demand.service] - wanted)
     return tuple(reclaims)
 
 
+def _loss(job: RunningJob) -> tuple:
+    """Return what a job loses when it is put off, in order."""
+    return Order.CHECKPOINT not in job.orders, job.ran_ms, job.job_id
+
+
 def _may_reclaim(job: RunningJob, room: ServiceRoom) -> bool:
     """Return whether a job may be put off, and has not been so often or for long."""
     if job.urgent or job.stops >= MAX_STOPS or job.waited_ms >= AGED_MS:
@@ -208,7 +241,7 @@
     return None
 
 
-def _fair(shares: dict[str, FairShare], team: str) -> float:
+def _fair(shares: Mapping[str, FairShare], team: str) -> float:
     share = shares.get(team)
     return share.tasks if share is not None else 0.0
 
@@ -218,10 +251,10 @@
 
 
 def _slots_due(
-    demand: QueueDemand, tasks: Counter[str], shares: dict[str, FairShare]
+    demand: QueueDemand, tasks: Mapping[str, int], shares: Mapping[str, FairShare]
 ) -> int:
     """Return the slots that a team is due beyond those it has."""
-    missing = _fair(shares, demand.team) - tasks[demand.team]
+    missing = _fair(shares, demand.team) - tasks.get(demand.team, 0)
     due = 0
     if demand.oldest_ms >= RECLAIM_AFTER_MS:
         due = min(demand.waiting, int(missing + EPSILON))
@@ -231,41 +264,35 @@
 
 
 def _pick(
-    pool: list[RunningJob], excess: dict[str, float], demand: QueueDemand
+    victims: dict[str, list[RunningJob]],
+    excess: Mapping[str, float],
+    demand: QueueDemand,
+    below: bool,
 ) -> RunningJob | None:
     """Return the job to reclaim: of the team furthest above, the least lost."""
-    urgent = demand.urgent > 0
-    fit = [
-        job
-        for job in pool
-        if excess.get(job.team, 0.0) >= TOLERANCE
-        or (urgent and job.team == demand.team)
-    ]
-    key = _loss_key(excess)
-    return min(fit, key=key, default=None)
-
-
-def _loss_key(excess: dict[str, float]):
-    def key(job: RunningJob) -> tuple:
-        keeps_work = Order.CHECKPOINT in job.orders
-        return -excess.get(job.team, 0.0), not keeps_work, job.ran_ms, job.job_id
-
-    return key
+    best, most = None, -math.inf
+    for team, jobs in victims.items():
+        above = excess.get(team, 0.0)
+        urgent = demand.urgent > 0 and (below or team == demand.team)
+        fit = above >= TOLERANCE or urgent
+        if jobs and fit and above > most:
+            best, most = team, above
+    return victims[best].pop() if best is not None else None
 
 
 def _reclaim(
     victim: RunningJob,
     demand: QueueDemand,
     room: ServiceRoom,
-    tasks: Counter[str],
-    shares: dict[str, FairShare],
+    tasks: Mapping[str, int],
+    shares: Mapping[str, FairShare],
 ) -> Reclaim:
     order = _order(victim, room)
     assert order is not None, "only jobs that may be reclaimed are picked"
     cause = (
         f"service {demand.service!r} is full; team {victim.team!r} runs"
-        f" {tasks[victim.team]} of a fair {_fair(shares, victim.team):.1f}, team"
-        f" {demand.team!r} runs {tasks[demand.team]} of"
+        f" {tasks.get(victim.team, 0)} of a fair {_fair(shares, victim.team):.1f}, team"
+        f" {demand.team!r} runs {tasks.get(demand.team, 0)} of"
         f" {_fair(shares, demand.team):.1f} and has"
         f" {demand.urgent or demand.waiting} {'urgent ' if demand.urgent else ''}"
         f"jobs waiting"
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/queues.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/queues.py
@@ -130,11 +130,14 @@
         Lane by service and team.
     places : dict of str to tuple
         Service and team of each queued job.
+    urgents : int
+        Queued urgent jobs.
     """
 
     def __init__(self) -> None:
         self.lanes: dict[str, dict[str, Lane]] = defaultdict(dict)
         self.places: dict[str, tuple[str, str]] = {}
+        self.urgents = 0
 
     def __len__(self) -> int:
         return len(self.places)
@@ -147,6 +150,7 @@
         self.places[job.job_id] = (job.service, job.team)
         lane.jobs[job.job_id] = job.urgent
         lane.urgents += job.urgent
+        self.urgents += job.urgent
         heap = lane.urgent if job.urgent else lane.ordinary
         heappush(heap, (job.submitted_ms, job.job_id))
 
@@ -159,6 +163,7 @@
         lane = self.lanes[service][team]
         urgent = lane.jobs.pop(job_id)
         lane.urgents -= urgent
+        self.urgents -= urgent
         if started:
             lane.urgent_run = lane.urgent_run + 1 if urgent else 0
         if not lane.jobs:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
@@ -299,7 +299,8 @@
             index.refuse(job.job_id, why)
             self.note(DecisionKind.REFUSE, f"job/{job.job_id}", why)
             return None
-        need = JobNeed(self.usage.size(job), declared, self.usage.is_seen(job))
+        seen = self.usage.is_seen(job)
+        need = JobNeed(self.usage.size(job), declared, seen, job.urgent)
         usable = self.usable(index, job, targets)
         chosen = choose_host(
             [rooms[name] for name in usable], need, self.spread(index, job)
@@ -381,6 +382,8 @@
         if not waits or not self.log.state.target_serves(target.name):
             del self.reserved[target.host]
             return False
+        if job.urgent and not kept.urgent:
+            return False
         return job.team != kept.team or (kept.urgent and not job.urgent)
 
     def host_to_keep(self, job: Job) -> str | None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
@@ -15,6 +15,8 @@
     Order,
     RunningJob,
     ServiceRoom,
+    due_demands,
+    excess_tasks,
     fair_shares,
     plan_reclaims,
 )
@@ -35,7 +37,12 @@
 __all__ = ["Planner", "allowed_orders"]
 
 PLAN_INTERVAL_S = 0.5
+URGENT_INTERVAL_S = 0.2
 IDLE_INTERVAL_S = 5.0
+MAX_LOAD = 0.016  # of a core
+MAX_URGENT_LOAD = 0.2  # of a core, while urgent jobs wait
+MAX_SIZES_A_TEAM = 3
+MAX_SERVICES_A_PLAN = 4
 KINDS = {
     Order.THROTTLE: DecisionKind.THROTTLE,
     Order.CHECKPOINT: DecisionKind.CHECKPOINT,
@@ -54,16 +61,25 @@
         self.jobs = jobs
         self.usage = usage
         self.planned_s = 0.0
+        self.cost_s = 0.0
 
     async def tick(self) -> None:
         """Plan, if it is time."""
         now_s = self.clock.seconds()
         index = self.jobs.current()
-        interval_s = PLAN_INTERVAL_S if index.queues else IDLE_INTERVAL_S
-        if now_s - self.planned_s < interval_s:
+        if now_s - self.planned_s < self.interval_s(index):
             return
         self.planned_s = now_s
         self.plan(index)
+        self.cost_s = self.clock.seconds() - now_s
+
+    def interval_s(self, index: JobIndex) -> float:
+        """Return the time between plans, which keeps their load within bounds."""
+        if not index.queues:
+            return IDLE_INTERVAL_S
+        if index.queues.urgents:
+            return max(URGENT_INTERVAL_S, self.cost_s / MAX_URGENT_LOAD)
+        return max(PLAN_INTERVAL_S, self.cost_s / MAX_LOAD)
 
     def plan(self, index: JobIndex) -> None:
         """Compute the fair shares and order what they call for."""
@@ -76,8 +92,19 @@
         self.jobs.matching.shares = shares
         rooms = self.rooms(state, demands)
         self.release(index, {one.service for one in rooms if one.free <= 0})
-        running = self.running(index, {one.service for one in rooms if one.free <= 0})
-        for reclaim in plan_reclaims(rooms, demands, running, tasks, shares):
+        due = due_demands(rooms, demands, tasks, shares)
+        if not due:
+            return
+        above = {
+            team for team, more in excess_tasks(tasks, shares).items() if more >= 1
+        }
+        if any(one.urgent for one in due):
+            above.update(state.teams)
+        services = tuple(dict.fromkeys(one.service for one in due))
+        most_pressing = frozenset(services[:MAX_SERVICES_A_PLAN])
+        due = [one for one in due if one.service in most_pressing]
+        running = self.running(index, most_pressing, above)
+        for reclaim in plan_reclaims(rooms, due, running, tasks, shares):
             attempt = Attempt(reclaim.job_id, reclaim.attempt)
             self.jobs.order(attempt, reclaim.order)
             subject = f"job/{reclaim.job_id}"
@@ -99,7 +126,9 @@
         sizes: dict[str, list[Load]] = {}
         for demand in demands:
             waiting[demand.team] += demand.waiting
-            sizes.setdefault(demand.team, []).append(self.size(index, demand))
+            listed = sizes.setdefault(demand.team, [])
+            if len(listed) < MAX_SIZES_A_TEAM:
+                listed.append(self.size(index, demand))
         parts = self.jobs.matching.job_parts
         for name, team in index.state.teams.items():
             demand = min(team.upper_limit, tasks[name] + waiting[name])
@@ -138,8 +167,10 @@
             rooms.append(ServiceRoom(service, 0 if short else free, short))
         return tuple(rooms)
 
-    def running(self, index: JobIndex, services: set[str]) -> Iterator[RunningJob]:
-        """Yield the running jobs of the given services as reclaiming sees them."""
+    def running(
+        self, index: JobIndex, services: frozenset[str], teams: set[str]
+    ) -> Iterator[RunningJob]:
+        """Yield running jobs of the services and teams as reclaiming sees them."""
         state = index.state
         now_ms = self.log.time_ms()
         orders = self.jobs.leases.orders
@@ -147,7 +178,7 @@
             queue = state.services[service].document.queue
             for target in targets_of(state, service):
                 for job in running_on(state, target.name):
-                    if job.service != service:
+                    if job.service != service or job.team not in teams:
                         continue
                     order = orders.get(Attempt(job.job_id, job.attempt), Order.NONE)
                     allowed = allowed_orders(job, queue)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/model.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/model.py
@@ -181,6 +181,8 @@
         worker = ModelWorker(
             self.clock, self.log, self.truth, name, service, slots, "k"
         )
+        worker.host = host
+        worker.host_processors = float(site.processors)
         worker.on_start = self.on_start
         worker.on_done = self.on_done
         self.workers[name] = worker
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/truth.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/truth.py
@@ -45,6 +45,7 @@
         self.running: Counter[str] = Counter()
         self.starts: Counter[str] = Counter()
         self.slot_seconds: dict[str, float] = defaultdict(float)
+        self.host_cores: dict[str, float] = defaultdict(float)
         self.lost_seconds = 0.0
 
     def start(self, job_id: str) -> Nature:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/worker.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/worker.py
@@ -67,6 +67,8 @@
         Whether it reaches the system; without, its runs end with their leases.
     broken : bool
         Whether it fails all that it starts.
+    host, host_processors : str, float
+        Host that it runs on, whose contended processors slow what starts.
     """
 
     def __init__(
@@ -86,6 +88,8 @@
         self.service = service
         self.slots = slots
         self.key = key
+        self.host = ""
+        self.host_processors = 1.0
         self.generation = 0
         self.up = True
         self.connected = True
@@ -125,6 +129,8 @@
         nature = self.truth.start(taken.job_id)
         left = nature.run_s - float(taken.checkpoint or b"0")
         left = min(left, 0.01) if self.broken else max(0.0, left)
+        self.truth.host_cores[self.host] += nature.processors
+        left *= max(1.0, self.truth.host_cores[self.host] / self.host_processors)
         lease_s = taken.lease_ms / 1_000
         run = Run(taken.job_id, taken.attempt, nature, now, now + left, now + lease_s)
         self.runs[taken.job_id] = run
@@ -144,6 +150,7 @@
         if run.timer.active():
             run.timer.cancel()
         self.truth.end(run.job_id)
+        self.truth.host_cores[self.host] -= run.nature.processors
         self.truth.slot_seconds[run.nature.team] += ran_s
         return ran_s
 
