--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
@@ -325,7 +325,12 @@
     def usable(
         self, index: JobIndex, job: Job, targets: dict[str, Target]
     ) -> dict[str, str]:
-        """Return a waiting target by host, for the hosts that may take the job."""
+        """
+        Return a waiting target by host, for the hosts that may take the job.
+
+        A quarantined target whose trial is due is the only one: nothing else
+        would lead the choice to it.
+        """
         now_s = self.clock.seconds()
         peers = {target.name for target in targets_of(self.log.state, job.service)}
         fresh = not peers <= set(job.failed_on)
@@ -335,8 +340,11 @@
                 continue
             if fresh and name in job.failed_on:
                 continue
-            if self.workers.may_take(name, job, now_s):
-                usable.setdefault(target.host, name)
+            if not self.workers.may_take(name, job, now_s):
+                continue
+            if name in self.workers.quarantined:
+                return {target.host: name}
+            usable.setdefault(target.host, name)
         return usable
 
     def block(self, index: JobIndex, job: Job, cause: str) -> None:
