--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -201,9 +201,9 @@
         NoJob,
         RenewJob,
         JobLease,
-        UsageReport,
         InForceAsk,
         InForceReply,
+        UsageReport,
     )
 }
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/model/jobs.py
@@ -67,7 +67,8 @@
     failures, expiries, stops : int
         Attempts that failed, whose lease ran out, and that were put off.
     failed_on : tuple of str
-        Targets that the job failed on, which are avoided when it runs again.
+        Targets that the job failed on, the last one last; they are avoided when
+        it runs again.
     """
 
     job_id: str
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -231,7 +231,8 @@
 
 def failed(state: ClusterState, job: Job, command: EndJob, ctx: Context) -> Job:
     """Return a job that runs again elsewhere, or has failed for good."""
-    tried = tuple(sorted({*job.failed_on, job.target}))
+    others = (target for target in job.failed_on if target != job.target)
+    tried = (*others, job.target)
     counted = replace(job, failures=job.failures + 1, failed_on=tried)
     queue = state.services[job.service].document.queue
     attempts = queue.max_attempts if queue is not None else 1
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/targets.py
@@ -35,6 +35,7 @@
     number,
     query_of,
     refusal_reply,
+    whole_number,
 )
 from mulberryledge_daemon.ports import LeaderChannel, ReplicatedLog
 
@@ -170,17 +171,14 @@
 
     async def renew_job(self, request: Request, job_id: str, attempt: str) -> Reply:
         """Renew the lease of a running job; the reply may wait for an order."""
-        admitted = self.admit_for_job(request, job_id)
+        admitted = self.admit_for_job(request, job_id, attempt)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
-        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
-        if isinstance(fence, Err):
-            return refusal_reply(fence.err_value)
         wait = wait_of(request)
         if isinstance(wait, Err):
             return refusal_reply(wait.err_value)
         key_id = admitted.ok_value.key_id
-        message = RenewJob(job_id, int(fence.ok_value), key_id, wait.ok_value)
+        message = RenewJob(job_id, int(attempt), key_id, wait.ok_value)
         return outcome_reply(await self.channel.ask(message))
 
     async def end_job(
@@ -192,19 +190,16 @@
         A job that is handed back goes on from the body as its checkpoint. With
         ``?not_run=true`` the target states that the job has not begun to run.
         """
-        admitted = self.admit_for_job(request, job_id)
+        admitted = self.admit_for_job(request, job_id, attempt)
         if isinstance(admitted, Err):
             return refusal_reply(admitted.err_value)
         phase = ENDINGS.get(ending)
         if phase is None:
             text = f"ending {ending!r}: use one of {', '.join(ENDINGS)}"
             return refusal_reply(Refusal(Code.BAD_REQUEST, text))
-        fence = number("attempt", attempt, 1, MAX_ATTEMPT)
-        if isinstance(fence, Err):
-            return refusal_reply(fence.err_value)
         command = EndJob(
             job_id,
-            int(fence.ok_value),
+            int(attempt),
             phase,
             request.content.read(),
             key=admitted.ok_value.key_id,
@@ -212,8 +207,13 @@
         )
         return outcome_reply(await self.log.propose(command))
 
-    def admit_for_job(self, request: Request, job_id: str) -> Result[TeamKey, Refusal]:
+    def admit_for_job(
+        self, request: Request, job_id: str, attempt: str
+    ) -> Result[TeamKey, Refusal]:
         """Check that the key is of the team that owns the job's queue."""
+        fence = whole_number("attempt", attempt, 1, MAX_ATTEMPT)
+        if isinstance(fence, Err):
+            return fence
         admitted = admit(self.log, header_of(request, "Authorization"))
         if isinstance(admitted, Err):
             return admitted
@@ -276,9 +276,8 @@
 
 def wait_of(request: Request) -> Result[int, Refusal]:
     """Return how long a request may wait, in milliseconds."""
-    text = query_of(request, "wait_s", "0")
-    asked_s = number("wait_s", text, 0, MAX_QUERY_WAIT_S)
-    return asked_s.map(lambda value: int(1_000 * min(MAX_WAIT_S, value)))
+    asked_s = number("wait_s", query_of(request, "wait_s", "0"), 0, MAX_QUERY_WAIT_S)
+    return asked_s.map(lambda wait_s: int(1_000 * min(MAX_WAIT_S, wait_s)))
 
 
 def outcome_reply(outcome: Result) -> Reply:
