Give uses, paces and kept hosts modules of their own

Change: uses.py, paces.py, kept_hosts.py and views.py; the note names team and service only, and slots held for urgent jobs are noted once a service.

Conclusion: behaviour is unchanged by the suite.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -93,8 +93,9 @@
             self.index = JobIndex(self.log.state)
             self.leases.reset()
             self.reviewed_s = self.counted_s = 0.0
-            self.matching.uses = {}
-            self.matching.charge_again(self.index, fleet_capacity(self.log.state))
+            capacity = fleet_capacity(self.log.state)
+            self.matching.uses.reset(capacity)
+            self.matching.uses.charge_again(self.index, capacity)
             self.usage.refresh()
         return self.index
 
@@ -158,11 +159,11 @@
             if ended is not None and isinstance(event.outcome, Ok):
                 self.on_ended(ended, command)
             if job is not None and job.phase == JobPhase.RUNNING and before is None:
-                self.matching.charge(job, 1)
+                self.matching.uses.charge(job, 1)
             if job is not None and job.cancel_requested:
                 self.leases.wake(Attempt(job_id, job.attempt))
         if isinstance(command, SubmitJob) and command.urgent:
-            self.matching.observe_urgent(command.service)
+            self.matching.paces.observe_urgent(command.service)
         self.room_changed |= isinstance(command, ROOM_CHANGED)
         if isinstance(command, AddHost | AnnounceTarget | DropTarget):
             self.usage.refresh()
@@ -181,7 +182,7 @@
         """Learn from how an attempt ended."""
         now_s = self.clock.seconds()
         job = self.log.state.jobs[entry.job_id]
-        self.matching.charge(job, -1)
+        self.matching.uses.charge(job, -1)
         self.leases.wake(Attempt(entry.job_id, entry.attempt))
         failed = worker_failed(self.log.state, entry, command)
         if failed is None:
@@ -190,7 +191,7 @@
         self.workers.ended(entry.target, entry.job_id, failed, now_s)
         if not failed:
             run_s = (job.ended_ms - job.started_ms) / 1_000
-            self.matching.observe_run(entry.service, run_s)
+            self.matching.paces.observe_run(entry.service, run_s)
 
     def match_soon(self, service: str | None = None) -> None:
         """Start a matching round of one queue, or of all, unless one is due."""
@@ -284,8 +285,8 @@
         self.workers.review(self.log.state, now_s)
         if now_s - self.counted_s >= COUNT_INTERVAL_S:
             self.counted_s = now_s
-            self.matching.charge_again(index, fleet_capacity(index.state))
-        self.matching.charge_calls(self.calls(index))
+            self.matching.uses.charge_again(index, fleet_capacity(index.state))
+        self.matching.uses.charge_calls(self.calls(index))
         self.room_changed = True
         self.match_soon()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/planner.py
@@ -30,8 +30,8 @@
 from mulberryledge_daemon.leader.job_index import JobIndex
 from mulberryledge_daemon.leader.job_leases import Attempt
 from mulberryledge_daemon.leader.jobs import Jobs
-from mulberryledge_daemon.leader.matching import running_on, targets_of
 from mulberryledge_daemon.leader.usage import Usage, fleet_capacity
+from mulberryledge_daemon.leader.views import running_on, targets_of
 from mulberryledge_daemon.ports import ReplicatedLog
 
 __all__ = ["Planner", "allowed_orders"]
@@ -89,7 +89,7 @@
         tasks = Counter({team: team_in_use(state, team) for team in state.teams})
         claimants = self.claimants(index, demands, tasks)
         shares = fair_shares(claimants, capacity)
-        self.jobs.matching.shares = shares
+        self.jobs.matching.uses.shares = shares
         rooms = self.rooms(state, demands)
         self.release(index, {one.service for one in rooms if one.free <= 0})
         due = due_demands(rooms, demands, tasks, shares)
@@ -129,7 +129,7 @@
             listed = sizes.setdefault(demand.team, [])
             if len(listed) < MAX_SIZES_A_TEAM:
                 listed.append(self.size(index, demand))
-        parts = self.jobs.matching.job_parts
+        parts = self.jobs.matching.uses.job_parts
         for name, team in index.state.teams.items():
             demand = min(team.upper_limit, tasks[name] + waiting[name])
             if demand <= 0:
@@ -143,7 +143,7 @@
 
     def running_size(self, index: JobIndex, part: float) -> Load:
         """Return a size whose dominant fraction is the given one."""
-        slots = self.jobs.matching.capacity.slots
+        slots = self.jobs.matching.uses.capacity.slots
         return Load(max(1.0, part * slots))
 
     def size(self, index: JobIndex, demand: QueueDemand) -> Load:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/capacity/policies.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/capacity/policies.py
@@ -41,7 +41,7 @@
 
         def within(team: str) -> Standing | None:
             record = index.state.teams[team]
-            part = record.share / shares * self.capacity.slots
+            part = record.share / shares * self.uses.capacity.slots
             if index.team_jobs[team] + len(self.starting) >= part:
                 return None
             return standing(team)
