--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -33,6 +33,7 @@
     "append_change",
     "begin_term",
     "flush",
+    "is_idle",
     "lead",
     "on_append_reply",
     "on_install_reply",
@@ -189,6 +190,15 @@
             _send_entries(node, name, progress, now, name in voters)
 
 
+def is_idle(node: Node) -> bool:
+    """Return whether a leader has nothing new to commit or to send."""
+    commit = node.commit
+    return commit == node.log.last_index and all(
+        progress.next > commit and progress.commit_sent >= commit
+        for progress in node.progress.values()
+    )
+
+
 def _resend(node: Node, progress: Progress, now: int) -> None:
     silent = now - max(progress.answered_ms, progress.sent_ms - node.timing.retry_ms)
     waiting = progress.in_flight or progress.offset is not None
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -25,7 +25,7 @@
     Send,
 )
 from mulberryledge_core.consensus.entries import HardState, Origin, Snapshot
-from mulberryledge_core.consensus.leading import flush
+from mulberryledge_core.consensus.leading import flush, is_idle
 from mulberryledge_core.consensus.leases import (
     is_fresh,
     is_leading,
@@ -288,12 +288,14 @@
         self.carry_out()
 
     def carry_out(self) -> None:
-        """Carry out the node's effects in order."""
+        """Carry out the node's effects in order, and flush unless all is idle."""
+        busy = not is_idle(self.node)
         while effects := self.node.take_effects():
+            busy = True
             for effect in effects:
                 self.carry_out_one(effect)
         self.notice_changes()
-        if not self.flushing:
+        if busy and not self.flushing:
             self.flushing = True
             self.reactor.callLater(0, self.flush)
 
