--- a/features/path/decisions.feature
+++ b/features/path/decisions.feature
@@ -18,3 +18,4 @@
       | turns follow the shares of busy teams                     |
       | a burst does not hold up another team                     |
       | a call waits no longer than its deadline                  |
+      | kept answers stay within their room and age               |
--- a/features/path/steps/decisions.py
+++ b/features/path/steps/decisions.py
@@ -7,6 +7,11 @@
 from hypothesis import strategies as st
 
 from mulberryledge_core.decisions.fair_queue import FairQueue
+from mulberryledge_core.decisions.kept_answers import (
+    KEEP_MS,
+    MAX_KEPT_BYTES,
+    answers_to_forget_ms,
+)
 from mulberryledge_core.decisions.lending import (
     Claim,
     entitlements,
@@ -22,6 +27,7 @@
     may_retry,
     spend,
 )
+from mulberryledge_core.model.jobs import Answer, Reservation
 from mulberryledge_core.outcomes import RunOutcome
 from mulberryledge_daemon.entry.health import TargetHealth
 
@@ -178,6 +184,27 @@
     assert 0 <= wait_s <= max(0.0, timeout_s - run_s)
 
 
+@with_values(st.lists(st.tuples(st.integers(0, 900_000), st.integers(1, 64))))
+def kept_answers(sizes):
+    kept = [
+        Reservation(
+            str(n),
+            "a",
+            "s",
+            b"",
+            "e",
+            "l",
+            reserved_ms=at_ms,
+            answer=Answer(200, "", bytes(kilobytes * 16_384)),
+        )
+        for n, (at_ms, kilobytes) in enumerate(sizes)
+    ]
+    before_ms = answers_to_forget_ms(kept, 1_000_000) or 0
+    left = [item for item in kept if item.reserved_ms >= before_ms]
+    assert sum(len(item.answer.body) for item in left) <= MAX_KEPT_BYTES
+    assert all(1_000_000 - item.reserved_ms <= KEEP_MS for item in left)
+
+
 PROPERTIES = {
     "max-min gives everything out and nobody too much": gives_all,
     "max-min is fair by weight": fair_by_weight,
@@ -192,6 +219,7 @@
     "turns follow the shares of busy teams": turns_by_share,
     "a burst does not hold up another team": burst,
     "a call waits no longer than its deadline": bounded_wait,
+    "kept answers stay within their room and age": kept_answers,
 }
 
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/queue_time.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/queue_time.py
@@ -11,7 +11,7 @@
 __all__ = ["QueueTime", "after_run", "allowed_wait_s", "expected_wait_s"]
 
 STANDING_S = 1.0
-STANDING_WAIT_SHARE = 0.25  # of the time that a deadline leaves for waiting
+STANDING_WAIT_SHARE = 0.6  # of the time that a deadline leaves for waiting
 RUN_WEIGHT = 0.1
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -6,6 +6,7 @@
 """
 
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.answers import KeptAnswers
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
@@ -54,6 +55,7 @@
         self.planner = Planner(reactor, log, self.jobs, self.usage)
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
+        self.answers = KeptAnswers(reactor, log)
         self.maintenance = Maintenance(
             log, platform, maintenance_policy(timing), log.session, journal.note
         )
@@ -71,6 +73,7 @@
             self.planner,
             self.moves,
             self.retention,
+            self.answers,
             self.repair,
             self.maintenance,
         ):
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/calls.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/calls.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Iterator
 
+import httpx
+
 from mulberryledge_testing.bench.measures import HIGHER, LOWER, Measure
 from mulberryledge_testing.bench.path.children import Child, start_server
 from mulberryledge_testing.bench.path.load import (
@@ -17,6 +19,7 @@
     open_loop,
     percentile,
 )
+from mulberryledge_testing.bench.path.sharing import Sharing, share_slots
 
 __all__ = ["run"]
 
@@ -72,6 +75,7 @@
     yield from latency(agent_half, entry_half)
     yield overload()
     yield from dead_zone()
+    yield from sharing()
 
 
 def speed(bare: Load, agent: Load, entry: Load) -> Iterator[Measure]:
@@ -120,15 +124,55 @@
         ports = (doomed.port, target.port, target.port, target.port)
         with start_server("entry", DEADLINE_MS, *ports) as entry:
             closed_loop(entry.port, request_to(entry), CLIENTS, 1.0)
+            before = retries_of(entry)
             doomed.process.kill()
             load = closed_loop(entry.port, request_to(entry), CLIENTS, RUN_S)
-            scraped = scrape(entry)
+            retries = retries_of(entry) - before
     calls = sum(load.statuses.values())
-    bad = calls - load.statuses[200]
-    yield Measure("calls.failed_under_dead_zone", bad / calls, "ratio", LOWER)
-    yield from scraped
+    yield Measure(
+        "calls.retry_factor_dead_zone",
+        1 + retries / calls,
+        "tries/call",
+        LOWER,
+        RETRY_FACTOR,
+    )
+    failed = 1 - load.statuses[200] / calls
+    yield Measure("calls.failed_dead_zone", failed, "ratio", LOWER)
+
+
+def retries_of(entry: Child) -> float:
+    """Return the retries that an entry has counted."""
+    url = f"http://127.0.0.1:{entry.port}/metrics"
+    total = 0.0
+    for line in httpx.get(url, trust_env=False).text.splitlines():
+        if line.startswith("mulberryledge_call_retries_total"):
+            total += float(line.split()[-1])
+    return total
+
+
+def sharing() -> Iterator[Measure]:
+    """Compare lending with home entries that queue, under on-off demand."""
+    lent, home = share_slots("lend"), share_slots("home")
+    for name, ours, plain, unit, better in (
+        ("answered", answered(lent), answered(home), "ratio", HIGHER),
+        ("wait_p99", wait_ms(lent), wait_ms(home), "ms", LOWER),
+        ("messages", per_call(lent), per_call(home), "1/call", LOWER),
+    ):
+        yield Measure(f"calls.on_off_{name}", ours, unit, better, None, plain)
+    entries_per_s = lent.log_bytes / lent.seconds
+    yield Measure("calls.on_off_lending", entries_per_s, "log B/s", LOWER)
+
+
+def answered(found: Sharing) -> float:
+    """Return the share of calls that were answered within their deadline."""
+    return found.answered / found.offered
+
+
+def wait_ms(found: Sharing) -> float:
+    """Return the 99th percentile of the wait for a slot, in milliseconds."""
+    return 1_000 * percentile(found.waits_s, 0.99)
 
 
-def scrape(entry: Child) -> Iterator[Measure]:
-    """Return nothing yet."""
-    return iter(())
+def per_call(found: Sharing) -> float:
+    """Return messages between entries and targets for each call."""
+    return found.messages / found.offered
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/virtual.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/virtual.py
@@ -193,13 +193,16 @@
         running.addErrback(self.failures.append)
         return running
 
-    def advance(self, seconds: float, step_s: float = 0.002) -> None:
-        """Let time pass; stop at the first failure."""
+    def advance(self, seconds: float) -> None:
+        """Let time pass from event to event; stop at the first failure."""
         until = self.clock.seconds() + seconds
-        while self.clock.seconds() < until:
-            self.clock.advance(step_s)
+        while self.clock.calls and self.clock.calls[0].getTime() <= until:
+            self.clock.advance(
+                max(0.0, self.clock.calls[0].getTime() - self.clock.seconds())
+            )
             if self.failures:
                 self.failures[0].raiseException()
+        self.clock.advance(max(0.0, until - self.clock.seconds()))
 
     async def call(
         self,
