Lend only to entries where calls wait, and repeat no recall at once

Cause: entries whose queue had drained kept a claim from their peak, so loans went to and fro while demand fell, and the same recall was repeated five times a second. Change: an entry without waiting calls claims no more than it holds and tells at once that it is relieved; an equal recall is repeated after 2 s.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/demand.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/demand.py
@@ -65,6 +65,7 @@
         self.interval_s = REPORT_INTERVAL_S
         self.reporting = False
         self.short = False
+        self.reported_short = False
         self.returning = False
         self.giving_back = False
         self.sequence = 0
@@ -153,6 +154,7 @@
         if isinstance(outcome, Err):
             return
         self.reported = demands
+        self.reported_short = short
         if name == self.session.name:
             self.session.renewed(now_s)
 
@@ -169,7 +171,8 @@
             await self.return_free(everything=True)
             return
         overdue = now_s - self.reported_s >= REPORT_INTERVAL_MAX_S
-        if (overdue or self.has_fallen()) and not self.reporting:
+        relieved = self.reported_short and not self.short
+        if (overdue or relieved or self.has_fallen()) and not self.reporting:
             self.reporting = True
             await self.report()
         await self.return_free()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -36,6 +36,7 @@
 REPORT_LIFE_S = 3.0
 TURN_S = 1.0
 RECALL_INTERVAL_S = 0.2
+RECALL_REPEAT_S = 2.0
 JOBS = ""  # holder of what running jobs use
 UNRELATED = (CancelJobs, Lend, Recall, Reserve, SettleReservation)
 
@@ -56,7 +57,7 @@
         self.log = log
         self.sessions = sessions
         self.reports: dict[str, DemandReport] = {}
-        self.recalled_s: dict[str, float] = {}
+        self.recalled: dict[str, tuple[Recall, float]] = {}
         self.planned = False
         self.planning = False
         self.short = False
@@ -195,10 +196,9 @@
         )
         held[JOBS] = sum(running.values())
         claims = [
-            Claim(report.session, demand.team, demand.wanted)
+            claim
             for report in self.reports.values()
-            for demand in report.demands
-            if demand.service == service
+            for claim in service_claims(report, service, held.get(report.session, 0))
         ]
         claims.extend(self.job_claims(service, running))
         claims.extend(self.silent_claims(held))
@@ -254,6 +254,8 @@
         claims = [Claim(JOBS, team, running + min(queued, 1 + running))]
         for report in self.reports.values():
             wanted = sum(d.wanted for d in report.demands if d.team == team)
+            if not report.short:
+                wanted = min(wanted, held.get(report.session, 0))
             claims.append(Claim(report.session, team, wanted))
         claims.extend(self.silent_claims(held))
         return plan_loans(record.upper_limit, held, claims, {}, self.ranks())
@@ -330,9 +332,28 @@
             for team, plan in permits.items()
             if plan.recalls.get(session)
         )
+        if not (wanted or teams):
+            return None
         now_s = self.clock.seconds()
-        recent = now_s - self.recalled_s.get(session, -1e9) < RECALL_INTERVAL_S
-        if recent or not (wanted or teams):
+        asked, asked_s = self.recalled.get(session, (None, -RECALL_REPEAT_S))
+        command = Recall(session, wanted, teams)
+        pause_s = RECALL_REPEAT_S if command == asked else RECALL_INTERVAL_S
+        if now_s - asked_s < pause_s:
             return None
-        self.recalled_s[session] = now_s
-        return Recall(session, wanted, teams)
+        self.recalled[session] = (command, now_s)
+        return command
+
+
+def service_claims(report: DemandReport, service: str, held: int) -> list[Claim]:
+    """
+    Return what an entry claims of a service's slots.
+
+    An entry where no call waits claims no more than it holds.
+    """
+    claims = []
+    for demand in report.demands:
+        if demand.service == service:
+            wanted = demand.wanted if report.short else min(demand.wanted, held)
+            held -= wanted
+            claims.append(Claim(report.session, demand.team, wanted))
+    return claims
