--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -18,6 +18,7 @@
     Lend,
     Recall,
     Reserve,
+    ReturnLoan,
     SettleReservation,
 )
 from mulberryledge_core.decisions.lending import Claim, Plan, plan_loans
@@ -77,6 +78,10 @@
 
     def on_applied(self, event: AppliedEvent) -> None:
         """Plan anew while an entry is short and something may have become free."""
+        if isinstance(event.command, ReturnLoan):
+            session = event.command.session
+            _, asked_s = self.recalled.get(session, (None, -RECALL_REPEAT_S))
+            self.recalled[session] = (None, asked_s)
         if self.short and not isinstance(event.command, UNRELATED):
             self.plan_soon()
 
