Show that a caller that does not read holds no slot, and size lease reports

Cause: slow readers and the leader's bytes for target leases had no test or figure. Change: a scenario with an answer that no buffer holds, and a measure of the encoded reports on 1,000 targets.

--- a/features/path/repeatable.feature
+++ b/features/path/repeatable.feature
@@ -41,6 +41,12 @@
     When request "r1" is sent through "entry-1"
     Then the caller's connection is cut
 
+  Scenario: A caller that does not read holds no slot beyond its deadline
+    Given the target's next answer is "huge"
+    When a caller that does not read sends "r1" with a deadline of 500 ms
+    Then its connection is cut within 5 s and the answer is not whole
+    And no entry has a claim in use
+
   Scenario: A body over the service's bound is refused
     When 5000000 bytes are sent through "entry-1"
     Then the call is refused with 413 "too-large" and outcome "not-run"
--- a/features/path/steps/entries.py
+++ b/features/path/steps/entries.py
@@ -1,11 +1,13 @@
 """Steps on several entries that share one log, and one scripted target."""
 
 import json
+import socket
+import time
 
 from behave import given, then, when
 from mulberryledge_testing.callers import Caller
 from mulberryledge_testing.reactor_thread import run_coroutine
-from mulberryledge_testing.scripted import ScriptedTarget
+from mulberryledge_testing.scripted import HUGE_BYTES, ScriptedTarget
 from mulberryledge_testing.views import set_up_service
 from result import Ok
 from twisted.internet import reactor
@@ -161,6 +163,33 @@
     context.response = run_coroutine(lambda: send(context, entry, "", b"x"))
 
 
+@when('a caller that does not read sends "{body:w}" with a deadline of {ms:d} ms')
+def step_slow_reader(context, body, ms):
+    context.socket = socket.socket()
+    context.add_cleanup(context.socket.close)
+    context.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    context.socket.connect(("127.0.0.1", context.daemon.callers_port))
+    head = (
+        f"POST /v1/services/{context.service}/calls/x HTTP/1.1\r\nHost: a\r\n"
+        f"Authorization: Bearer {context.key}\r\nX-Deadline-Ms: {ms}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    )
+    context.socket.sendall(head.encode())
+    time.sleep(2 * ms / 1_000)
+
+
+@then("its connection is cut within {timeout:d} s and the answer is not whole")
+def step_slow_cut(context, timeout):
+    context.socket.settimeout(timeout)
+    size = 0
+    try:
+        while data := context.socket.recv(1_000_000):
+            size += len(data)
+    except ConnectionResetError:
+        pass
+    assert 0 < size < HUGE_BYTES, size
+
+
 @when('{count:d} bytes are sent through "{entry:S}"')
 def step_send_bytes(context, count, entry):
     context.response = run_coroutine(lambda: send(context, entry, "r1", b"y" * count))
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/calls.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/calls.py
@@ -8,9 +8,12 @@
 
 import random
 from collections.abc import Iterator
+from itertools import pairwise
 
 import httpx
 
+from mulberryledge_core.messages import TargetsSeen
+from mulberryledge_daemon.log.channel import encode_named
 from mulberryledge_testing.bench.measures import HIGHER, LOWER, Measure
 from mulberryledge_testing.bench.path.children import Child, start_server
 from mulberryledge_testing.bench.path.load import (
@@ -34,6 +37,13 @@
 SLOW_DEADLINE_MS = 500
 SLOTS = 8
 RETRY_FACTOR = 1.2
+TARGETS = 1_000
+GENERATIONS = 1_000_000
+RENEWALS = 3
+LEASE_S = 10
+LEASE_REPORTS_PER_S = 2
+ENTRY_HOSTS = 9
+CONTROL_BYTES_PER_S = 3_072
 
 
 def request_to(child: Child) -> bytes:
@@ -76,6 +86,7 @@
     yield overload()
     yield from dead_zone()
     yield from sharing()
+    yield lease_bytes()
 
 
 def speed(bare: Load, agent: Load, entry: Load) -> Iterator[Measure]:
@@ -163,6 +174,22 @@
     yield Measure("calls.on_off_lending", entries_per_s, "log B/s", LOWER)
 
 
+def lease_bytes() -> Measure:
+    """Encode the reports on 1,000 targets that renew three times in a 10 s lease."""
+    source = random.Random(1)
+    each = ENTRY_HOSTS * LEASE_REPORTS_PER_S
+    total = 0
+    for _ in range(each):
+        seen = sorted(
+            source.sample(range(GENERATIONS), TARGETS * RENEWALS // LEASE_S // each)
+        )
+        gaps = tuple(b - a for a, b in pairwise([0, *seen]))
+        total += len(encode_named(TargetsSeen("entry-1", gaps)))
+    return Measure(
+        "calls.target_lease_bytes_at_leader", total, "B/s", LOWER, CONTROL_BYTES_PER_S
+    )
+
+
 def answered(found: Sharing) -> float:
     """Return the share of calls that were answered within their deadline."""
     return found.answered / found.offered
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/scripted.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/scripted.py
@@ -14,6 +14,7 @@
 
 LATE_S = 0.4
 LARGE_BYTES = 3_000_000
+HUGE_BYTES = 32_000_000
 
 
 class Exchange(Protocol):
@@ -128,6 +129,11 @@
     exchange.transport.loseConnection()
 
 
+def huge(exchange: Exchange, request_id: str, body: bytes) -> None:
+    """Give an answer that no buffer on the way holds."""
+    exchange.answer(request_id, b"x" * HUGE_BYTES)
+
+
 Behaviour = Callable[[Exchange, str, bytes], None]
 
 BEHAVIOURS: dict[str, Behaviour] = {
@@ -140,6 +146,7 @@
     "late": late,
     "silent": silent,
     "large": large,
+    "huge": huge,
     "large truncated": large_truncated,
 }
 
