Name oversize heads, and let calls with little time not speak against a target

Cause: a header line over the bound closed the connection without an answer; calls with deadlines far under the usual run time could eject half a pool for all teams. Change: 431 with a refusal; a late call counts against its target only if it had five usual run times.

--- a/features/path/repeatable.feature
+++ b/features/path/repeatable.feature
@@ -25,6 +25,21 @@
     Then the answer is 200 with "echo:r2"
     And the target was connected to 2 times
 
+  Scenario: Calls with too little time do not speak against the target
+    Given the target takes 100 ms
+    When request "r1" is sent through "entry-1"
+    And 5 requests with a deadline of 20 ms are sent through "entry-1"
+    Then "entry-1" has noted no failure of a target
+
+  Scenario: Failures of a target are noted
+    Given the target's next answer is "reset"
+    And the target's next answer is "reset"
+    And the target's next answer is "reset"
+    And the target's next answer is "reset"
+    When request "r1" is sent through "entry-1"
+    Then the call is refused with 502 "target-failed" and outcome "unknown"
+    And "entry-1" has noted a failure of a target
+
   Scenario: Connections are used again
     When request "r1" is sent through "entry-1"
     And request "r2" is sent through "entry-1"
@@ -52,6 +67,15 @@
     Then the call is refused with 413 "too-large" and outcome "not-run"
     And the target has run 0 requests
 
+  Scenario Outline: A request over a bound of the server is refused at once
+    When a raw request with <what> of <size> bytes is sent
+    Then the raw answer begins with "HTTP/1.1 <status>"
+
+    Examples:
+      | what     | size        | status |
+      | a header | 70000       | 431    |
+      | a body   | 99999999999 | 413    |
+
   Scenario Outline: A bad number is named
     When "<method>" "<path>" is sent with "<header>" as "<value>"
     Then the refusal is 400 and names "<place>" and "<text>"
--- a/features/path/steps/entries.py
+++ b/features/path/steps/entries.py
@@ -178,6 +178,20 @@
     time.sleep(2 * ms / 1_000)
 
 
+@when("a raw request with a {what} of {size:d} bytes is sent")
+def step_raw(context, what, size):
+    line = "X-Large: " + "y" * size if what == "header" else f"Content-Length: {size}"
+    head = f"POST /v1/services/x/calls/y HTTP/1.1\r\nHost: a\r\n{line}\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", context.daemon.callers_port)) as raw:
+        raw.sendall(head.encode())
+        context.raw = raw.recv(1_000).decode()
+
+
+@then('the raw answer begins with "{text}"')
+def step_raw_answer(context, text):
+    assert context.raw.startswith(text), context.raw
+
+
 @then("its connection is cut within {timeout:d} s and the answer is not whole")
 def step_slow_cut(context, timeout):
     context.socket.settimeout(timeout)
@@ -195,6 +209,29 @@
     context.response = run_coroutine(lambda: send(context, entry, "r1", b"y" * count))
 
 
+@when('{count:d} requests with a deadline of {ms:d} ms are sent through "{entry:S}"')
+def step_send_hurried(context, count, ms, entry):
+    for number in range(count):
+        run_coroutine(
+            lambda n=number: send(context, entry, f"h{n}", X_Deadline_Ms=str(ms))
+        )
+
+
+def failures_of(context, entry):
+    seen = context.daemons[entry].entry.loans.health.seen
+    return sum(health.failures for health in seen.values())
+
+
+@then('"{entry:S}" has noted no failure of a target')
+def step_no_failure(context, entry):
+    assert failures_of(context, entry) == 0, context.response
+
+
+@then('"{entry:S}" has noted a failure of a target')
+def step_failure(context, entry):
+    assert failures_of(context, entry) > 0, context.response
+
+
 @when('request "{request_id:w}" is sent through "{one:S}" and "{other:S}" at once')
 def step_send_both(context, request_id, one, other):
     async def run():
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/calls.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/calls.py
@@ -48,6 +48,8 @@
 }
 FAILING_STATUSES = frozenset((500, 502, 503, 504))
 HASH_PART_BYTES = 64 * 1_024
+FAIR_RUNS = 5.0  # usual run times that a late call must have had to count as failed
+FIRST_RUN_S = 0.2  # taken as usual until a call has been answered
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -282,13 +284,17 @@
         """
         Give a claim back; a target that may still run the call keeps it.
 
-        The target was told the deadline, so the call counts as over by then.
+        The target was told the deadline, so the call counts as over by then. A call
+        that had little time does not speak against its target.
         """
         now_s = self.clock.seconds()
         answer = outcome.answer
         good = answer is not None and answer.status not in FAILING_STATUSES
-        pool = self.loans.refresh().pools.get(claim.service, [])
-        self.loans.health.end(claim.slot.key, good, now_s - started_s, now_s, pool)
+        run_s = self.queues.queue_of(claim.service).times.run_s
+        had_time = deadline_s - started_s >= FAIR_RUNS * (run_s or FIRST_RUN_S)
+        if good or now_s < deadline_s or had_time:
+            pool = self.loans.refresh().pools.get(claim.service, [])
+            self.loans.health.end(claim.slot.key, good, now_s - started_s, now_s, pool)
         if good:
             self.queues.note_run(claim.service, now_s - started_s)
         if outcome.over or now_s >= deadline_s:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -11,7 +11,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
-from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.outcomes import Code, Refusal, RunOutcome
 from mulberryledge_daemon.http.routing import refusal_reply
 
 __all__ = ["BoundedRequest", "BoundedSite", "make_site"]
@@ -48,12 +48,10 @@
         """Answer at once and close, rather than read on."""
         self.refused = True
         text = f"body: over {MAX_BODY_BYTES} bytes"
-        reply = refusal_reply(Refusal(Code.TOO_LARGE, text))
-        head = (
-            b"HTTP/1.1 413 Request Entity Too Large\r\nConnection: close\r\n"
-            b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-        )
-        self.transport.write(head % len(reply.body) + reply.body)
+        named = self.getHeader("Idempotency-Key")
+        run = RunOutcome.UNKNOWN if named else RunOutcome.NOT_RUN
+        refusal = Refusal(Code.TOO_LARGE, text)
+        self.transport.write(closing_answer("413 Content Too Large", refusal, run))
         self.transport.loseConnection()
 
 
@@ -94,6 +92,15 @@
         self.receiving_s = None
         super().allContentReceived()
 
+    def lineLengthExceeded(self, line: bytes) -> None:
+        text = f"headers: a line is over {self.MAX_LENGTH} bytes"
+        self.transport.write(
+            closing_answer(
+                "431 Request Header Fields Too Large", Refusal(Code.TOO_LARGE, text)
+            )
+        )
+        self.transport.loseConnection()
+
     def overdue(self, now_s: float) -> bool:
         """Return whether a request has been coming in for too long."""
         if self.receiving_s is None:
@@ -155,6 +162,18 @@
         """Write no line for each request."""
 
 
+def closing_answer(
+    status: str, refusal: Refusal, run: RunOutcome = RunOutcome.NOT_RUN
+) -> bytes:
+    """Return a refusal as the last answer on a connection."""
+    body = refusal_reply(refusal, run).body
+    head = (
+        f"HTTP/1.1 {status}\r\nConnection: close\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def make_site(resource: Resource, clock: IReactorTime) -> BoundedSite:
     """Return the server of a resource."""
     return BoundedSite(resource, clock)
