Plan loans at most ten times a second

Cause: demand that rises over some tens of milliseconds wrote a loan for each step. Change: plans are at least 0.1 s apart; the first one still comes after 20 ms.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/lender.py
@@ -34,6 +34,7 @@
 __all__ = ["Lender"]
 
 PLAN_DELAY_S = 0.02
+PLAN_INTERVAL_S = 0.1
 REPORT_LIFE_S = 3.0
 TURN_S = 1.0
 RECALL_INTERVAL_S = 0.2
@@ -61,6 +62,7 @@
         self.recalled: dict[str, tuple[Recall, float]] = {}
         self.planned = False
         self.planning = False
+        self.planned_s = 0.0
         self.short = False
         channel.serve(DemandReport, self.on_demand)
         log.watch(self.on_applied)
@@ -89,7 +91,9 @@
         """Collect what happens in a moment into one plan."""
         if not self.planned:
             self.planned = True
-            self.clock.callLater(PLAN_DELAY_S, self.start_plan)
+            next_s = self.planned_s + PLAN_INTERVAL_S
+            wait_s = max(PLAN_DELAY_S, next_s - self.clock.seconds())
+            self.clock.callLater(wait_s, self.start_plan)
 
     def start_plan(self) -> None:
         """Run a plan; its failure is logged."""
@@ -119,6 +123,7 @@
             self.reports.clear()
             return
         self.planning = True
+        self.planned_s = self.clock.seconds()
         try:
             await gatherResults(
                 [
