Give the loans of a lost entry back after the deadlines that can apply

Ruled out: slow elections (calls went on through the other entries, short of permits). Change: the deadlines of the versions that were in force within the last 120 s are looked up in the history; only a removed service or a forgotten version still counts with the whole 120 s. Conclusion: a killed entry holds capacity for its calls' own deadline.

--- a/packages/mulberryledge-core/src/mulberryledge_core/documents.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/documents.py
@@ -18,6 +18,7 @@
 from mulberryledge_core.outcomes import Code, Fault, Refusal
 
 __all__ = [
+    "MAX_DEADLINE_MS",
     "NAME_RULE",
     "RANGES",
     "Reading",
@@ -34,10 +35,11 @@
 
 NAME_RULE = "use 1 to 64 lower-case letters, digits and hyphens"
 MAX_NAME_CHARS = 64
+MAX_DEADLINE_MS = 120_000
 NAME_CHARS = frozenset("abcdefghijklmnopqrstuvwxyz0123456789-")
 
 RANGES = (
-    ("calls", "deadline_ms", 1, 120_000),
+    ("calls", "deadline_ms", 1, MAX_DEADLINE_MS),
     ("calls", "max_body_kb", 1, 65_536),
     ("queue", "lease_ms", 500, 600_000),
     ("queue", "max_attempts", 1, 100),
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/teams.py
@@ -209,6 +209,7 @@
     while len(state.removed_services) > REMOVED_SERVICES:
         del state.removed_services[next(iter(state.removed_services))]
     del state.services[command.name]
+    state.service_removed_ms = ctx.now_ms
     forget_service(state, command.name, ctx)
     return ok(ctx.index)
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/tables.py
@@ -91,6 +91,8 @@
         Last versions of the services that were removed most recently.
     sessions : dict of str to Session
         Keyed by session identifier.
+    service_removed_ms : int
+        Log time of the last removal of a service, in milliseconds.
     indexes : Indexes
         Derived from the tables.
     """
@@ -105,6 +107,7 @@
     withdrawn_keys: dict[str, int] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     removed_services: dict[str, int] = field(default_factory=dict)
+    service_removed_ms: int = 0
     jobs: dict[str, Job] = field(default_factory=dict)
     reservations: dict[str, Reservation] = field(default_factory=dict)
     sessions: dict[str, Session] = field(default_factory=dict)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/sessions.py
@@ -11,13 +11,14 @@
 from twisted.internet.interfaces import IReactorTime
 
 from mulberryledge_core.commands.work import CloseSession
+from mulberryledge_core.state.deadlines import longest_deadline_ms
 from mulberryledge_daemon.entry.sessions import SESSION_LEASE_S
 from mulberryledge_daemon.ports import ReplicatedLog
 
 __all__ = ["SessionLeases"]
 
 DRIFT_MARGIN_S = 1.0
-DEADLINE_CHANGE_S = 120.0  # longest deadline that a document may have named before
+MS = 1_000
 
 logger = logging.getLogger(__name__)
 
@@ -62,21 +63,10 @@
         self.closing &= sessions.keys()
         heard_s = {name: self.heard_s.get(name, now_s) for name in sessions}
         self.heard_s = heard_s
-        silence_s = SESSION_LEASE_S + self.longest_deadline_s() + DRIFT_MARGIN_S
+        deadline_s = longest_deadline_ms(self.log.state) / MS
+        silence_s = SESSION_LEASE_S + deadline_s + DRIFT_MARGIN_S
         for name, session in sessions.items():
             if now_s - heard_s[name] > silence_s:
                 self.closing.add(name)
                 logger.warning("session silent", extra={"session": name})
                 await self.log.propose(CloseSession(session.daemon, name))
-
-    def longest_deadline_s(self) -> float:
-        """Return the longest time that a call of a silent entry may still run."""
-        state = self.log.state
-        longest_ms = 0
-        for service in state.services.values():
-            age_ms = state.now_ms - service.history[-1].accepted_ms
-            if age_ms < DEADLINE_CHANGE_S * 1_000:
-                return DEADLINE_CHANGE_S
-            if service.document.calls is not None:
-                longest_ms = max(longest_ms, service.document.calls.deadline_ms)
-        return longest_ms / 1_000
