Send a repair's reboot again until the platform has heard of it

Cause: the request was marked as sent whatever became of it, so a lost one left the host lost until it was replaced.

Change: a request without an answer is sent again under the same identifier; a silent host goes through the whole repair on real sockets; chaos loses requests too.

--- a/features/maintenance/end_to_end.feature
+++ b/features/maintenance/end_to_end.feature
@@ -20,3 +20,12 @@
     And each of the 6 hosts was rebooted once with no call or job running
     And every call was answered whole or truly not run
     And the command line shows 6 hosts done
+
+  Scenario: A silent host is cordoned, rebooted by the platform, tried and proved
+    Given a daemon with a platform that loses every other answer
+    And 2 services on 3 hosts each, under constant calls
+    When host "host-0-0" falls silent
+    Then it is rebooted once by the repair within 20 s
+    And it serves and is proved within 20 s
+    And every call was answered whole
+    And the repair told of "cordon", "reboot", "try", "return" and "prove"
--- a/features/maintenance/repair.feature
+++ b/features/maintenance/repair.feature
@@ -22,6 +22,13 @@
     And host "host-0-4" is rebooted once within 8 minutes
     And host "host-0-4" serves and is proved within 12 minutes
 
+  Scenario: A lost request for a reboot is sent again
+    When requests to the platform are lost
+    And host "host-0-4" fails
+    And 8 minutes go by
+    And requests to the platform arrive
+    Then host "host-0-4" is rebooted once within 1 minutes
+
   Scenario: A host that stays lost is replaced from the spare pool
     When host "host-0-4" fails for good
     And 40 minutes go by
--- a/features/maintenance/steps/end_to_end.py
+++ b/features/maintenance/steps/end_to_end.py
@@ -176,7 +176,13 @@
         daemon=DaemonSection("entry-1", availability_zone="z0"),
         operator=OperatorSection("operator", SALT.hex(), digest),
         platform=PlatformSection(platform.url),
-        timing=TimingSection(target_lease_s=2.0, probation_s=0.2, stop_timeout_s=2.0),
+        timing=TimingSection(
+            target_lease_s=2.0,
+            probation_s=0.2,
+            stop_timeout_s=2.0,
+            repair_confirm_s=0.5,
+            repair_reboot_s=1.0,
+        ),
     )
     opened = open_daemon(reactor, settings)
     daemon = opened.__enter__()
@@ -188,6 +194,7 @@
         outcome = await daemon.log.propose(command)
         assert isinstance(outcome, Ok), outcome
 
+    context.daemon = daemon
     context.entries = f"http://127.0.0.1:{daemon.operators_port}"
     url = f"http://127.0.0.1:{daemon.callers_port}"
     context.site = Site(propose, url, platform)
@@ -283,6 +290,50 @@
     assert sum(site.platform.requests.values()) > hosts, "answers were lost"
 
 
+@when('host "{host}" falls silent')
+def step_silent(context, host):
+    context.silent = host
+    run_coroutine(lambda: fall_silent(context.site, host))
+
+
+async def fall_silent(site, host):
+    site.down.add(host)
+
+
+@then("it is rebooted once by the repair within {seconds:d} s")
+def step_repaired(context, seconds):
+    reboots = context.site.platform.reboots
+    wait_until(lambda: reboots, "the repair reboots it", seconds)
+    names = [name.rpartition(".")[0] for name in reboots]
+    assert names == [f"repair.{context.silent}"], names
+
+
+@then("it serves and is proved within {seconds:d} s")
+def step_proved(context, seconds):
+    hosts = context.daemon.log.state.hosts
+
+    def is_proved():
+        host = hosts[context.silent]
+        return host.phase == "serving" and not host.upkeep.absences
+
+    wait_until(is_proved, "it is proved", seconds)
+    assert len(context.site.platform.reboots) == 1, context.site.platform.reboots
+
+
+@then("every call was answered whole")
+def step_all_whole(context):
+    assert context.site.answered > 100, context.site.answered
+    assert not context.site.bad, context.site.bad[:3]
+
+
+@then('the repair told of "{a}", "{b}", "{c}", "{d}" and "{e}"')
+def step_told(context, a, b, c, d, e):
+    told = context.daemon.journal.about(f"host/{context.silent}")
+    kinds = [one.cause.partition(":")[0] for one in reversed(told)]
+    steps = [kind for kind in dict.fromkeys(kinds) if kind != "wait"]
+    assert steps == [a, b, c, d, e], steps
+
+
 @then("every call was answered whole, and the job ended")
 def step_answered(context):
     site = context.site
--- a/features/maintenance/steps/repair.py
+++ b/features/maintenance/steps/repair.py
@@ -53,6 +53,16 @@
     context.lost = [host]
 
 
+@when("requests to the platform are lost")
+def step_lose_requests(context):
+    context.world.platform.lose_request = lambda: True
+
+
+@when("requests to the platform arrive")
+def step_requests_arrive(context):
+    context.world.platform.lose_request = lambda: False
+
+
 @when('the rack of "{name}" is lost for {minutes:d} minutes')
 def step_rack(context, name, minutes):
     rack = host_of(context, name)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/repair.py
@@ -26,7 +26,7 @@
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
 from mulberryledge_core.model.targets import Target
-from mulberryledge_daemon.ports import Platform, ReplicatedLog
+from mulberryledge_daemon.ports import Platform, RebootState, ReplicatedLog
 
 __all__ = ["Repair"]
 
@@ -120,17 +120,24 @@
         await self.log.propose(command)
 
     async def reboot(self, action: Action) -> None:
-        """Ask the platform to reboot a lost host, once for each loss."""
+        """Ask the platform to reboot a lost host, until it has heard of it."""
         host = self.log.state.hosts[action.host]
         request = f"repair.{host.name}.{host.upkeep.lost_ms}"
+        self.forget_requests()
         if request not in self.rebooted and self.log.is_leader():
-            self.rebooted = {
-                name: at
-                for name, at in self.rebooted.items()
-                if self.clock.seconds() - at < self.policy.max_hold_ms / 1_000
-            }
             self.rebooted[request] = self.clock.seconds()
-            ensureDeferred(self.platform.reboot(host.name, request))
+            ensureDeferred(self.ask(host.name, request))
+
+    async def ask(self, host: str, request: str) -> None:
+        """Send one request; the platform carries it out once."""
+        if await self.platform.reboot(host, request) == RebootState.UNREACHABLE:
+            self.rebooted.pop(request, None)
+
+    def forget_requests(self) -> None:
+        """Forget requests about losses of long ago."""
+        before = self.clock.seconds() - self.policy.max_hold_ms / 1_000
+        kept = {name: at for name, at in self.rebooted.items() if at > before}
+        self.rebooted = kept
 
     async def replace(self, action: Action) -> None:
         """Move a spare host in for a lost one."""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/chaos.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/chaos.py
@@ -217,9 +217,10 @@
         assert "stale" not in self.world.state.permits
 
     def lose_answers(self) -> None:
-        """Lose or keep the answers of the platform from now on."""
+        """Lose or keep requests to the platform, or its answers, from now on."""
         share = self.random.choice((0.0, 0.5, 1.0))
-        self.world.platform.lose_answer = lambda: self.random.random() < share
+        lose = self.random.choice(("lose_request", "lose_answer"))
+        setattr(self.world.platform, lose, lambda: self.random.random() < share)
 
     def silence_entry(self) -> None:
         """Cut an entry off from the leader, or reconnect it."""
@@ -234,6 +235,7 @@
         """End all failures and holds, and let operators finish the waves."""
         world = self.world
         world.never_back.clear()
+        world.platform.lose_request = lambda: False
         world.platform.lose_answer = lambda: False
         world.reporting = {"entry-1", "entry-2", "entry-3"}
         for host in list(world.down_since):
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/fakes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/fakes.py
@@ -113,8 +113,8 @@
         Requests by permit, resends counted in.
     carried_out : list of str
         Permits in the order in which their reboots began.
-    lose_answer : callable
-        Returns whether the next answer is lost.
+    lose_request, lose_answer : callable
+        Return whether the next request or answer is lost.
     """
 
     def __init__(self, begin: Callable[[str, str], None]):
@@ -123,11 +123,14 @@
         self.requests: Counter[str] = Counter()
         self.states: dict[str, RebootState] = {}
         self.carried_out: list[str] = []
+        self.lose_request: Callable[[], bool] = lambda: False
         self.lose_answer: Callable[[], bool] = lambda: False
 
     async def reboot(self, host: str, permit_id: str) -> RebootState:
         """Begin a reboot, or tell the state of the one begun before."""
         self.requests[permit_id] += 1
+        if self.lose_request():
+            return RebootState.UNREACHABLE
         if permit_id not in self.states:
             self.states[permit_id] = RebootState.REBOOTING
             self.carried_out.append(permit_id)
