--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -4,7 +4,6 @@
 import re
 import shlex
 import shutil
-import socket
 import subprocess
 import sys
 import time
@@ -14,57 +13,42 @@
 
 import httpx
 from behave import given, then, when
+from mulberryledge_testing.ports import free_ports
+from twisted.internet.task import Clock
 
 from mulberryledge_cli.commands import COMMANDS
-from mulberryledge_core.decisions.pools import Weights
 from mulberryledge_core.keys import split_key
 from mulberryledge_core.model.services import ServiceDocument
-from mulberryledge_daemon.settings import (
-    DaemonSection,
-    ListenSection,
-    LogsSection,
-    OperatorSection,
-    PlatformSection,
-    TimingSection,
-)
+from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.http.health import health_routes
+from mulberryledge_daemon.http.routing import STATUS
+from mulberryledge_daemon.settings import DaemonSection, OperatorSection, Settings
 
 ROOT = Path.cwd()
 BIN = Path(sys.executable).parent
 BLOCK = re.compile(r"^```sh\n(.*?)^```$", re.DOTALL | re.MULTILINE)
+ROUTE = re.compile(r"`(GET|POST|PUT|DELETE|\*) (/[^` ]+)`")
+STATUS_ROW = re.compile(r"^\| (\d{3}) \| (.*) \|$", re.MULTILINE)
+PROMISE_ROW = re.compile(r"\| ([a-z]+) \| ([A-Z][^|]+) \|$", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
 NAMED = re.compile(r"\bmulberryledge ((?:[a-z][a-z-]+ ?){1,2})")
 VARIABLE = re.compile(r"\$([A-Z_]+)")
 TIMEOUT_S = 20.0
 CALLERS, OPERATORS = "7070", "7071"
-SECTIONS = {
-    "daemon": DaemonSection,
-    "listen": ListenSection,
-    "operator": OperatorSection,
-    "platform": PlatformSection,
-    "timing": TimingSection,
-    "logs": LogsSection,
-    "weights": Weights,
-}
 
 
 def pages():
     return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 
 
-def free_ports(count):
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [str(listener.getsockname()[1]) for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
-
-
 class Shell:
     """Runs the lines of the docs: our own programs, variables and plain calls."""
 
     def __init__(self, folder):
         self.folder = Path(folder)
-        self.ports = dict(zip((CALLERS, OPERATORS), free_ports(2), strict=True))
+        self.ports = dict(
+            zip((CALLERS, OPERATORS), map(str, free_ports(2)), strict=True)
+        )
         self.variables = {"PATH": os.environ["PATH"], "PWD": str(folder)}
         self.started = []
         self.shown = ""
@@ -232,7 +216,40 @@
     assert_named(page, values_of(ServiceDocument))
 
 
-@then('"{page}" names every value of the settings that operators set')
+@then('"{page}" names every value of the settings')
 def step_settings(context, page):
-    for section, kind in SECTIONS.items():
-        assert_named(page, values_of(kind, f"{section}."))
+    assert_named(page, values_of(Settings))
+
+
+def routes_of(daemon):
+    """Return method and pattern of every route."""
+    health = health_routes(daemon.is_ready, bytes)
+    routes = (*health, *daemon.entry.routes(), *daemon.operator_side())
+    return {(route.method, route.pattern) for route in routes}
+
+
+@then('"{page}" names every route of the daemon and no other')
+def step_routes(context, page):
+    settings = Settings(DaemonSection("entry-1"), operator=OperatorSection())
+    with open_daemon(Clock(), settings) as daemon:
+        served = routes_of(daemon)
+    text = (ROOT / page).read_text().replace("any method on `", "`* ")
+    named = set(ROUTE.findall(text))
+    assert named == served, named ^ served
+
+
+@then('"{page}" names every code with its status')
+def step_codes(context, page):
+    rows = dict(STATUS_ROW.findall((ROOT / page).read_text()))
+    for code, status in STATUS.items():
+        assert f"`{code}`" in rows[str(status)], code
+
+
+@then('every scenario in "{page}" is in its suite')
+def step_promises(context, page):
+    rows = PROMISE_ROW.findall((ROOT / page).read_text())
+    assert len(rows) > 30, len(rows)
+    for suite, scenario in rows:
+        features = (ROOT / "features" / suite).glob("*.feature")
+        text = "\n".join(one.read_text() for one in features)
+        assert f": {scenario}\n" in text, (suite, scenario)
