End a wave after a week without hosts that stay away

Cause: a wave over a host that never comes back ran for ever, and so kept its pool out of the calendar; found by reading.

Change: after a week a wave ends without hosts that are lost, absent or held, and names them; chaos has operators settle moved hosts, and retries a move that was refused.

--- a/features/maintenance/steps/waves.py
+++ b/features/maintenance/steps/waves.py
@@ -132,6 +132,21 @@
     pass_time(context, minutes * MINUTE_MS)
 
 
+@when("{hours:d} hours go by")
+def step_hours(context, hours):
+    pass_time(context, hours * HOUR_MS)
+
+
+@then("the wave still runs")
+def step_still_running(context):
+    assert wave(context).phase == WavePhase.RUNNING, wave(context)
+
+
+@then("{count:d} hosts are done")
+def step_count_done(context, count):
+    assert steps_of(context)[MaintenanceStep.DONE] == count, steps_of(context)
+
+
 @when("{days:d} days go by")
 def step_days(context, days):
     pass_time(context, days * 24 * HOUR_MS, step_ms=HOUR_MS)
--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -90,6 +90,15 @@
     And host "host-0-16" fails and is removed
     Then the wave ends with all 16 hosts done and none cut off
 
+  Scenario: A wave ends after a week without a host that stays away
+    When host "host-0-17" fails for good
+    And a wave over pool 0 starts
+    And 3 hours go by
+    Then the wave still runs
+    When 8 days go by
+    Then the wave is "done" because of "could not go: host-0-17"
+    And 17 hosts are done
+
   Scenario: A paused wave finishes what it began and resumes
     When a wave over pool 0 starts
     And 6 minutes go by
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/waves.py
@@ -24,11 +24,14 @@
     "Progress",
     "candidates",
     "choose_hosts",
+    "is_finished",
     "least_waves",
     "plan_wave",
     "wave_progress",
 ]
 
+GIVE_UP_MS = 7 * 86_400_000
+
 
 @dataclass(frozen=True, slots=True)
 class Blocked:
@@ -131,6 +134,26 @@
     return found
 
 
+def is_finished(state: ClusterState, wave: Wave, now_ms: int) -> bool:
+    """
+    Return whether nothing is left to do for the wave.
+
+    After a week a wave ends without the hosts that are lost, absent or held; they
+    fall due again once they are back.
+    """
+    if wave.open:
+        return False
+    left = candidates(state, wave)
+    old = now_ms - wave.started_ms >= GIVE_UP_MS
+    return not left or (old and not any(can_go(host) for host in left))
+
+
+def can_go(host: Host) -> bool:
+    """Return whether the host itself is fit to go out."""
+    upkeep = host.upkeep
+    return host.phase == HostPhase.SERVING and not (upkeep.absences or upkeep.hold)
+
+
 def choose_hosts(
     state: ClusterState, wave: Wave, now_ms: int, ledger: Ledger | None = None
 ) -> Choice:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -26,7 +26,7 @@
 from mulberryledge_core.decisions.quiet import in_quiet
 from mulberryledge_core.decisions.relapses import relapse_cause
 from mulberryledge_core.decisions.rollouts import overtaken_cause, rollout_ms
-from mulberryledge_core.decisions.waves import candidates, choose_hosts
+from mulberryledge_core.decisions.waves import candidates, choose_hosts, is_finished
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
 from mulberryledge_core.model.jobs import Job, JobPhase
@@ -213,8 +213,10 @@
                 cause = f"wave {wave.name!r}: every budget allows it"
                 self.say(DecisionKind.PERMIT, f"host/{host}", cause)
         wave = self.log.state.waves[wave.name]
-        if not wave.open and not candidates(self.log.state, wave):
-            command = SetWavePhase(wave.name, WavePhase.RUNNING, WavePhase.DONE)
+        if is_finished(self.log.state, wave, self.log.time_ms()):
+            left = ", ".join(host.name for host in candidates(self.log.state, wave))
+            reason = f"without hosts that could not go: {left}" if left else ""
+            command = SetWavePhase(wave.name, wave.phase, WavePhase.DONE, reason)
             await self.log.propose(command)
             self.tell_rollout(self.log.state.waves[wave.name])
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/maintenance.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/maintenance.py
@@ -116,6 +116,7 @@
     weeks = run_eight_weeks(SEEDS[0])
     name = "maintenance.calendar"
     yield Measure(f"{name}.hosts_missed", weeks.missed, "hosts", LOWER, 0, None)
+    yield Measure(f"{name}.hosts_overdue", weeks.overdue, "hosts", LOWER, 0, None)
     yield Measure(f"{name}.broken_budgets", weeks.broken, "permits", LOWER, 0, None)
     yield Measure(f"{name}.cut_off", weeks.cut_off, "slots", LOWER, 0, None)
     yield Measure(f"{name}.permits_done", weeks.done, "permits", LOWER, None, None)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/chaos.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/chaos.py
@@ -20,6 +20,7 @@
     GrantPermit,
     HoldHost,
     HoldService,
+    ReleaseHost,
     SetWavePhase,
 )
 from mulberryledge_core.model.hosts import Host, HostPhase
@@ -246,15 +247,13 @@
             world.announce(host.name)
         for host in list(world.state.hosts.values()):
             world.propose(HoldHost(host.name, ""))
-            home = f"pool-{host.name.split('-')[1]}"
-            if host.name.startswith("host-") and host.pool != home:
-                world.propose(MoveHost(host.name, host.pool, home))
             cordoned = HostPhase.CORDONED
             world.propose(SetHostPhase(host.name, cordoned, HostPhase.SERVING))
         for service in list(world.state.services):
             world.propose(HoldService(service, ""))
         for _ in range(40):
             self.resume_waves()
+            self.settle_hosts()
             for _ in range(300):
                 self.step()
             if all(wave.phase in OVER for wave in world.state.waves.values()):
@@ -262,6 +261,19 @@
         left = [w for w in world.state.waves.values() if w.phase not in OVER]
         raise AssertionError(f"waves never end: {left}")
 
+    def settle_hosts(self) -> None:
+        """Move hosts home, and release them from services that they do not run."""
+        state = self.world.state
+        for host in list(state.hosts.values()):
+            home = f"pool-{host.name.split('-')[1]}"
+            if host.name.startswith("host-") and host.pool != home:
+                self.world.propose(MoveHost(host.name, host.pool, home))
+            targets = state.indexes.targets_by_host.rows(host.name)
+            runs = {target.service for target in targets}
+            for absence in host.upkeep.absences:
+                if absence.service not in runs:
+                    self.world.propose(ReleaseHost(host.name, absence.service))
+
     def resume_waves(self) -> None:
         """Let each wave that does not run go on."""
         for wave in list(self.world.state.waves.values()):
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/eight_weeks.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/eight_weeks.py
@@ -11,6 +11,7 @@
 from mulberryledge_core.decisions.calendar import (
     CYCLE_DAYS,
     due_waves,
+    overdue_hosts,
     turn_started_day,
 )
 from mulberryledge_core.model.maintenance import WavePhase
@@ -38,8 +39,9 @@
 
     Attributes
     ----------
-    missed : int
-        Hosts not maintained within the eight weeks.
+    missed, overdue : int
+        Hosts not maintained within the eight weeks, and most hosts at once whose
+        last maintenance was longer ago.
     done, stops : int
         Permits done, and times at which an operator let a stopped wave go on.
     broken, cut_off : int
@@ -47,6 +49,7 @@
     """
 
     missed: int
+    overdue: int
     done: int
     stops: int
     broken: int
@@ -59,7 +62,7 @@
     """Run the calendar; operators look at stopped waves every six hours."""
     world = World(fleet, seed)
     begin_in_turn(world)
-    stops = 0
+    stops = overdue = 0
     end_ms = START_MS + days * DAY_MS
     for day in range(days):
         schedule_failures(world, START_MS + day * DAY_MS)
@@ -72,13 +75,15 @@
         if world.clock.now_ms >= look_ms:
             look_ms += DAY_MS // RESUMES_A_DAY
             stops += resume_stopped(world)
+            late = overdue_hosts(world.state, world.clock.now_ms)
+            overdue = max(overdue, sum(host.pool != "office" for host in late))
             check_world(world)
     missed = sum(
         host.maintained_ms < START_MS and host.pool != "office"
         for host in world.state.hosts.values()
     )
     done = sum(permit.step == "done" for permit in world.state.permits.values())
-    return EightWeeks(missed, done, stops, len(world.broken), world.cut_off)
+    return EightWeeks(missed, overdue, done, stops, len(world.broken), world.cut_off)
 
 
 def begin_in_turn(world: World) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
@@ -30,6 +30,7 @@
 from mulberryledge_core.model.hosts import HostPhase
 from mulberryledge_core.model.maintenance import MaintenanceStep, Wave, WavePhase
 from mulberryledge_core.model.sessions import SlotGrant
+from mulberryledge_core.model.targets import TargetPhase
 from mulberryledge_core.outcomes import ApplyResult
 from mulberryledge_core.state.limits import slots_in_use
 from mulberryledge_daemon.leader.drains import PutOff, ignore_job
@@ -118,6 +119,7 @@
         self.drains: set[str] = set()
         self.put_off: PutOff = ignore_job
         self.released: set[str] = set()
+        self.moving: set[str] = set()
         self.served: dict[str, str] = {}
         self.leader = self.elect("leader-1")
         self.cluster.listeners.append(self.on_applied)
@@ -309,6 +311,8 @@
         if target is not None and host in self.down_since and self.lives[host] == life:
             self.return_slot(host)
             self.must(DropTarget(target.name, target.generation, lost=True))
+            if host in self.moving:
+                self.released.add(host)
 
     def come_back(self, host: str) -> None:
         """Bring a host up; its target announces itself."""
@@ -324,7 +328,8 @@
         if isinstance(command, GrantPermit) and isinstance(event.outcome, Ok):
             if event.outcome.ok_value.detail == "present":
                 return
-            service = self.served.get(command.host)
+            gone = command.host in self.released
+            service = None if gone else self.served.get(command.host)
             if service is not None and self.truly_out(service) > self.fleet.out:
                 self.broken.append(command.permit_id)
         if isinstance(event.outcome, Ok):
@@ -340,6 +345,10 @@
             self.released.add(command.host)
         elif isinstance(command, MoveHost):
             self.moves += 1
+            target = self.state.targets.get(f"{command.name}-t")
+            if target is None or target.phase != TargetPhase.SERVING:
+                self.released.add(command.name)
+            self.moving.add(command.name)
             self.clock.later(SET_UP_MS, lambda: self.relocate(command.name))
 
     def set_up_spare(self, command: ReplaceHost, service: str) -> None:
@@ -351,8 +360,12 @@
         """Have a moved host leave its old service and serve one of its new pool."""
         host = self.state.hosts.get(name)
         target = self.state.targets.get(f"{name}-t")
-        if host is None or name in self.down_since or host.upkeep.permit:
+        if host is None:
             return
+        if name in self.down_since or host.upkeep.permit:
+            self.clock.later(SET_UP_MS, lambda: self.relocate(name))
+            return
+        self.moving.discard(name)
         number = self.service_number(int(name.rpartition("-")[2]))
         service = service_of(int(host.pool.rpartition("-")[2]), number)
         if target is None or self.services[name] == service:
