--- a/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/upkeep/world.py
@@ -260,6 +260,8 @@
     def return_slot(self, host: str) -> None:
         """End the call of a host."""
         self.drains.discard(host)
+        if host not in self.services:
+            return
         session = self.session(host)
         for grant in self.state.sessions[session].slots:
             if grant.target == f"{host}-t":
