--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -6,6 +6,8 @@
 """
 
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.calendar import Calendar
+from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
 from mulberryledge_daemon.leader.leases import TargetLeases
 from mulberryledge_daemon.leader.lender import Lender
@@ -55,8 +57,14 @@
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
         self.maintenance = Maintenance(
-            log, platform, maintenance_policy(timing), log.session, journal.note
+            log,
+            platform,
+            maintenance_policy(timing),
+            log.session,
+            journal.note,
+            make_put_off(log, self.jobs),
         )
+        self.calendar = Calendar(log, settings.maintenance.calendar, journal.note)
 
     async def tick(self) -> None:
         """Run the periodic tasks, or forget what only a leader may know."""
@@ -73,6 +81,7 @@
             self.retention,
             self.repair,
             self.maintenance,
+            self.calendar,
         ):
             await task.tick()
 
