--- a/features/docs/commands.feature
+++ b/features/docs/commands.feature
@@ -5,10 +5,9 @@
     When the commands of "README.md" are run
     Then "status" shows "leader"
     And the last call was answered with "echo:plan for van 7"
-    When the commands of "docs/operations/drain-a-host.md" are run
+    When the commands of "docs/operations/cordon-a-host.md" are run
     Then "host show host-2" shows "serving"
-    When the commands of "docs/operations/a-wave-that-stopped.md" are run
-    Then "status" shows "ready"
+    And "wave preview interior" shows "host-1"
     When the commands of "docs/operations/service-level-burn.md" are run
     Then "report" shows "route-plans"
     When the commands of "docs/operations/key-rotation.md" are run
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/maintenance.py
@@ -102,6 +102,7 @@
 
     name = "wave roll-out"
     description = "Restarts the hosts of a service by waves, for its version in force."
+    help = "Example: <c1>mulberryledge wave roll-out route-plans</c1>"
     arguments = [argument("service", "The service.")]
 
     def handle(self) -> int:
