--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
@@ -18,7 +18,8 @@
 from mulberryledge_core.codec import decode_command, encode, encode_command
 from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget
 from mulberryledge_core.commands.work import EndJob, StartJob, SubmitJob
-from mulberryledge_core.messages import TargetsSeen
+from mulberryledge_core.messages import TargetsSeen, TargetUsage, UsageReport
+from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.outcomes import RunOutcome
 from mulberryledge_core.state import ClusterState, Context, apply, restore, snapshot
@@ -67,6 +68,7 @@
     yield from two_year_state()
     yield from command_costs()
     yield from message_bytes()
+    yield from usage_bytes()
     yield from record_bytes()
     yield from burn_costs()
     yield from process_costs()
@@ -146,6 +148,18 @@
     yield from slope_measures(name, "bytes", sizes, costs)
 
 
+def usage_bytes() -> Iterator[Measure]:
+    """Yield the bytes by which a target's measured use reaches the leader."""
+    sizes = (10, 50, 100, 500)
+    used = Resources(12.5, 24_000, 1)
+    costs = []
+    for size in sizes:
+        rows = (TargetUsage(f"target-{n}", 1_000_000 + n, used) for n in range(size))
+        costs.append(len(encode(UsageReport("entry-1", tuple(rows)))))
+    name = "operations.usage_bytes_per_target"
+    yield from slope_measures(name, "bytes", sizes, costs)
+
+
 def record_bytes() -> Iterator[Measure]:
     """Yield the bytes that one job puts into the log from submission to end."""
     job_id, target = f"{0:032x}", "target-1"
