--- a/features/capacity/decisions.feature
+++ b/features/capacity/decisions.feature
@@ -178,6 +178,18 @@
       | 10   | 4000 | 1         | jobs    |
       | 40   | 60   | 1000      | results |
 
+  Scenario Outline: Whose job makes room for an urgent one
+    Given team "urgent" runs <runs> of a fair 5 and has an urgent job waiting
+    And team "over" runs <over> of a fair 5
+    Then a job of team "<victim>" is asked to stop
+
+    Examples:
+      | runs | over | victim |
+      | 2    | 8    | over   |
+      | 2    | 5    | over   |
+      | 5    | 8    | urgent |
+      | 8    | 4    | urgent |
+
   Scenario Outline: Reclaiming keeps to what the service document allows
     Given team "over" runs 10 of a fair 5, and team "under" runs 0 and has 5 jobs waiting for <waited> ms
     And the running jobs allow "<orders>", were stopped <stops> times and wait since <age> s
--- a/features/capacity/jobs.feature
+++ b/features/capacity/jobs.feature
@@ -88,6 +88,17 @@
     When 4 urgent jobs come
     Then all of them have started within 1.7 s
 
+  Scenario: A team at its share does not wait with its urgent work
+    Given a fleet of 1 service with 4 workers
+    And two teams fill it with repeatable jobs of 60 s
+    When 2 urgent jobs come
+    Then all of them have started within 1.7 s
+
+  Scenario: Calling every job urgent gains two slots at most
+    Given a fleet of 1 service with 4 workers
+    When one team calls all jobs urgent and the other none for 60 s
+    Then the one has run at most 2 slots more than the other
+
   Scenario: A job that no host can hold is told so and blocks nobody
     Given a fleet of 1 service with 2 workers
     When a job of 500 processors and 3 small jobs are submitted
--- a/features/capacity/steps/jobs.py
+++ b/features/capacity/steps/jobs.py
@@ -268,6 +268,36 @@
     assert context.fleet.truth.running["red"] == 16, context.fleet.truth.running
 
 
+@given("two teams fill it with repeatable jobs of 60 s")
+def step_full_by_two(context):
+    for number in range(40):
+        team = ("red", "blue")[number % 2]
+        nature = Nature(team, "service-0", 60.0)
+        context.fleet.submit(f"long-{number}", nature)
+    context.fleet.run(20)
+    assert context.fleet.truth.running == {"red": 8, "blue": 8}
+
+
+@when("one team calls all jobs urgent and the other none for 60 s")
+def step_all_urgent(context):
+    context.held = Counter()
+    for second in range(60):
+        for number in range(20):
+            for team in ("red", "blue"):
+                nature = Nature(team, "service-0", 1.0)
+                job_id = f"{team}-{second}-{number}"
+                context.fleet.submit(job_id, nature, urgent=team == "red")
+        context.fleet.run(1)
+        if second >= 10:
+            context.held.update(+context.fleet.truth.running)
+
+
+@then("the one has run at most 2 slots more than the other")
+def step_bounded_gain(context):
+    more = (context.held["red"] - context.held["blue"]) / 50
+    assert more <= 2, context.held
+
+
 @when("{count:d} urgent jobs come")
 def step_urgent(context, count):
     context.urgent = [f"urgent-{number}" for number in range(count)]
--- a/features/capacity/steps/placement.py
+++ b/features/capacity/steps/placement.py
@@ -340,3 +340,28 @@
 @then('0 jobs are asked to ""')
 def step_asked_nothing(context):
     step_asked(context, 0, "")
+
+
+@given('team "urgent" runs {runs:d} of a fair 5 and has an urgent job waiting')
+def step_urgent_waits(context, runs):
+    context.counts = {"urgent": runs}
+    context.demands = [QueueDemand("s", "urgent", 1, 1, 1_000, 1_000)]
+
+
+@given('team "over" runs {over:d} of a fair 5')
+def step_over_runs(context, over):
+    context.counts["over"] = over
+
+
+@then('a job of team "{victim}" is asked to stop')
+def step_victim(context, victim):
+    shares = {team: FairShare(team, 5, 0.5) for team in context.counts}
+    running = [
+        RunningJob(f"{team}-{number}", 1, "s", team, (Order.STOP,))
+        for team, count in context.counts.items()
+        for number in range(count)
+    ]
+    rooms = [ServiceRoom("s", 0)]
+    due = due_demands(rooms, context.demands, context.counts, shares)
+    found = plan_reclaims(rooms, due, running, context.counts, shares)
+    assert [one.job_id.split("-")[0] for one in found] == [victim], found
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/plan.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/plan.py
@@ -55,7 +55,8 @@
     tasks : float
         Fair number of running calls and jobs.
     fraction : float
-        The same as a dominant fraction of the capacity.
+        Dominant fraction of the capacity that the team may use in any case: that
+        of its tasks, or its weighted part if it asks for less now.
     """
 
     team: str
@@ -126,14 +127,13 @@
     """Return each team's fair share of the whole capacity."""
     listed = tuple(claimants)
     tasks = fair_tasks(listed, capacity)
-    return {
-        one.team: FairShare(
-            one.team,
-            tasks[one.team],
-            dominant_fraction(scaled(one.size, tasks[one.team]), capacity),
-        )
-        for one in listed
-    }
+    weights = sum(one.weight for one in listed)
+    shares = {}
+    for one in listed:
+        fair = dominant_fraction(scaled(one.size, tasks[one.team]), capacity)
+        part = max(fair, one.weight / weights)
+        shares[one.team] = FairShare(one.team, tasks[one.team], part)
+    return shares
 
 
 def excess_tasks(
@@ -177,8 +177,9 @@
     Return what to throttle, checkpoint or stop so that teams get back to share.
 
     Room is made only at the cost of teams above their share, of the one furthest
-    above first, and of the job that loses least. An urgent job may also displace
-    an ordinary job of its own team, and of any team while its own is below share.
+    above first, and of the job that loses least. An urgent job of a team below its
+    share may displace any job; that of another team one of its own, or else one
+    of a team above its share.
 
     Parameters
     ----------
@@ -270,13 +271,14 @@
     below: bool,
 ) -> RunningJob | None:
     """Return the job to reclaim: of the team furthest above, the least lost."""
-    best, most = None, -math.inf
+    own_first = demand.urgent > 0 and not below
+    best, best_rank = None, (False, -math.inf)
     for team, jobs in victims.items():
         above = excess.get(team, 0.0)
-        urgent = demand.urgent > 0 and (below or team == demand.team)
-        fit = above >= TOLERANCE or urgent
-        if jobs and fit and above > most:
-            best, most = team, above
+        own = own_first and team == demand.team
+        fit = above >= TOLERANCE or own or (demand.urgent > 0 and below)
+        if jobs and fit and (own, above) > best_rank:
+            best, best_rank = team, (own, above)
     return victims[best].pop() if best is not None else None
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_index.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_index.py
@@ -48,6 +48,7 @@
     team: str
     target: str
     host: str
+    urgent: bool
 
 
 class JobIndex:
@@ -68,8 +69,8 @@
         Running jobs.
     kind_hosts : dict of tuple to Counter
         Running jobs by host, for each service and team.
-    team_jobs, service_jobs : Counter of str
-        Running jobs by team and by service.
+    team_jobs, service_jobs, urgent_jobs : Counter of str
+        Running jobs by team and by service, and urgent ones by team.
     """
 
     def __init__(self, state: ClusterState):
@@ -81,6 +82,7 @@
         self.kind_hosts: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
         self.team_jobs: Counter[str] = Counter()
         self.service_jobs: Counter[str] = Counter()
+        self.urgent_jobs: Counter[str] = Counter()
         for job in state.jobs.values():
             self.refresh(job.job_id)
 
@@ -108,11 +110,18 @@
         target = self.state.targets.get(job.target)
         host = target.host if target is not None else ""
         self.running[job.job_id] = RunningEntry(
-            job.job_id, job.attempt, job.service, job.team, job.target, host
+            job.job_id,
+            job.attempt,
+            job.service,
+            job.team,
+            job.target,
+            host,
+            job.urgent,
         )
         self.kind_hosts[job.service, job.team][host] += 1
         self.team_jobs[job.team] += 1
         self.service_jobs[job.service] += 1
+        self.urgent_jobs[job.team] += job.urgent
 
     def remove_running(self, job_id: str) -> RunningEntry | None:
         """Stop counting a job; return where it ran."""
@@ -125,6 +134,7 @@
             del hosts[entry.host]
         self.team_jobs[entry.team] -= 1
         self.service_jobs[entry.service] -= 1
+        self.urgent_jobs[entry.team] -= entry.urgent
         return entry
 
     def set_aside(self, job_id: str, cause: str) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/matching.py
@@ -139,7 +139,9 @@
 
     def standing(self, index: JobIndex) -> Callable[[str], Standing | None]:
         """Return the function that tells where a team stands."""
-        starting = Counter(index.state.jobs[one].team for one in self.starting)
+        jobs = [index.state.jobs[one] for one in self.starting]
+        starting = Counter(job.team for job in jobs)
+        starting_urgent = Counter(job.team for job in jobs if job.urgent)
 
         def standing(team: str) -> Standing | None:
             record = index.state.teams.get(team)
@@ -149,7 +151,8 @@
                 text = f"team runs {record.upper_limit}, its upper limit"
                 self.note(DecisionKind.HOLD, f"team/{team}", text)
                 return None
-            return self.uses.standing(record)
+            urgent = index.urgent_jobs[team] + starting_urgent[team]
+            return self.uses.standing(record, urgent)
 
         return standing
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/uses.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/uses.py
@@ -20,6 +20,8 @@
 
 __all__ = ["Uses"]
 
+URGENT_BEYOND_SHARE = 2
+
 
 class Uses:
     """
@@ -56,11 +58,25 @@
         """Return the use of a team."""
         return self.uses.get(team, Use())
 
-    def standing(self, team: Team) -> Standing:
-        """Return where a team stands against its share."""
+    def standing(self, team: Team, urgent: int) -> Standing:
+        """
+        Return where a team stands against its share.
+
+        A team may always have a few urgent jobs running that went first, so that
+        one at its very share does not wait. What it could gain by calling
+        ordinary jobs urgent is bounded by their number.
+
+        Parameters
+        ----------
+        team : Team
+            Team to look at.
+        urgent : int
+            Its running urgent jobs.
+        """
         use = self.use(team.name)
         share = self.shares.get(team.name)
         within = share is None or use.now <= share.fraction
+        within = within or urgent < URGENT_BEYOND_SHARE
         score = share_score(use, team.share, self.clock.seconds())
         return Standing(score, within)
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/worker.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/fleet/worker.py
@@ -136,7 +136,7 @@
         self.runs[taken.job_id] = run
         run.timer = self.clock.callLater(left, self.finish, run)
         self.on_start(taken.job_id)
-        self.clock.callLater(lease_s / 4, self.renew, run)
+        self.clock.callLater(0, self.renew, run)
         self.clock.callLater(lease_s, self.check_lease, run)
 
     def is_on(self, run: Run) -> bool:
