Tell callers why a queued job is held

Change: hold_reason, a pure function of the replicated state, adds "held" to the status: no targets, what size would be needed, or the upper limit.

Conclusion: the status names what would be needed.

--- a/features/capacity/steps/jobs.py
+++ b/features/capacity/steps/jobs.py
@@ -13,6 +13,7 @@
 from mulberryledge_core.commands.fleet import LeaveTarget, MoveHost
 from mulberryledge_core.commands.teams import WithdrawKey
 from mulberryledge_core.commands.work import CancelJobs, EndJob, StartJob, SubmitJob
+from mulberryledge_core.decisions.holds import hold_reason
 from mulberryledge_core.decisions.queues import cancel_chunks
 from mulberryledge_core.messages import TakeJob
 from mulberryledge_core.model.hosts import Resources
@@ -324,6 +325,8 @@
     assert job(context, "large").phase == JobPhase.QUEUED, job(context, "large")
     causes = [one.cause for one in context.fleet.journal.about("job/large")]
     assert any(one.startswith(cause) for one in causes), causes
+    told = hold_reason(context.fleet.log.state, job(context, "large"))
+    assert told.startswith(cause), told
 
 
 @then("the small jobs are done")
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/holds.py
@@ -0,0 +1,44 @@
+"""
+mulberryledge_core.decisions.holds
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Why a queued job does not start, as any daemon can tell from the replicated state.
+"""
+
+from mulberryledge_core.decisions.placement import never_fits
+from mulberryledge_core.decisions.sizes import guessed_size
+from mulberryledge_core.model.hosts import Resources
+from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.state.limits import team_headroom
+from mulberryledge_core.state.tables import ClusterState
+
+__all__ = ["hold_reason"]
+
+
+def hold_reason(state: ClusterState, job: Job) -> str:
+    """
+    Return why a queued job is held, and what it would need, or an empty string.
+
+    The leader also weighs measured sizes and shares, which are not replicated;
+    its journal has those decisions.
+    """
+    if job.phase != JobPhase.QUEUED:
+        return ""
+    targets = state.indexes.targets_by_service.groups.get(job.service, {})
+    names = {target.host for target in targets.values()} & state.hosts.keys()
+    if not names:
+        return f"no target of service {job.service!r} is announced"
+    if not any(state.target_serves(name) for name in targets):
+        return f"no target of service {job.service!r} takes new work"
+    hosts = [state.hosts[name].resources for name in names]
+    largest = Resources(
+        max(one.processors for one in hosts),
+        max(one.memory_mb for one in hosts),
+        max(one.accelerators for one in hosts),
+    )
+    problem = never_fits(guessed_size(job.size, largest), hosts)
+    if problem is not None:
+        return problem
+    if team_headroom(state, job.team) < 1:
+        return f"team {job.team!r} is at its upper limit"
+    return ""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -20,10 +20,12 @@
 
 from mulberryledge_core.codec import from_plain
 from mulberryledge_core.commands.work import CancelJobs, SubmitJob
+from mulberryledge_core.decisions.holds import hold_reason
 from mulberryledge_core.model.hosts import Resources
 from mulberryledge_core.model.jobs import Answer, Job, JobPhase
 from mulberryledge_core.model.teams import TeamKey
 from mulberryledge_core.outcomes import Code, Refusal, RunOutcome
+from mulberryledge_core.state import ClusterState
 from mulberryledge_daemon.entry.admission import KeyCache, admit
 from mulberryledge_daemon.entry.calls import Call, CallResult, Calls, refused_run
 from mulberryledge_daemon.http.routing import (
@@ -201,14 +203,16 @@
         outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
-        return json_reply(job_status(self.log.state.jobs[job_id]), status=202)
+        return json_reply(
+            job_status(self.log.state, self.log.state.jobs[job_id]), status=202
+        )
 
     async def status(self, request: Request, job_id: str) -> Reply:
         """Return the status of a job of the key's team."""
         found = self.find_job(request, job_id)
         if isinstance(found, Err):
             return refusal_reply(found.err_value)
-        return json_reply(job_status(found.ok_value))
+        return json_reply(job_status(self.log.state, found.ok_value))
 
     async def result(self, request: Request, job_id: str) -> Reply:
         """Wait for the end of a job and return its whole result."""
@@ -228,7 +232,7 @@
                 return Reply(200, job.result, "application/octet-stream")
             waited = self.clock.seconds() >= until or request._disconnected
             if job.phase in OVER or waited or self.stopping():
-                return json_reply(job_status(job), status=202)
+                return json_reply(job_status(self.log.state, job), status=202)
             await deferLater(self.clock, POLL_INTERVAL_S)
 
     async def cancel(self, request: Request, job_id: str) -> Reply:
@@ -240,7 +244,7 @@
         outcome = await self.log.propose(command)
         if isinstance(outcome, Err):
             return refusal_reply(outcome.err_value)
-        return json_reply(job_status(self.log.state.jobs[job_id]))
+        return json_reply(job_status(self.log.state, self.log.state.jobs[job_id]))
 
     def find_job(self, request: Request, job_id: str) -> Result[Job, Refusal]:
         """Return a job if the key's team submitted it."""
@@ -322,7 +326,7 @@
     return size
 
 
-def job_status(job: Job) -> dict[str, object]:
+def job_status(state: ClusterState, job: Job) -> dict[str, object]:
     """Return what callers see of a job."""
     return {
         "job_id": job.job_id,
@@ -331,6 +335,7 @@
         "submitted_ms": job.submitted_ms,
         "started_ms": job.started_ms,
         "ended_ms": job.ended_ms,
+        "held": hold_reason(state, job),
     }
 
 
