--- a/features/maintenance/waves.feature
+++ b/features/maintenance/waves.feature
@@ -29,6 +29,12 @@
       | fails its first jobs       | failed 2 jobs       |
       | is failed by the platform  | the platform failed |
 
+  Scenario: Hosts that are lost soon after their maintenance stop the wave
+    When a wave over pool 0 starts
+    And its canary is done, proved and lost again
+    Then the wave stops and names its canary and "lost soon after"
+    And it goes no further in an hour
+
   Scenario: A host that never comes back stays counted as lost
     When a wave over pool 0 starts
     And its canary never comes back
@@ -52,6 +58,13 @@
       | 1380  | 120  | 121  | no hosts |
       | 0     | 0    | 700  | hosts    |
 
+  Scenario: A drain that outlasts the quiet time ends without a reboot
+    Given pool 0 is quiet from minute 60 to 80
+    When drains take 30 minutes
+    And a wave over pool 0 starts at minute 60
+    And 25 minutes go by
+    Then no host is out and none was rebooted
+
   Scenario: Two waves over pools that share services
     Given every other host of pool 1 serves a service of pool 0
     When a wave over pool 0 starts
@@ -123,6 +136,50 @@
       | wait   | draining |
       | skip   | serving  |
 
+  Scenario Outline: Jobs that may be put off are, and no others
+    Given the queues allow "<allowed>" and their jobs are <kind>
+    When a job of an hour runs on the canary
+    And a wave over pool 0 starts
+    And 3 minutes go by
+    Then the canary's job was asked to "<order>"
+
+    Examples:
+      | allowed        | kind            | order      |
+      | may_checkpoint | repeatable      | checkpoint |
+      | may_stop       | repeatable      | stop       |
+      | may_stop       | not repeatable  | none       |
+      | may_checkpoint | not repeatable  | none       |
+      | may_throttle   | repeatable      | none       |
+
+  Scenario: A planner's drain asks the budgets, a target's own leave does not
+    When a planner drains hosts of one service one after the other
+    Then the second drain is refused with "budget"
+    And a target that says so itself leaves
+
+  Scenario: A service document is rolled out by a wave within the same budgets
+    When version 2 of "service-0-0" is accepted and rolled out
+    Then the wave ends with all 6 hosts done and none cut off
+    And the time from acceptance to the last host is told
+
+  Scenario: A roll-out stops when another version is accepted
+    When version 2 of "service-0-0" is accepted and rolled out
+    And version 3 of "service-0-0" is accepted
+    And 10 minutes go by
+    Then the wave is "stopped" because of "is at version 3 now"
+    And rolling version 2 out again is refused with "conflict"
+
+  Scenario: Without a platform no host is drained
+    When there is no platform
+    And a wave over pool 0 starts
+    And 2 minutes go by
+    Then the wave has taken no hosts out
+
+  Scenario: What binds a wave is told once
+    When host "host-0-0" is lost for 60 minutes
+    And a wave over pool 0 starts
+    And 20 minutes go by
+    Then each cause of a wait is told in the same words
+
   Scenario: Finished waves are dropped after their time, with their permits
     When a wave over pool 0 starts
     And the wave ends
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/maintenance.py
@@ -12,6 +12,7 @@
 from result import Ok
 from twisted.internet.defer import ensureDeferred
 
+from mulberryledge_core.commands import work
 from mulberryledge_core.commands.maintenance import (
     AdvancePermit,
     ClaimWave,
@@ -21,11 +22,14 @@
 )
 from mulberryledge_core.commands.work import EndJob
 from mulberryledge_core.decisions.drains import Drain, drain_of
+from mulberryledge_core.decisions.plan import Order
 from mulberryledge_core.decisions.quiet import in_quiet
+from mulberryledge_core.decisions.relapses import relapse_cause
+from mulberryledge_core.decisions.rollouts import overtaken_cause, rollout_ms
 from mulberryledge_core.decisions.waves import candidates, choose_hosts
 from mulberryledge_core.model.decisions import Decision, DecisionKind
 from mulberryledge_core.model.hosts import HostPhase
-from mulberryledge_core.model.jobs import JobPhase
+from mulberryledge_core.model.jobs import Job, JobPhase
 from mulberryledge_core.model.maintenance import (
     OPEN_STEPS,
     LongJobs,
@@ -37,6 +41,7 @@
 from mulberryledge_core.state import ClusterState
 from mulberryledge_core.state.absences import serving_target
 from mulberryledge_core.state.budgets import Ledger
+from mulberryledge_daemon.leader.drains import PutOff, ignore_job
 from mulberryledge_daemon.ports import (
     AppliedEvent,
     Platform,
@@ -46,9 +51,15 @@
 
 __all__ = ["Maintenance", "MaintenancePolicy"]
 
-PLAN_INTERVAL_MS = 500
+PLAN_INTERVAL_MS = 1_000
+IDLE_PLAN_INTERVAL_MS = 5_000
+MAX_POLL_MS = 2_000
 TRIAL_FAILURES = 2
 KEEP_WAVES_MS = 60 * 86_400_000
+ORDER_KINDS = {
+    Order.CHECKPOINT: DecisionKind.CHECKPOINT,
+    Order.STOP: DecisionKind.STOP,
+}
 FORGET_INTERVAL_MS = 3_600_000
 
 
@@ -74,6 +85,11 @@
     timeout_ms: int = 900_000
     long_drain_ms: int = 30_000
 
+    @property
+    def poll_ms(self) -> int:
+        """Time between requests to the platform about one reboot."""
+        return min(MAX_POLL_MS, self.probation_ms)
+
 
 class Maintenance:
     """
@@ -85,6 +101,8 @@
         Session of this daemon, under which it claims the waves that it drives.
     note : callable
         Keeps a decision.
+    put_off : callable
+        Asks a job on a draining host to make room, where it may be asked.
     """
 
     def __init__(
@@ -94,16 +112,21 @@
         policy: MaintenancePolicy,
         session: str,
         note: Callable[[Decision], None],
+        put_off: PutOff = ignore_job,
     ):
         self.log = log
         self.platform = platform
         self.policy = policy
         self.session = session
         self.note = note
+        self.put_off = put_off
+        self.put_off_orders: dict[tuple[str, int], Order] = {}
         self.asking: set[str] = set()
+        self.asked_ms: dict[str, int] = {}
         self.answers: dict[str, RebootState] = {}
         self.failures: Counter[str] = Counter()
-        self.plan_after_ms = 0
+        self.planned_ms = 0
+        self.changed = True
         self.forget_after_ms = 0
         self.steps = {
             MaintenanceStep.DRAINING: self.drain,
@@ -121,22 +144,37 @@
         for permit in self.open_permits():
             await self.steps[permit.step](permit)
         now_ms = self.log.time_ms()
-        if now_ms < self.plan_after_ms:
-            return
-        self.plan_after_ms = now_ms + PLAN_INTERVAL_MS
+        if self.is_plan_due(now_ms):
+            self.planned_ms = now_ms
+            self.changed = False
+            await self.plan()
+        if now_ms >= self.forget_after_ms:
+            self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
+            await self.forget(now_ms)
+
+    def is_plan_due(self, now_ms: int) -> bool:
+        """Return whether to plan: soon after a change, else now and then."""
+        interval_ms = PLAN_INTERVAL_MS if self.changed else IDLE_PLAN_INTERVAL_MS
+        return now_ms - self.planned_ms >= interval_ms
+
+    async def plan(self) -> None:
+        """Grant what the budgets allow, for all running waves together."""
+        state = self.log.state
         running = [w for w in state.waves.values() if w.phase == WavePhase.RUNNING]
-        if running:
+        if running and not self.platform.is_set:
+            for wave in running:
+                cause = "settings name no platform that could reboot hosts"
+                self.say(DecisionKind.HOLD, f"wave/{wave.name}", cause)
+        elif running:
             ledger = Ledger(state)
             for wave in running:
                 await self.advance_wave(wave, ledger)
-        if now_ms >= self.forget_after_ms:
-            self.forget_after_ms = now_ms + FORGET_INTERVAL_MS
-            await self.forget(now_ms)
 
     def open_permits(self) -> list[Permit]:
         """Return the permits of hosts that are out."""
         state = self.log.state
         if not any(wave.open for wave in state.waves.values()):
+            self.put_off_orders.clear()
             return []
         return [one for one in state.permits.values() if one.step in OPEN_STEPS]
 
@@ -156,8 +194,14 @@
             await self.log.propose(ForgetWaves(before_ms))
 
     async def advance_wave(self, wave: Wave, ledger: Ledger) -> None:
-        """Ask for permits for the hosts that go next."""
+        """Ask for permits for the hosts that go next, unless the wave must stop."""
         wave = self.log.state.waves[wave.name]
+        cause = overtaken_cause(self.log.state, wave) or relapse_cause(
+            self.log.state, wave, self.log.time_ms()
+        )
+        if cause:
+            await self.stop(wave, cause)
+            return
         choice = choose_hosts(self.log.state, wave, self.log.time_ms(), ledger)
         for blocked in choice.blocked[:1]:
             self.say(DecisionKind.HOLD, f"wave/{wave.name}", blocked.cause)
@@ -172,14 +216,26 @@
         if not wave.open and not candidates(self.log.state, wave):
             command = SetWavePhase(wave.name, WavePhase.RUNNING, WavePhase.DONE)
             await self.log.propose(command)
+            self.tell_rollout(self.log.state.waves[wave.name])
+
+    def tell_rollout(self, wave: Wave) -> None:
+        """Tell how long a roll-out took from acceptance to its last host."""
+        took_ms = rollout_ms(self.log.state, wave)
+        if took_ms is not None:
+            cause = f"version {wave.version} reached the last host after {took_ms} ms"
+            self.say(DecisionKind.PERMIT, f"service/{wave.service}", cause)
 
     async def drain(self, permit: Permit) -> None:
         """Go on to the reboot once nothing runs on the host."""
         state = self.log.state
         wave = state.waves[permit.wave]
         drain = drain_of(state, permit.host)
+        quiet = in_quiet(state.pools[wave.pool], self.log.time_ms())
         if wave.phase == WavePhase.ABANDONED:
             await self.advance(permit, MaintenanceStep.CANCELLED, "wave abandoned")
+        elif not wave.ignore_quiet and not quiet:
+            reason = "the quiet time ended before the drain"
+            await self.advance(permit, MaintenanceStep.CANCELLED, reason)
         elif drain.is_over:
             await self.advance(permit, MaintenanceStep.REBOOTING)
         else:
@@ -187,19 +243,27 @@
 
     async def wait_for_drain(self, wave: Wave, permit: Permit, drain: Drain) -> None:
         """Tell the operator of a long job; skip the host where the wave says so."""
-        now_ms = self.log.time_ms()
-        pool = self.log.state.pools[wave.pool]
-        if not wave.ignore_quiet and not in_quiet(pool, now_ms):
-            reason = "the quiet time ended before the drain"
-            await self.advance(permit, MaintenanceStep.CANCELLED, reason)
-            return
-        if not drain.job or now_ms - permit.step_ms < self.policy.long_drain_ms:
+        is_long = self.log.time_ms() - permit.step_ms >= self.policy.long_drain_ms
+        for job in drain.jobs:
+            self.ask_to_make_room(job, is_long)
+        if not drain.job or not is_long:
             return
         cause = f"job {drain.job!r} holds the drain, expected end {drain.end_ms} ms"
         self.say(DecisionKind.HOLD, f"host/{permit.host}", cause)
         if wave.long_jobs == LongJobs.SKIP:
             await self.advance(permit, MaintenanceStep.CANCELLED, cause)
 
+    def ask_to_make_room(self, job: Job, is_long: bool) -> None:
+        """Ask a job to checkpoint or stop, once for each attempt and order."""
+        attempt = (job.job_id, job.attempt)
+        if attempt in self.put_off_orders:
+            return
+        order = self.put_off(job, is_long)
+        if order in ORDER_KINDS:
+            self.put_off_orders[attempt] = order
+            cause = "it holds the drain of its host and may be put off"
+            self.say(ORDER_KINDS[order], f"job/{job.job_id}", cause)
+
     async def reboot(self, permit: Permit) -> None:
         """Ask the platform for the reboot and wait for the host to announce."""
         answer = self.answers.get(permit.permit_id)
@@ -232,9 +296,14 @@
 
     def ask(self, permit: Permit) -> None:
         """Ask the platform without waiting; one question a permit at a time."""
-        if permit.permit_id not in self.asking:
-            self.asking.add(permit.permit_id)
-            ensureDeferred(self.exchange(permit.permit_id, permit.host))
+        name = permit.permit_id
+        now_ms = self.log.time_ms()
+        early = now_ms - self.asked_ms.get(name, 0) < self.policy.poll_ms
+        if early or name in self.asking or self.answers.get(name) == RebootState.UP:
+            return
+        self.asked_ms[name] = now_ms
+        self.asking.add(name)
+        ensureDeferred(self.exchange(name, permit.host))
 
     async def exchange(self, permit_id: str, host: str) -> None:
         """Ask for the reboot, which the platform carries out once a permit."""
@@ -274,6 +343,7 @@
             return
         if step not in OPEN_STEPS:
             self.answers.pop(permit.permit_id, None)
+            self.asked_ms.pop(permit.permit_id, None)
             self.failures.pop(permit.host, None)
         if step == MaintenanceStep.FAILED:
             self.say(
@@ -283,8 +353,10 @@
             self.say(DecisionKind.HOLD, f"host/{permit.host}", reason)
 
     def on_applied(self, event: AppliedEvent) -> None:
-        """Count the jobs that fail on hosts on probation."""
+        """Plan again after a change; count jobs that fail on hosts on probation."""
         command = event.command
+        if type(command) not in work.COMMANDS:
+            self.changed = True
         if not isinstance(command, EndJob) or command.phase != JobPhase.FAILED:
             return
         job = self.log.state.jobs.get(command.job_id)
