--- a/features/capacity/steps/jobs.py
+++ b/features/capacity/steps/jobs.py
@@ -13,6 +13,7 @@
 from mulberryledge_core.commands.fleet import LeaveTarget, MoveHost
 from mulberryledge_core.commands.teams import WithdrawKey
 from mulberryledge_core.commands.work import CancelJobs, EndJob, StartJob, SubmitJob
+from mulberryledge_core.decisions.holds import hold_reason
 from mulberryledge_core.decisions.queues import cancel_chunks
 from mulberryledge_core.messages import TakeJob
 from mulberryledge_core.model.hosts import Resources
@@ -268,6 +269,36 @@
     assert context.fleet.truth.running["red"] == 16, context.fleet.truth.running
 
 
+@given("two teams fill it with repeatable jobs of 60 s")
+def step_full_by_two(context):
+    for number in range(40):
+        team = ("red", "blue")[number % 2]
+        nature = Nature(team, "service-0", 60.0)
+        context.fleet.submit(f"long-{number}", nature)
+    context.fleet.run(20)
+    assert context.fleet.truth.running == {"red": 8, "blue": 8}
+
+
+@when("one team calls all jobs urgent and the other none for 60 s")
+def step_all_urgent(context):
+    context.held = Counter()
+    for second in range(60):
+        for number in range(20):
+            for team in ("red", "blue"):
+                nature = Nature(team, "service-0", 1.0)
+                job_id = f"{team}-{second}-{number}"
+                context.fleet.submit(job_id, nature, urgent=team == "red")
+        context.fleet.run(1)
+        if second >= 10:
+            context.held.update(+context.fleet.truth.running)
+
+
+@then("the one has run at most 2 slots more than the other")
+def step_bounded_gain(context):
+    more = (context.held["red"] - context.held["blue"]) / 50
+    assert more <= 2, context.held
+
+
 @when("{count:d} urgent jobs come")
 def step_urgent(context, count):
     context.urgent = [f"urgent-{number}" for number in range(count)]
@@ -294,6 +325,8 @@
     assert job(context, "large").phase == JobPhase.QUEUED, job(context, "large")
     causes = [one.cause for one in context.fleet.journal.about("job/large")]
     assert any(one.startswith(cause) for one in causes), causes
+    told = hold_reason(context.fleet.log.state, job(context, "large"))
+    assert told.startswith(cause), told
 
 
 @then("the small jobs are done")
