--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -6,6 +6,7 @@
 """
 
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.answers import KeptAnswers
 from mulberryledge_daemon.leader.calendar import Calendar
 from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
@@ -56,6 +57,7 @@
         self.planner = Planner(reactor, log, self.jobs, self.usage)
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
+        self.answers = KeptAnswers(reactor, log)
         self.maintenance = Maintenance(
             log,
             platform,
@@ -79,6 +81,7 @@
             self.planner,
             self.moves,
             self.retention,
+            self.answers,
             self.repair,
             self.maintenance,
             self.calendar,
