--- a/features/operations/environment.py
+++ b/features/operations/environment.py
@@ -60,6 +60,8 @@
     context.state = ClusterState()
     context.folder = use_fixture(temporary_folder, context)
     context.operator_key = OPERATOR_KEY
+    if "tls" in scenario.effective_tags:
+        return
     if "daemon" in scenario.effective_tags:
         context.daemon = use_fixture(running_daemon, context)
         context.entries = context.entry = (
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -29,6 +29,7 @@
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.tasks import LeaderTasks
 from mulberryledge_daemon.log import open_log
+from mulberryledge_daemon.peers.tls import PeerContext
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
 from mulberryledge_daemon.settings_checks import Reload, plan_reload
@@ -82,7 +83,9 @@
         await self.log.start()
         health = health_routes(self.is_ready, self.accounting.metrics.text)
         self.listen(listen.callers_port, (*health, *self.entry.routes()))
-        self.listen(listen.operators_port, self.operator_side())
+        tls = self.settings.tls
+        context = PeerContext(tls) if tls.operators else None
+        self.listen(listen.operators_port, self.operator_side(), context)
         while not await self.entry.session.ensure_open():
             logger.warning("no leader yet")
         for task in (self.entry_tick, self.leader.tick):
@@ -104,14 +107,20 @@
             *cluster_routes(self.operators.admit, self.log.status),
         )
 
-    def listen(self, port: int, routes: tuple[Route, ...]) -> None:
-        """Serve routes on a TCP port."""
+    def listen(
+        self, port: int, routes: tuple[Route, ...], tls: PeerContext | None = None
+    ) -> None:
+        """Serve routes on a TCP port, with mutual TLS if there is a context."""
         router = Router(routes, lambda: self.stopping)
         site = make_site(router, self.reactor)
         self.routers.append(router)
         self.sites.append(site)
         address = self.settings.listen.address
-        self.ports.append(self.reactor.listenTCP(port, site, interface=address))
+        if tls is None:
+            opened = self.reactor.listenTCP(port, site, interface=address)
+        else:
+            opened = self.reactor.listenSSL(port, site, tls, interface=address)
+        self.ports.append(opened)
 
     @property
     def callers_port(self) -> int:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peer_checks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peer_checks.py
@@ -83,3 +83,5 @@
             yield Fault(f"tls.{field}", f"missing, but {given[0]} is given")
         elif isinstance(path, str) and path and not Path(path).is_file():
             yield Fault(f"tls.{field}", f"{path}: no such file")
+    if tls.get("operators") is True and not given:
+        yield Fault("tls.operators", "needs tls.certificate, private_key and authority")
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings.py
@@ -172,11 +172,15 @@
         Of this daemon; the certificate carries the daemon's name.
     authority : str
         Certificates whose signature the others' certificates must carry.
+    operators : bool
+        Whether the operators' port demands such a certificate as well; this
+        daemon's certificate then also carries its IP number.
     """
 
     certificate: str = ""
     private_key: str = ""
     authority: str = ""
+    operators: bool = False
 
 
 @dataclass(frozen=True, slots=True)
