Check job leases when they may be over, not on every tick

Cause: each tick of the leader, ten a second, went through all running jobs and copied the table of renewals.

Change: a heap of checks by time; a job that was renewed since is checked again when its present lease could be over. What ended is forgotten at once.

Conclusion: the cost follows renewals that run out, not what runs.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_leases.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/job_leases.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from heapq import heappop, heappush
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -26,6 +27,7 @@
 STOP_GRACE_S = 1.0
 CLOCK_DRIFT = 0.02
 WAIT_FRACTION = 3
+RECHECK_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,19 +62,27 @@
         self.clock = clock
         self.log = log
         self.renewed: dict[Attempt, float] = {}
+        self.checks: list[tuple[float, str, int]] = []
         self.orders: dict[Attempt, Order] = {}
         self.waiting: dict[Attempt, Deferred] = {}
 
     def begin(self, attempt: Attempt) -> None:
         """Begin the lease of an attempt now."""
-        self.renewed[attempt] = self.clock.seconds()
+        now = self.clock.seconds()
+        if attempt not in self.renewed:
+            check = (now + RECHECK_S, attempt.job_id, attempt.attempt)
+            heappush(self.checks, check)
+        self.renewed[attempt] = now
 
-    def reset(self) -> None:
-        """Forget everything, as a new leader must."""
+    def reset(self, index: JobIndex) -> None:
+        """Forget everything, and begin the lease of all that runs, as a new leader."""
         self.renewed = {}
         self.orders = {}
+        self.checks = []
         for attempt in list(self.waiting):
             self.wake(attempt)
+        for entry in index.running.values():
+            self.begin(Attempt(entry.job_id, entry.attempt))
 
     async def on_renew(self, request: RenewJob) -> Result[object, Refusal]:
         """Renew the lease of a running attempt; wait for an order if asked to."""
@@ -132,15 +142,32 @@
         self.wake(attempt)
 
     def expired(self, index: JobIndex) -> Iterator[ExpireJob]:
-        """Yield what ends the attempts that have stopped by now."""
+        """
+        Yield what ends the attempts that have stopped by now.
+
+        Only attempts whose check is due are looked at. One that was renewed since
+        is checked again when its present lease could be over.
+        """
         now = self.clock.seconds()
-        renewed: dict[Attempt, float] = {}
-        for entry in index.running.values():
-            attempt = Attempt(entry.job_id, entry.attempt)
-            renewed[attempt] = self.renewed.get(attempt, now)
-            lease_s = index.state.jobs[entry.job_id].lease_ms / 1_000
-            if now - renewed[attempt] > lease_s + grace_s(lease_s):
-                yield ExpireJob(entry.job_id, entry.attempt)
-        self.renewed = renewed
-        kept = self.orders
-        self.orders = {one: kept[one] for one in kept if one in renewed}
+        while self.checks and self.checks[0][0] <= now:
+            _, job_id, number = heappop(self.checks)
+            attempt = Attempt(job_id, number)
+            entry = index.running.get(job_id)
+            if entry is None or entry.attempt != number:
+                self.forget(attempt)
+                continue
+            over_s = self.over_s(attempt, index.state.jobs[job_id].lease_ms)
+            if over_s <= now:
+                yield ExpireJob(job_id, number)
+            heappush(self.checks, (max(over_s, now + RECHECK_S), job_id, number))
+
+    def over_s(self, attempt: Attempt, lease_ms: int) -> float:
+        """Return when an attempt has surely stopped unless it is renewed."""
+        lease_s = lease_ms / 1_000
+        return self.renewed[attempt] + lease_s + grace_s(lease_s)
+
+    def forget(self, attempt: Attempt) -> None:
+        """Forget an attempt that ended, and answer its waiting renewal."""
+        self.renewed.pop(attempt, None)
+        self.orders.pop(attempt, None)
+        self.wake(attempt)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -91,7 +91,7 @@
         """Return the index, built anew for a new leader or a restored state."""
         if self.index is None or self.index.state is not self.log.state:
             self.index = JobIndex(self.log.state)
-            self.leases.reset()
+            self.leases.reset(self.index)
             self.reviewed_s = self.counted_s = 0.0
             capacity = fleet_capacity(self.log.state)
             self.matching.uses.reset(capacity)
@@ -160,6 +160,7 @@
                 self.on_ended(ended, command)
             if job is not None and job.phase == JobPhase.RUNNING and before is None:
                 self.matching.uses.charge(job, 1)
+                self.leases.begin(Attempt(job_id, job.attempt))
             if job is not None and job.cancel_requested:
                 self.leases.wake(Attempt(job_id, job.attempt))
         if isinstance(command, SubmitJob) and command.urgent:
@@ -183,7 +184,7 @@
         now_s = self.clock.seconds()
         job = self.log.state.jobs[entry.job_id]
         self.matching.uses.charge(job, -1)
-        self.leases.wake(Attempt(entry.job_id, entry.attempt))
+        self.leases.forget(Attempt(entry.job_id, entry.attempt))
         failed = worker_failed(self.log.state, entry, command)
         if failed is None:
             self.workers.withdrawn(entry.target, entry.job_id)
