--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/jobs.py
@@ -286,6 +286,7 @@
         self.workers.review(self.log.state, now_s)
         if now_s - self.counted_s >= COUNT_INTERVAL_S:
             self.counted_s = now_s
+            self.workers.review_due = True
             self.matching.uses.charge_again(index, fleet_capacity(index.state))
         self.matching.uses.charge_calls(self.calls(index))
         self.room_changed = True
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/workers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/workers.py
@@ -38,6 +38,7 @@
         self.history = WorkerHistory()
         self.quarantined: dict[str, Quarantine] = {}
         self.trials: dict[str, str] = {}
+        self.review_due = True
 
     def may_take(self, target: str, job: Job, now_s: float) -> bool:
         """Return whether the target may be given the job."""
@@ -61,6 +62,7 @@
     def ended(self, target: str, job_id: str, failed: bool, now_s: float) -> None:
         """Record how a job ended on a target."""
         self.history.record(target, job_id, failed)
+        self.review_due |= failed
         quarantine = self.quarantined.get(target)
         if quarantine is None or self.trials.get(target) != job_id:
             return
@@ -75,6 +77,9 @@
 
     def review(self, state: ClusterState, now_s: float) -> None:
         """Quarantine the workers that fail what their peers complete."""
+        if not self.review_due:
+            return
+        self.review_due = False
         peers: dict[str, list[str]] = defaultdict(list)
         for target in state.targets.values():
             peers[target.service].append(target.name)
