Let a failing task run again, and keep the platform's answers off the work loop

Cause: found in reading: an exception in any of the leader's eleven tasks ended the loop of them all for good, with the daemon still leading; and a platform that answers in 2 s held up job leases and lending. Change: run_periodically logs a failure and goes on, and stops the process for a broken invariant only; repair, waves and calendar have a loop of their own. Conclusion: one fault in a decision no longer stops the others.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -30,6 +30,7 @@
 from mulberryledge_daemon.leader.tasks import LeaderTasks
 from mulberryledge_daemon.log import open_log
 from mulberryledge_daemon.peers.tls import PeerContext
+from mulberryledge_daemon.periodic import run_periodically
 from mulberryledge_daemon.platform import HttpPlatform
 from mulberryledge_daemon.settings import Settings
 from mulberryledge_daemon.settings_checks import Reload, plan_reload
@@ -88,11 +89,9 @@
         self.listen(listen.operators_port, self.operator_side(), context)
         while not await self.entry.session.ensure_open():
             logger.warning("no leader yet")
-        for task in (self.entry_tick, self.leader.tick):
-            loop = LoopingCall(lambda run=task: Deferred.fromCoroutine(run()))
-            loop.clock = self.reactor
-            loop.start(self.settings.timing.tick_s).addErrback(log_failure)
-            self.loops.append(loop)
+        tick_s = self.settings.timing.tick_s
+        for task in (self.entry_tick, *self.leader.ticks()):
+            self.loops.append(run_periodically(self.reactor, tick_s, task))
         extra = {
             "callers_port": self.callers_port,
             "session": self.entry.session.name,
@@ -222,8 +221,3 @@
     with ExitStack() as stack:
         log = stack.enter_context(open_log(reactor, settings))
         yield Daemon(reactor, settings, log)
-
-
-def log_failure(failure) -> None:
-    """Log the failure of a periodic task."""
-    logger.critical("task failed", extra={"failure": failure.getTraceback()})
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -5,6 +5,8 @@
 Puts the leader's tasks together and runs them while this daemon leads.
 """
 
+from collections.abc import Awaitable, Callable
+
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.answers import KeptAnswers
 from mulberryledge_daemon.leader.calendar import Calendar
@@ -68,8 +70,12 @@
         )
         self.calendar = Calendar(log, settings.maintenance.calendar, journal.note)
 
-    async def tick(self) -> None:
-        """Run the periodic tasks, or forget what only a leader may know."""
+    def ticks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return the periodic tasks; those that wait for the platform run apart."""
+        return (self.tick_work, self.tick_upkeep)
+
+    async def tick_work(self) -> None:
+        """Look after sessions, loans, leases, jobs and what is kept of them."""
         if not self.log.is_leader():
             self.step_down()
             return
@@ -82,12 +88,15 @@
             self.moves,
             self.retention,
             self.answers,
-            self.repair,
-            self.maintenance,
-            self.calendar,
         ):
             await task.tick()
 
+    async def tick_upkeep(self) -> None:
+        """Repair hosts and carry waves forward."""
+        for task in (self.repair, self.maintenance, self.calendar):
+            if self.log.is_leader():
+                await task.tick()
+
     def step_down(self) -> None:
         """Forget leases, evidence and demand, which a later term gathers anew."""
         self.sessions.resign()
