--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -5,7 +5,10 @@
 Puts the leader's tasks together and runs them while this daemon leads.
 """
 
+from collections.abc import Awaitable, Callable
+
 from mulberryledge_daemon.journal import Journal
+from mulberryledge_daemon.leader.answers import KeptAnswers
 from mulberryledge_daemon.leader.calendar import Calendar
 from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
@@ -56,6 +59,7 @@
         self.planner = Planner(reactor, log, self.jobs, self.usage)
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
+        self.answers = KeptAnswers(reactor, log)
         self.maintenance = Maintenance(
             log,
             platform,
@@ -66,8 +70,12 @@
         )
         self.calendar = Calendar(log, settings.maintenance.calendar, journal.note)
 
-    async def tick(self) -> None:
-        """Run the periodic tasks, or forget what only a leader may know."""
+    def ticks(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return the periodic tasks; those that wait for the platform run apart."""
+        return (self.tick_work, self.tick_upkeep)
+
+    async def tick_work(self) -> None:
+        """Look after sessions, loans, leases, jobs and what is kept of them."""
         if not self.log.is_leader():
             self.step_down()
             return
@@ -79,12 +87,16 @@
             self.planner,
             self.moves,
             self.retention,
-            self.repair,
-            self.maintenance,
-            self.calendar,
+            self.answers,
         ):
             await task.tick()
 
+    async def tick_upkeep(self) -> None:
+        """Repair hosts and carry waves forward."""
+        for task in (self.repair, self.maintenance, self.calendar):
+            if self.log.is_leader():
+                await task.tick()
+
     def step_down(self) -> None:
         """Forget leases, evidence and demand, which a later term gathers anew."""
         self.sessions.resign()
