--- a/features/capacity/decisions.feature
+++ b/features/capacity/decisions.feature
@@ -178,6 +178,18 @@
       | 10   | 4000 | 1         | jobs    |
       | 40   | 60   | 1000      | results |
 
+  Scenario Outline: How long it is known that something must not be repeated
+    Given a <kind> that must not be repeated and ended <age> s ago
+    When what is over is forgotten
+    Then its record of the <kind> is <fate>
+
+    Examples:
+      | kind        | age   | fate      |
+      | job         | 4000  | kept      |
+      | job         | 86500 | forgotten |
+      | reservation | 4000  | kept      |
+      | reservation | 86500 | forgotten |
+
   Scenario Outline: Whose job makes room for an urgent one
     Given team "urgent" runs <runs> of a fair 5 and has an urgent job waiting
     And team "over" runs <over> of a fair 5
--- a/features/capacity/steps/placement.py
+++ b/features/capacity/steps/placement.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from result import Ok
 
+from mulberryledge_core.commands.work import ForgetWork
 from mulberryledge_core.decisions.loads import Load
 from mulberryledge_core.decisions.placement import (
     HostRoom,
@@ -48,7 +49,13 @@
     observe_size,
 )
 from mulberryledge_core.model.hosts import Resources
-from mulberryledge_core.model.jobs import Job, JobPhase
+from mulberryledge_core.model.jobs import (
+    Job,
+    JobPhase,
+    Reservation,
+    ReservationPhase,
+)
+from mulberryledge_core.state import ClusterState, Context, apply
 
 NOW_MS = 100_000_000
 
@@ -290,6 +297,37 @@
         assert limits.results_before_ms > limits.before_ms, limits
 
 
+@given("a {kind} that must not be repeated and ended {age:d} s ago")
+def step_once(context, kind, age):
+    context.state = ClusterState()
+    at_ms = NOW_MS - age * 1_000
+    if kind == "job":
+        context.state.jobs["once"] = Job(
+            "once", "s", "t", b"", repeatable=False, phase=JobPhase.DONE, ended_ms=at_ms
+        )
+    else:
+        context.state.reservations["once"] = Reservation(
+            "once", "t", "s", b"", "e", "e", ReservationPhase.ANSWERED, None, at_ms
+        )
+
+
+@when("what is over is forgotten")
+def step_forget(context):
+    state = context.state
+    limits = forget_before(state.jobs.values(), state.reservations.values(), NOW_MS)
+    if limits is not None:
+        command = ForgetWork(
+            limits.before_ms, limits.results_before_ms, limits.once_before_ms
+        )
+        apply(state, command, Context(1, NOW_MS))
+
+
+@then("its record of the {kind} is {fate}")
+def step_fate(context, kind, fate):
+    table = context.state.jobs if kind == "job" else context.state.reservations
+    assert ("once" in table) == (fate == "kept"), table
+
+
 @given(
     'team "over" runs 10 of a fair 5, and team "under" runs 0 and has 5 jobs waiting'
     " for {waited:d} ms"
--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/work.py
@@ -134,14 +134,17 @@
 @dataclass(frozen=True, slots=True)
 class ForgetWork:
     """
-    Drop ended jobs and settled reservations from before ``before_ms``.
+    Drop ended jobs that may be repeated from before ``before_ms``.
 
-    Results of jobs that ended before ``results_before_ms`` are dropped as well,
-    while the jobs stay, so that a resend still finds them.
+    Ended jobs and settled reservations that must not be repeated are dropped from
+    before ``once_before_ms``. Results of jobs that ended before
+    ``results_before_ms`` are dropped as well, while the jobs stay, so that a
+    resend still finds them.
     """
 
     before_ms: int
     results_before_ms: int = 0
+    once_before_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/appliers/jobs.py
@@ -34,9 +34,10 @@
 from mulberryledge_core.state.limits import slots_in_use, team_headroom
 from mulberryledge_core.state.tables import ClusterState, Context, reservation_id
 
-__all__ = ["APPLIERS", "MAX_JOBS", "MAX_RESULT_BYTES", "may_take"]
+__all__ = ["APPLIERS", "MAX_JOBS", "MAX_RESERVATIONS", "MAX_RESULT_BYTES", "may_take"]
 
 MAX_JOBS = 100_000
+MAX_RESERVATIONS = 50_000
 MAX_BODY_BYTES = 262_144
 MAX_RESULT_BYTES = 1_048_576
 MAX_EXPIRIES = 10
@@ -273,6 +274,9 @@
         return ok(ctx.index, "present")
     if command.session not in state.sessions:
         return refuse(Code.STALE, f"session {command.session!r} is closed")
+    if len(state.reservations) >= MAX_RESERVATIONS:
+        text = f"{MAX_RESERVATIONS} requests that must not be repeated are kept already"
+        return refuse(Code.OVERLOADED, text)
     state.reservations[name] = Reservation(
         request_id=command.request_id,
         team=command.team,
@@ -316,14 +320,19 @@
 
 def forget_work(state: ClusterState, command: ForgetWork, ctx: Context) -> ApplyResult:
     """Drop what ended before the given time, and results from before another."""
-    before = command.before_ms
-    state.jobs.keep(lambda job: not job.ended_ms or job.ended_ms >= before)
+    before, once_before = command.before_ms, command.once_before_ms
+    state.jobs.keep(
+        lambda job: (
+            not job.ended_ms
+            or job.ended_ms >= (before if job.repeatable else once_before)
+        )
+    )
     for job_id, job in list(state.jobs.items()):
         if job.result and job.ended_ms and job.ended_ms < command.results_before_ms:
             state.jobs[job_id] = replace(job, result=b"", result_dropped=True)
     state.reservations.keep(
         lambda item: (
-            item.phase == ReservationPhase.RUNNING or item.reserved_ms >= before
+            item.phase == ReservationPhase.RUNNING or item.reserved_ms >= once_before
         )
     )
     return ok(ctx.index)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/retention.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/retention.py
@@ -35,5 +35,7 @@
             state.jobs.values(), state.reservations.values(), self.log.time_ms()
         )
         if limits is not None:
-            command = ForgetWork(limits.before_ms, limits.results_before_ms)
+            command = ForgetWork(
+                limits.before_ms, limits.results_before_ms, limits.once_before_ms
+            )
             await self.log.propose(command)
