Look after kept answers and ended work in one task

Change: Retention forgets both, each 10 s; the decisions stay two pure functions. Conclusion: one place to look for what is dropped, and when.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/retention.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/retention.py
@@ -2,18 +2,19 @@
 mulberryledge_daemon.leader.retention
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Forgets ended work by age and results by size.
+Forgets ended work by age, and results and kept answers also by size.
 """
 
 from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.commands.work import ForgetWork
+from mulberryledge_core.commands.work import ForgetAnswers, ForgetWork
+from mulberryledge_core.decisions.kept_answers import answers_to_forget_ms
 from mulberryledge_core.decisions.retention import forget_before
 from mulberryledge_daemon.ports import ReplicatedLog
 
 __all__ = ["Retention"]
 
-FORGET_INTERVAL_S = 30.0
+CHECK_INTERVAL_S = 10.0
 
 
 class Retention:
@@ -27,9 +28,22 @@
     async def tick(self) -> None:
         """Forget what is over age or beyond the room for it."""
         now_s = self.clock.seconds()
-        if now_s - self.checked_s < FORGET_INTERVAL_S:
+        if now_s - self.checked_s < CHECK_INTERVAL_S:
             return
         self.checked_s = now_s
+        await self.forget_answers()
+        await self.forget_work()
+
+    async def forget_answers(self) -> None:
+        """Drop kept answers; that their requests ran stays known."""
+        before_ms = answers_to_forget_ms(
+            self.log.state.reservations.values(), self.log.time_ms()
+        )
+        if before_ms is not None:
+            await self.log.propose(ForgetAnswers(before_ms))
+
+    async def forget_work(self) -> None:
+        """Drop ended jobs, their results and settled reservations."""
         state = self.log.state
         limits = forget_before(
             state.jobs.values(), state.reservations.values(), self.log.time_ms()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/leader/tasks.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 
 from mulberryledge_daemon.journal import Journal
-from mulberryledge_daemon.leader.answers import KeptAnswers
 from mulberryledge_daemon.leader.calendar import Calendar
 from mulberryledge_daemon.leader.drains import make_put_off
 from mulberryledge_daemon.leader.jobs import Jobs
@@ -59,7 +58,6 @@
         self.planner = Planner(reactor, log, self.jobs, self.usage)
         self.moves = Moves(reactor, log, self.jobs, settings.weights)
         self.retention = Retention(reactor, log)
-        self.answers = KeptAnswers(reactor, log)
         self.maintenance = Maintenance(
             log,
             platform,
@@ -87,7 +85,6 @@
             self.planner,
             self.moves,
             self.retention,
-            self.answers,
         ):
             await task.tick()
 
