--- a/features/capacity/environment.py
+++ b/features/capacity/environment.py
@@ -6,8 +6,7 @@
 from mulberryledge_testing.callers import Caller
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 from mulberryledge_testing.targets import StandInTarget
 from result import Ok
@@ -32,10 +31,9 @@
 
 
 @fixture
-def running_reactor(context):
-    thread = start_reactor()
-    yield
-    stop_reactor(thread)
+def reactor_fixture(context):
+    with running_reactor():
+        yield
 
 
 @fixture
@@ -69,7 +67,7 @@
 
 
 def before_all(context):
-    use_fixture(running_reactor, context)
+    use_fixture(reactor_fixture, context)
 
 
 def before_feature(context, feature):
--- a/features/entries/environment.py
+++ b/features/entries/environment.py
@@ -7,18 +7,16 @@
 from mulberryledge_testing.processes import running_cluster
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 from mulberryledge_testing.scripted import ScriptedTarget
 from twisted.internet import reactor
 
 
 @fixture
-def running_reactor(context):
-    thread = start_reactor()
-    yield
-    stop_reactor(thread)
+def reactor_fixture(context):
+    with running_reactor():
+        yield
 
 
 @fixture
@@ -38,7 +36,7 @@
 
 
 def before_all(context):
-    use_fixture(running_reactor, context)
+    use_fixture(reactor_fixture, context)
 
 
 def before_scenario(context, scenario):
--- a/features/operations/environment.py
+++ b/features/operations/environment.py
@@ -7,8 +7,7 @@
 from behave import fixture, use_fixture
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 from twisted.internet import reactor
 
@@ -24,10 +23,9 @@
 
 
 @fixture
-def running_reactor(context):
-    thread = start_reactor()
-    yield
-    stop_reactor(thread)
+def reactor_fixture(context):
+    with running_reactor():
+        yield
 
 
 @fixture
@@ -53,7 +51,7 @@
 
 
 def before_all(context):
-    use_fixture(running_reactor, context)
+    use_fixture(reactor_fixture, context)
 
 
 def before_scenario(context, scenario):
--- a/features/path/environment.py
+++ b/features/path/environment.py
@@ -3,8 +3,7 @@
 from behave import fixture, use_fixture
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 from mulberryledge_testing.views import LogView, SharedLog
 from twisted.internet import reactor
@@ -23,10 +22,9 @@
 
 
 @fixture
-def running_reactor(context):
-    thread = start_reactor()
-    yield
-    stop_reactor(thread)
+def reactor_fixture(context):
+    with running_reactor():
+        yield
 
 
 def settings_of(name, zone):
@@ -59,7 +57,7 @@
 
 
 def before_all(context):
-    use_fixture(running_reactor, context)
+    use_fixture(reactor_fixture, context)
 
 
 def before_scenario(context, scenario):
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leases.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leases.py
@@ -11,7 +11,6 @@
 
 __all__ = [
     "confirmed_ms",
-    "held_until_ms",
     "is_fresh",
     "is_leading",
     "make_grant",
@@ -103,14 +102,6 @@
     node.pending = None
 
 
-def held_until_ms(node: Node, name: str) -> int:
-    """Return when the leases that this leader granted a member have run out."""
-    progress = node.progress.get(name)
-    if progress is not None:
-        return progress.held_until_ms
-    return node.departed.get(name, 0)
-
-
 def waiting_for(node: Node, index: int, now: int) -> tuple[str, ...]:
     """
     Return the daemons that may still act on a state from before the index.
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/loads.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/loads.py
@@ -19,7 +19,6 @@
     "fractions",
     "load_of",
     "scaled",
-    "subtract",
     "total",
 ]
 
@@ -67,11 +66,6 @@
     return Load(*(a + b for a, b in zip(values(first), values(second), strict=True)))
 
 
-def subtract(first: Load, second: Load) -> Load:
-    """Return the difference of two loads."""
-    return Load(*(a - b for a, b in zip(values(first), values(second), strict=True)))
-
-
 def scaled(load: Load, factor: float) -> Load:
     """Return a load times a factor."""
     return Load(*(factor * value for value in values(load)))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -39,7 +39,6 @@
 from mulberryledge_daemon.log.guard import stop_if_broken
 from mulberryledge_daemon.log.in_force import InForceWaits
 from mulberryledge_daemon.log.joining import Joining
-from mulberryledge_daemon.log.lives import Lives
 from mulberryledge_daemon.log.proposer import Proposer
 from mulberryledge_daemon.log.reads import Reads
 from mulberryledge_daemon.log.replica import Replica
@@ -98,7 +97,6 @@
         self.storage = storage
         self.name = settings.daemon.name
         self.session = uuid4().hex
-        self.lives = Lives()
         self.clock_base_ms = random.getrandbits(CLOCK_BASE_BITS)
         usable = storage is not None and not storage.damage
         folder = storage.identity.folder if usable else ""
@@ -237,14 +235,6 @@
             self.node, self.joining, self.storage, traffic, self.now()
         )
 
-    def lease_ended_s(self, session: str) -> float:
-        """Return for how long the freshness lease of a session has surely ended."""
-        record = self.state.sessions.get(session)
-        if record is None or session == self.session or not self.is_leader():
-            return 0.0
-        name, now = record.daemon, self.now()
-        return self.lives.lease_ended_s(self.node, name, session, now)
-
     # What happens to the node.
 
     def tick(self) -> None:
@@ -354,7 +344,6 @@
 
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Take note of a peer that has connected."""
-        self.lives.note(self.node, sender, hello.session)
         self.joining.on_hello(sender, hello)
 
     def send_proposal(self, message: Propose) -> bool:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peer_checks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peer_checks.py
@@ -12,7 +12,7 @@
 from mulberryledge_core.documents import NAME_RULE, is_name
 from mulberryledge_core.outcomes import Fault
 
-__all__ = ["peer_faults"]
+__all__ = ["is_ip", "peer_faults"]
 
 MAX_PORT = 65_535
 TLS_FIELDS = ("certificate", "private_key", "authority")
@@ -62,12 +62,13 @@
             problem = f"{port} is out of range: use 1 to {MAX_PORT}"
             yield Fault(f"{place}.port", problem)
         address = peer.get("address")
-        if isinstance(address, str) and not _is_ip(address):
+        if isinstance(address, str) and not is_ip(address):
             problem = f"{address!r} is no IP number: use for example 10.0.0.7"
             yield Fault(f"{place}.address", problem)
 
 
-def _is_ip(text: str) -> bool:
+def is_ip(text: str) -> bool:
+    """Return whether the text is an IP number."""
     try:
         ip_address(text)
     except ValueError:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -89,14 +89,6 @@
     def is_fresh(self) -> bool:
         """Return whether this daemon's freshness lease holds."""
 
-    def lease_ended_s(self, session: str) -> float:
-        """
-        Return for how long the freshness lease of a session has surely ended.
-
-        Only the leader knows; it counts the drift margin in, and answers zero for
-        leases that may still hold, among them all for one term after its election.
-        """
-
     def time_ms(self) -> int:
         """Return the log time that a command proposed now would get."""
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings_checks.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/settings_checks.py
@@ -7,13 +7,12 @@
 
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass
-from ipaddress import ip_address
 from urllib.parse import urlsplit
 
 from mulberryledge_core.documents import NAME_RULE, is_in_range, is_name
 from mulberryledge_core.keys import KEY_ID_RULE, is_key_id
 from mulberryledge_core.outcomes import Fault
-from mulberryledge_daemon.peer_checks import peer_faults
+from mulberryledge_daemon.peer_checks import is_ip, peer_faults
 
 __all__ = ["Reload", "plan_reload", "settings_faults"]
 
@@ -139,7 +138,7 @@
 
 def _listen_faults(listen: Section) -> Iterator[Fault]:
     address = _text(listen, "address")
-    if address and not _is_ip(address):
+    if address and not is_ip(address):
         problem = f"{address!r} is no IP number: use for example 10.0.0.7"
         yield Fault("listen.address", problem)
     ports = ("callers_port", "operators_port", "peers_port")
@@ -152,14 +151,6 @@
         taken[port] = field
 
 
-def _is_ip(text: str) -> bool:
-    try:
-        ip_address(text)
-    except ValueError:
-        return False
-    return True
-
-
 def _operator_faults(operator: Section) -> Iterator[Fault]:
     hint = 'make one with "mulberryledged make-key"'
     if not operator:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/log/embedded.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/log/embedded.py
@@ -21,8 +21,7 @@
 from mulberryledge_testing.processes import DaemonProcess, wait_until
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 
 __all__ = ["EmbeddedLearner", "running_learner"]
@@ -83,10 +82,8 @@
 def running_learner(daemon: DaemonProcess) -> Iterator[EmbeddedLearner]:
     """Run the log of a learner in this process, in place of its daemon."""
     settings = load_settings(daemon.settings_path).unwrap()
-    thread = start_reactor()
-    with open_log(reactor, settings) as log:
+    with running_reactor(), open_log(reactor, settings) as log:
         run_coroutine(log.start)
         wait_until(log.is_fresh, "a freshness lease")
         yield EmbeddedLearner(log)
         run_coroutine(log.stop)
-    stop_reactor(thread)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/endurance/__main__.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/endurance/__main__.py
@@ -14,8 +14,7 @@
 from mulberryledge_testing.endurance.run import run
 from mulberryledge_testing.reactor_thread import (
     run_coroutine,
-    start_reactor,
-    stop_reactor,
+    running_reactor,
 )
 
 __all__ = ["main"]
@@ -27,14 +26,10 @@
 
 def main(seconds: float, seed: int) -> int:
     """Run once; return 1 if a promise was broken."""
-    thread = start_reactor()
-    try:
-        with TemporaryDirectory() as folder:
-            verdict = run_coroutine(
-                lambda: run(reactor, Path(folder), seconds, seed), seconds + SLACK_S
-            )
-    finally:
-        stop_reactor(thread)
+    with running_reactor(), TemporaryDirectory() as folder:
+        verdict = run_coroutine(
+            lambda: run(reactor, Path(folder), seconds, seed), seconds + SLACK_S
+        )
     print(f"seed {seed}: {verdict.text()}")
     return 1 if verdict.broken else 0
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/reactor_thread.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/reactor_thread.py
@@ -6,30 +6,30 @@
 """
 
 import threading
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.threads import blockingCallFromThread
 
-__all__ = ["run_coroutine", "start_reactor", "stop_reactor"]
+__all__ = ["run_coroutine", "running_reactor"]
 
 DEFAULT_TIMEOUT_S = 60.0
 
 
-def start_reactor() -> threading.Thread:
-    """Start the reactor; it runs until :func:`stop_reactor`."""
+@contextmanager
+def running_reactor() -> Iterator[None]:
+    """Run the reactor; it can run only once in a process."""
     thread = threading.Thread(
         target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True
     )
     thread.start()
-    return thread
-
-
-def stop_reactor(thread: threading.Thread) -> None:
-    """Stop the reactor and wait for its thread."""
-    reactor.callFromThread(reactor.stop)
-    thread.join()
+    try:
+        yield
+    finally:
+        reactor.callFromThread(reactor.stop)
+        thread.join()
 
 
 def run_coroutine(
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
@@ -118,10 +118,6 @@
         """Return whether the freshness lease holds."""
         return self.fresh
 
-    def lease_ended_s(self, session: str) -> float:
-        """Return zero: no lease of this log ends."""
-        return 0.0
-
     def time_ms(self) -> int:
         """Return the time of the shared log."""
         return self.log.time_ms()
