--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -101,6 +101,9 @@
     for job in state.jobs.values():
         if not (job.begun or job.ended):
             state.waiting[job.queue] += 1
+        due_later = job.next_occurrence < job.spec.occurrences
+        if due_later and not job.ended:
+            state.scheduled[job.job_id] = job
         for number, occurrence in job.occurrences.items():
             derive_occurrence(state, job, number, occurrence)
 
@@ -175,6 +178,8 @@
     state.waiting[job.queue] += 1
     if change.spec.schedule is None:
         begin_occurrence(state, job)
+    else:
+        state.scheduled[job.job_id] = job
 
 
 def open_occurrence(state: BatchState, change: OpenOccurrence) -> None:
@@ -182,8 +187,9 @@
     job = state.jobs.get(change.job_id)
     if job is None or job.ended or job.next_occurrence != change.occurrence:
         return
-    if change.occurrence < job.spec.occurrences:
-        begin_occurrence(state, job)
+    begin_occurrence(state, job)
+    if job.next_occurrence == job.spec.occurrences:
+        del state.scheduled[job.job_id]
 
 
 def begin_occurrence(state: BatchState, job: JobRecord) -> None:
@@ -211,6 +217,7 @@
         state.waiting[job.queue] -= 1
     job.phase = phase
     job.ended_ms = state.now_ms
+    state.scheduled.pop(job.job_id, None)
     opened = state.open_steps[job.queue]
     for number, occurrence in list(job.occurrences.items()):
         live = False
--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -0,0 +1,226 @@
+"""
+mulberryledge_core.batch.placing
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which tasks start now, and where. Nothing is started beyond a target's capacity or a
+team's upper limit; a gang starts whole or not at all.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from mulberryledge_core.batch.commands import StartRun
+from mulberryledge_core.batch.records import JobRecord, StepRecord
+from mulberryledge_core.batch.sizes import Size, Tally
+from mulberryledge_core.batch.specs import StepId, StepSpec
+from mulberryledge_core.batch.state import BatchState
+from mulberryledge_core.batch.targets import Target
+
+__all__ = ["PlacingView", "plan_starts"]
+
+
+@dataclass(slots=True)
+class Room:
+    """What is used of a target, with the starts planned so far."""
+
+    target: Target
+    used: Tally
+
+
+@dataclass(slots=True)
+class PlacingView:
+    """
+    What a plan is made from.
+
+    Attributes
+    ----------
+    targets : sequence of Target
+        Targets on which tasks may be started now.
+    now_ms : int
+        Log time.
+    """
+
+    state: BatchState
+    targets: Sequence[Target]
+    now_ms: int
+    rooms: dict[str, list[Room]] = field(default_factory=dict)
+    team_used: dict[str, Tally] = field(default_factory=dict)
+
+    def __post_init__(self):
+        for target in self.targets:
+            used = self.state.used[target.life].copy()
+            self.rooms.setdefault(target.pool, []).append(Room(target, used))
+
+    def team_tally(self, team: str) -> Tally:
+        """Return what a team has running, with the starts planned so far."""
+        if team not in self.team_used:
+            self.team_used[team] = self.state.team_used[team].copy()
+        return self.team_used[team]
+
+
+def plan_starts(view: PlacingView) -> list[StartRun]:
+    """Return the runs to start now."""
+    starts: list[StartRun] = []
+    for step_id, step in ready_steps(view):
+        job = view.state.jobs[step_id.job_id]
+        starts += place_step(view, job, step_id, step)
+    return starts
+
+
+def ready_steps(view: PlacingView) -> list[tuple[StepId, StepRecord]]:
+    """Return the steps with idle tasks, the most urgent first."""
+    ready = []
+    for name, steps in view.state.open_steps.items():
+        if not steps:
+            continue
+        queue = view.state.configuration.queues_by_name.get(name)
+        queue = queue or view.state.stored.queues[name]
+        if queue.pool not in view.rooms:
+            continue
+        for step_id, step in steps.items():
+            if step.idle:
+                job = view.state.jobs[step_id.job_id]
+                rank = (queue.priority, job.submitted_ms)
+                ready.append((rank, step_id, step))
+    ready.sort(key=lambda one: one[0])
+    return [(step_id, step) for _, step_id, step in ready]
+
+
+def place_step(
+    view: PlacingView, job: JobRecord, step_id: StepId, step: StepRecord
+) -> list[StartRun]:
+    """Return the runs of one step to start now."""
+    spec = job.spec.steps[step_id.step]
+    rooms = [
+        room
+        for room in view.rooms.get(view.state.queue_of(job).pool, ())
+        if not spec.required_label or spec.required_label in room.target.labels
+    ]
+    if spec.gang:
+        return place_gang(view, job, step_id, step, rooms)
+    starts = []
+    taken = taken_by_life(step)
+    for index in list(step.idle):
+        if not within_limit(view, job.team, spec.size):
+            break
+        avoid = step.tasks[index].avoid
+        room = choose_room(rooms, spec, taken, avoid)
+        if room is None:
+            break
+        starts.append(book(view, job, step_id, step, index, room))
+        taken[room.target.life] += 1
+    return starts
+
+
+def taken_by_life(step: StepRecord) -> Counter[str]:
+    """Return how many live runs of a step each life has."""
+    return Counter(life for task in step.tasks for life in task.live.values())
+
+
+def within_limit(view: PlacingView, team: str, size: Size) -> bool:
+    """Return whether a team may have so much more running."""
+    config = view.state.configuration.teams_by_name.get(team)
+    if not team or config is None:
+        return True
+    used, limit = view.team_tally(team), config.upper_limit
+    return not (
+        (limit.cpu_millis and used.cpu_millis + size.cpu_millis > limit.cpu_millis)
+        or (limit.memory_mb and used.memory_mb + size.memory_mb > limit.memory_mb)
+        or (
+            limit.accelerators
+            and used.accelerators + size.accelerators > limit.accelerators
+        )
+    )
+
+
+def choose_room(
+    rooms: Sequence[Room], spec: StepSpec, taken: Counter[str], avoid: str
+) -> Room | None:
+    """Return where a task runs best, None if there is no room."""
+    best, best_rank = None, None
+    size, most = spec.reserved, spec.max_per_target
+    for room in rooms:
+        target = room.target
+        if not room.used.fits(size, target.capacity):
+            continue
+        if most and taken[target.life] >= most:
+            continue
+        rank = (
+            target.life == avoid,
+            bool(spec.data_rack) and target.rack != spec.data_rack,
+            room.used.cpu_millis / max(1, target.capacity.cpu_millis),
+        )
+        if best_rank is None or rank < best_rank:
+            best, best_rank = room, rank
+    return best
+
+
+def place_gang(
+    view: PlacingView,
+    job: JobRecord,
+    step_id: StepId,
+    step: StepRecord,
+    rooms: Sequence[Room],
+) -> list[StartRun]:
+    """Return the starts of a whole gang, or none."""
+    spec = job.spec.steps[step_id.step]
+    if len(step.idle) < spec.count:
+        return []
+    if not within_limit(view, job.team, spec.size.times(spec.count)):
+        return []
+    for group in rack_groups(rooms, spec):
+        chosen = fill_group(group, spec)
+        if chosen is not None:
+            run = max(task.run for task in step.tasks) + 1
+            return [
+                book(view, job, step_id, step, index, room, run)
+                for index, room in enumerate(chosen)
+            ]
+    return []
+
+
+def rack_groups(rooms: Sequence[Room], spec: StepSpec) -> list[list[Room]]:
+    """Return the sets of targets that a gang may be placed on, the best first."""
+    groups: list[list[Room]] = []
+    if spec.tightly_coupled or spec.data_rack:
+        racks: dict[str, list[Room]] = {}
+        for room in rooms:
+            racks.setdefault(room.target.rack, []).append(room)
+        names = sorted(racks, key=lambda name: (name != spec.data_rack, name))
+        groups = [racks[name] for name in names]
+    return [*groups, list(rooms)]
+
+
+def fill_group(rooms: Sequence[Room], spec: StepSpec) -> list[Room] | None:
+    """Return a place for each member of a gang, None if not all fit."""
+    trial = [Room(room.target, room.used.copy()) for room in rooms]
+    by_life = {room.target.life: room for room in rooms}
+    taken: Counter[str] = Counter()
+    chosen = []
+    for _ in range(spec.count):
+        room = choose_room(trial, spec, taken, "")
+        if room is None:
+            return None
+        room.used.add(spec.reserved)
+        taken[room.target.life] += 1
+        chosen.append(by_life[room.target.life])
+    return chosen
+
+
+def book(
+    view: PlacingView,
+    job: JobRecord,
+    step_id: StepId,
+    step: StepRecord,
+    index: int,
+    room: Room,
+    run: int | None = None,
+) -> StartRun:
+    """Count a start, and return it."""
+    spec = job.spec.steps[step_id.step]
+    room.used.add(spec.reserved)
+    if job.team:
+        view.team_tally(job.team).add(spec.size)
+    run = step.tasks[index].run + 1 if run is None else run
+    return StartRun(*step_id, index, run, room.target.life)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
@@ -70,6 +70,8 @@
         By queue: steps that may run, with tasks that are not done.
     waiting : Counter of str
         By queue: accepted jobs of which no task has been started.
+    scheduled : dict of str to JobRecord
+        Jobs with occurrences that are not due yet.
     unwanted_runs : dict of RunKey to str
         Live runs of jobs that have ended and of tasks that are done, with their
         lives.
@@ -89,6 +91,7 @@
         self.open_steps: dict[str, dict[StepId, StepRecord]] = defaultdict(dict)
         self.waiting: Counter[str] = Counter()
         self.unwanted_runs: dict[RunKey, str] = {}
+        self.scheduled: dict[str, JobRecord] = {}
         self.lives_by_name: dict[str, str] = {}
         self.lives_by_host: dict[str, str] = {}
         self.lives_by_address: dict[str, str] = {}
--- a/packages/mulberryledge-core/src/mulberryledge_core/commands/members.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/commands/members.py
@@ -14,6 +14,7 @@
     "Nothing",
     "PromoteMember",
     "RemoveMember",
+    "ReplaceFolder",
 ]
 
 
@@ -48,6 +49,14 @@
     folder: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceFolder:
+    """Let a voter that lost its data folder vote with the new one."""
+
+    name: str
+    folder: str
+
+
 @dataclass(frozen=True, slots=True)
 class RemoveMember:
     """Remove a daemon."""
@@ -55,4 +64,11 @@
     name: str
 
 
-COMMANDS = (Nothing, AddMember, PromoteMember, DemoteMember, RemoveMember)
+COMMANDS = (
+    Nothing,
+    AddMember,
+    PromoteMember,
+    DemoteMember,
+    RemoveMember,
+    ReplaceFolder,
+)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from mulberryledge_core.codec import encode_command
-from mulberryledge_core.commands.members import PromoteMember
+from mulberryledge_core.commands.members import PromoteMember, ReplaceFolder
 from mulberryledge_core.consensus.entries import Entry, EntryKind, Origin
 from mulberryledge_core.consensus.leases import (
     confirmed_ms,
@@ -110,7 +110,7 @@
     changed = change_members(node.log.members, command)
     if isinstance(changed, Err):
         return changed
-    if isinstance(command, PromoteMember):
+    if isinstance(command, PromoteMember | ReplaceFolder):
         refusal = _not_caught_up(node, command)
         if refusal is not None:
             return Err(refusal)
@@ -125,7 +125,9 @@
     return Ok(entry)
 
 
-def _not_caught_up(node: Node, command: PromoteMember) -> Refusal | None:
+def _not_caught_up(
+    node: Node, command: PromoteMember | ReplaceFolder
+) -> Refusal | None:
     progress = node.progress[command.name]
     if progress.folder != command.folder:
         text = f"daemon {command.name!r} has folder {progress.folder or 'none'}"
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/members.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/members.py
@@ -14,6 +14,7 @@
     DemoteMember,
     PromoteMember,
     RemoveMember,
+    ReplaceFolder,
 )
 from mulberryledge_core.outcomes import Code, Refusal
 
@@ -131,6 +132,16 @@
     return Ok(_with(present, replace(member, folder="")))
 
 
+def _replace_folder(present: Configuration, command: ReplaceFolder) -> Result:
+    member = present.find(command.name)
+    if member is None or not member.voter:
+        return _refuse(Code.NOT_FOUND, f"daemon {command.name!r} does not vote")
+    if not command.folder or command.folder == member.folder:
+        text = f"daemon {command.name!r} votes with folder {member.folder}"
+        return _refuse(Code.EXISTS, text)
+    return Ok(_with(present, replace(member, folder=command.folder)))
+
+
 def _remove(present: Configuration, command: RemoveMember) -> Result:
     member = present.find(command.name)
     if member is None:
@@ -158,4 +169,5 @@
     PromoteMember: _promote,
     DemoteMember: _demote,
     RemoveMember: _remove,
+    ReplaceFolder: _replace_folder,
 }
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
@@ -56,6 +56,7 @@
     member_commands.PromoteMember,
     member_commands.DemoteMember,
     member_commands.RemoveMember,
+    member_commands.ReplaceFolder,
 )
 KEPT_ENTRIES = 1_000
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/messages.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/messages.py
@@ -7,6 +7,13 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.batch.requests import (
+    CallReply,
+    CancelAsk,
+    JobStateAsk,
+    QueueAsk,
+    SubmitAsk,
+)
 from mulberryledge_core.decisions.plan import Order
 from mulberryledge_core.model.hosts import Resources
 
@@ -220,6 +227,11 @@
         ReadIndexAsk,
         ReadIndex,
         UsageReport,
+        SubmitAsk,
+        JobStateAsk,
+        CancelAsk,
+        QueueAsk,
+        CallReply,
     )
 }
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/outcomes.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/outcomes.py
@@ -76,11 +76,14 @@
         Sentence for people that names the place and value.
     faults : tuple of Fault
         Every fault found, where there are several.
+    unsure : bool
+        Whether a request that reached the leader may have been acted on all the same.
     """
 
     code: Code
     message: str
     faults: tuple[Fault, ...] = ()
+    unsure: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -0,0 +1,166 @@
+"""
+mulberryledge_daemon.batch.gateway
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Hands callers' requests to the leader. A gateway holds no state that a promise rests
+on: what it answers is what a leader answered.
+
+A request that may have reached a leader is sent again to the next one, under the
+same identifier, as long as the caller waits. One that reached none is refused.
+"""
+
+import logging
+from random import Random
+from uuid import uuid4
+
+from result import Ok
+from twisted.internet.task import deferLater
+
+from mulberryledge_core.batch.requests import CallReply, Verdict
+from mulberryledge_core.consensus.members import Configuration
+from mulberryledge_daemon.log.channel import Channel
+from mulberryledge_daemon.peers.link import LinkTiming
+from mulberryledge_daemon.peers.messages import AskReply, Directory, Hello
+from mulberryledge_daemon.peers.network import Handlers, Network, PeerAddress
+
+__all__ = ["Gateway"]
+
+RETRY_S = 0.05  # between two tries to reach a leader; a few round trips
+LEADER_WAIT_S = 0.25  # how long a request waits for a leader before it is refused
+ATTEMPT_S = 1.5  # silence of a leader after which a request is sent again
+ANSWER_MARGIN_S = 0.1  # of the caller's time, kept for the answer's way back
+FORGET_LEADER_S = 2.0  # an election takes less; then the gateway is not ready
+
+logger = logging.getLogger(__name__)
+
+
+class Gateway:
+    """
+    Owns the connections to the voters and what they tell of the leader.
+
+    Attributes
+    ----------
+    directory : Directory
+        The newest that a voter has sent.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        name: str,
+        seeds: tuple[PeerAddress, ...],
+        timing: LinkTiming,
+        random: Random,
+    ):
+        self.reactor = reactor
+        self.name = name
+        self.seeds = seeds
+        self.random = random
+        self.session = uuid4().hex
+        self.directory = Directory(0, "", Configuration())
+        self.led_s = -FORGET_LEADER_S
+        handlers = Handlers(
+            self.hello, lambda hello: "", self.on_message, self.on_closed
+        )
+        self.network = Network(reactor, name, handlers, random, timing=timing)
+        self.channel = Channel(
+            reactor, lambda: self.directory.leader, lambda: False, self.network.send
+        )
+
+    def start(self) -> None:
+        """Connect to the seeds."""
+        self.network.start_watch()
+        self.follow_members()
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        await self.network.stop()
+
+    def set_seeds(self, seeds: tuple[PeerAddress, ...]) -> None:
+        """Look for the cluster at other addresses from now on."""
+        self.seeds = seeds
+        self.follow_members()
+
+    def hello(self) -> Hello:
+        """Return this daemon's first message."""
+        return Hello(self.name, "", 1, "", self.session, gateway=True)
+
+    def follow_members(self) -> None:
+        """Keep connections to the voters, and to the seeds while none is known."""
+        peers = {seed.name: seed for seed in self.seeds}
+        for member in self.directory.members.voters():
+            peers[member.name] = PeerAddress(member.name, member.address, member.port)
+        self.network.set_peers(tuple(peers.values()))
+
+    def on_message(self, sender: str, message: object) -> None:
+        """Handle a message of a voter."""
+        if isinstance(message, AskReply):
+            self.channel.on_reply(message)
+        elif isinstance(message, Directory):
+            self.on_directory(sender, message)
+
+    def on_directory(self, sender: str, message: Directory) -> None:
+        """Take note of who leads; a voter of an earlier term knows less."""
+        known = self.directory
+        if message.term < known.term or (
+            message.term == known.term and known.leader and not message.leader
+        ):
+            return
+        self.directory = message
+        if message.leader != known.leader:
+            extra = {"leader": message.leader, "term": message.term, "from": sender}
+            logger.info("leader", extra=extra)
+            self.channel.on_leader(message.leader)
+        if message.members != known.members:
+            self.follow_members()
+
+    def on_closed(self, peer: str) -> None:
+        """Take note of a lost connection."""
+        logger.info("connection lost", extra={"peer": peer})
+        self.channel.on_closed(peer)
+
+    def reaches_leader(self) -> bool:
+        """Return whether there is a connection to a leader."""
+        return self.directory.leader in self.network.links
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        now = self.reactor.seconds()
+        if self.reaches_leader():
+            self.led_s = now
+        return now - self.led_s < FORGET_LEADER_S
+
+    async def ask(self, message: object, timeout_s: float) -> CallReply:
+        """
+        Have the leader answer a request.
+
+        Parameters
+        ----------
+        timeout_s : float
+            How long the caller waits.
+        """
+        began = self.reactor.seconds()
+        until = began + timeout_s - ANSWER_MARGIN_S
+        unsure = False
+        while True:
+            now = self.reactor.seconds()
+            left = until - now
+            if left <= 0 or (not unsure and now - began > LEADER_WAIT_S):
+                return given_up(unsure)
+            outcome = await self.channel.ask(message, min(left, ATTEMPT_S))
+            if isinstance(outcome, Ok):
+                reply = outcome.ok_value
+                if reply.verdict != Verdict.UNAVAILABLE:
+                    return reply
+            else:
+                unsure = unsure or outcome.err_value.unsure
+            await deferLater(self.reactor, RETRY_S)
+
+
+def given_up(unsure: bool) -> CallReply:
+    """Return the answer to a request that no leader has answered."""
+    if unsure:
+        return CallReply(Verdict.UNKNOWN, reason="the leader was lost")
+    return CallReply(
+        Verdict.UNAVAILABLE, retry_after_ms=1_000, reason="no leader within reach"
+    )
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
@@ -0,0 +1,134 @@
+"""
+mulberryledge_daemon.batch.rounds
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Gathers the changes of the state and proposes them in rounds, one at a time. All that
+comes up while a round is under way shares the next one, so the number of syncs does
+not grow with the load.
+"""
+
+import logging
+from collections.abc import Callable
+from enum import StrEnum
+
+from result import Ok
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+
+from mulberryledge_core.batch.commands import Round
+from mulberryledge_core.outcomes import Code
+
+__all__ = ["Committed", "Rounds"]
+
+GATHER_S = 0.002  # lets what arrives together share a round; well below one sync
+
+logger = logging.getLogger(__name__)
+
+
+class Committed(StrEnum):
+    """What became of a change."""
+
+    YES = "yes"
+    NO = "no"  # it was not made, and never will be
+    UNKNOWN = "unknown"
+
+
+class Rounds:
+    """
+    Owns the changes that wait for a round.
+
+    Parameters
+    ----------
+    plan : callable
+        Returns further changes, worked out from the committed state.
+    committed : callable
+        Takes the changes of a round once they are durable.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        propose: Callable,
+        plan: Callable[[], list[object]],
+        committed: Callable[[tuple[object, ...]], None],
+    ):
+        self.clock = clock
+        self.propose = propose
+        self.plan = plan
+        self.committed = committed
+        self.term: int | None = None
+        self.waiting: list[tuple[object, Deferred]] = []
+        self.under_way: list[Deferred] = []
+        self.busy = False
+        self.timer = None
+
+    def begin(self, term: int) -> None:
+        """Propose from now on, in a term."""
+        self.term = term
+        self.wake()
+
+    def end(self) -> None:
+        """Propose nothing any more; nobody knows what becomes of the last round."""
+        self.term = None
+        waiting, self.waiting = self.waiting, []
+        under_way, self.under_way = self.under_way, []
+        for _, done in waiting:
+            done.callback(Committed.NO)
+        for done in under_way:
+            done.callback(Committed.UNKNOWN)
+
+    def submit(self, change: object) -> Deferred:
+        """Make a change with the next round; resolves with a :class:`Committed`."""
+        done = Deferred()
+        if self.term is None:
+            done.callback(Committed.NO)
+            return done
+        self.waiting.append((change, done))
+        self.wake()
+        return done
+
+    def wake(self) -> None:
+        """Let a round begin soon."""
+        if self.timer is None and not self.busy and self.term is not None:
+            self.timer = self.clock.callLater(GATHER_S, self.run)
+
+    def run(self) -> None:
+        """Begin a round."""
+        self.timer = None
+        if self.term is None or self.busy:
+            return
+        self.busy = True
+        done = ensureDeferred(self.run_round(self.term))
+        done.addErrback(self.broken)
+
+    async def run_round(self, term: int) -> None:
+        """Propose what waits and what is planned, and report the outcome."""
+        waiting, self.waiting = self.waiting, []
+        changes = tuple(change for change, _ in waiting) + tuple(self.plan())
+        if not changes:
+            self.busy = False
+            return
+        dones = [done for _, done in waiting]
+        self.under_way = dones
+        outcome = await self.propose(Round(term, changes))
+        self.busy = False
+        if self.under_way is not dones:
+            return
+        self.under_way = []
+        if isinstance(outcome, Ok):
+            self.committed(changes)
+            verdict = Committed.YES
+        else:
+            void = outcome.err_value.code == Code.STALE
+            verdict = Committed.NO if void else Committed.UNKNOWN
+            extra = {"why": outcome.err_value.message, "changes": len(changes)}
+            logger.warning("round not committed", extra=extra)
+        for done in dones:
+            done.callback(verdict)
+        self.wake()
+
+    def broken(self, failure) -> None:
+        """Log a failure of the program, and go on."""
+        self.busy = False
+        logger.critical("round failed", extra={"failure": failure.getTraceback()})
+        self.wake()
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -0,0 +1,253 @@
+"""
+mulberryledge_daemon.batch.scheduler
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The leader's scheduler: it takes the lead over, plans starts, and gives them as orders
+once they are durable.
+"""
+
+import logging
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.task import LoopingCall
+
+from mulberryledge_core.batch.commands import (
+    CancelJob,
+    EndRun,
+    ForgetJobs,
+    NoteTarget,
+    OpenOccurrence,
+    StartRun,
+)
+from mulberryledge_core.batch.placing import PlacingView, plan_starts
+from mulberryledge_core.batch.specs import TaskId
+from mulberryledge_core.batch.state import BatchState
+from mulberryledge_core.batch.targets import Target
+from mulberryledge_daemon.batch.ports import TargetOrders
+from mulberryledge_daemon.batch.rounds import Rounds
+from mulberryledge_daemon.batch.sessions import SessionTiming, TargetSession
+from mulberryledge_daemon.log.replicated import ReplicatedLog
+
+__all__ = ["Scheduler"]
+
+TICK_S = 0.05  # how late a due occurrence or a new lead may be noticed
+FORGET_INTERVAL_MS = 5_000
+LEASE_MARGIN_MS = 300  # clocks may differ in rate by 2%, and calls take a while
+
+logger = logging.getLogger(__name__)
+
+
+class Scheduler:
+    """
+    Owns the sessions with targets while this daemon leads.
+
+    Attributes
+    ----------
+    term : int or None
+        Term in which this daemon leads, None while it does not.
+    fence : int
+        Fencing token of the orders; it is the term.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log: ReplicatedLog,
+        orders: TargetOrders,
+        timing: SessionTiming,
+        kept_ms: int,
+        wall_ms: Callable[[], int],
+        random: Random,
+    ):
+        self.reactor = reactor
+        self.log = log
+        self.state: BatchState = log.state
+        self.orders = orders
+        self.timing = timing
+        self.kept_ms = kept_ms
+        self.wall_ms = wall_ms
+        self.random = random
+        self.rounds = Rounds(reactor, log.propose, self.plan, self.on_committed)
+        self.sessions: dict[str, TargetSession] = {}
+        self.term: int | None = None
+        self.fenced_term = 0
+        self.forgot_ms = 0
+        self.followers: list[Callable[[], None]] = []
+        self.loop = LoopingCall(self.tick)
+        self.loop.clock = reactor
+
+    @property
+    def fence(self) -> int:
+        """Fencing token of this leader's orders."""
+        return self.term or 0
+
+    def start(self) -> None:
+        """Begin to watch who leads."""
+        self.loop.start(TICK_S)
+
+    def stop(self) -> None:
+        """Give no more orders."""
+        if self.loop.running:
+            self.loop.stop()
+        self.stand_down()
+
+    def now(self) -> int:
+        """Return milliseconds of the log's clock."""
+        return self.log.now()
+
+    def may_order(self) -> bool:
+        """Return whether nobody else can lead yet."""
+        return self.term is not None and self.log.is_leader()
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later, unless the lead is lost before."""
+        term = self.term
+
+        def act() -> None:
+            if self.term == term:
+                action()
+
+        self.reactor.callLater(delay_s, act)
+
+    # Who leads.
+
+    def tick(self) -> None:
+        """Take over or stand down, and do what is due."""
+        leads = self.log.is_leader() and self.log.term > self.fenced_term
+        if self.term is not None and (not leads or self.log.term != self.term):
+            self.stand_down()
+        if leads and self.term is None:
+            self.take_over()
+        if self.term is None:
+            return
+        for session in self.sessions.values():
+            session.check_quiet()
+        for follower in self.followers:
+            follower()
+        self.rounds.wake()
+
+    def take_over(self) -> None:
+        """Learn from each target what runs there, and begin to plan."""
+        self.term = self.log.term
+        lapse_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
+        for target in self.state.targets.values():
+            self.open_session(target, lapse_ms)
+        extra = {"term": self.term, "targets": len(self.sessions)}
+        logger.info("scheduling begins", extra=extra)
+        self.rounds.begin(self.term)
+
+    def stand_down(self) -> None:
+        """Give no more orders."""
+        if self.term is None:
+            return
+        logger.info("scheduling ends", extra={"term": self.term})
+        self.term = None
+        for session in self.sessions.values():
+            session.close()
+        self.sessions.clear()
+        self.rounds.end()
+
+    def on_fenced(self, target: Target) -> None:
+        """Stand down: another leader has given orders."""
+        if self.term is not None:
+            extra = {"target": target.life, "term": self.term}
+            logger.warning("fenced off", extra=extra)
+            self.fenced_term = self.term
+            self.stand_down()
+
+    # Targets.
+
+    def open_session(self, target: Target, lapse_ms: int) -> None:
+        """Begin to deal with a target."""
+        session = TargetSession(target, self, self.timing, lapse_ms)
+        self.sessions[target.life] = session
+        session.wake()
+
+    def follow_targets(self) -> None:
+        """Open and close sessions as targets come and go."""
+        for life, target in self.state.targets.items():
+            session = self.sessions.get(life)
+            if session is None:
+                self.open_session(target, self.now())
+            else:
+                session.target = target
+        gone = [life for life in self.sessions if life not in self.state.targets]
+        for life in gone:
+            self.sessions.pop(life).close()
+
+    # Rounds.
+
+    def plan(self) -> list[object]:
+        """Return the changes that the committed state calls for."""
+        changes: list[object] = self.due_occurrences()
+        usable = [one.target for one in self.sessions.values() if one.usable()]
+        view = PlacingView(self.state, usable, self.state.now_ms)
+        changes += plan_starts(view)
+        changes += self.forgettable()
+        return changes
+
+    def due_occurrences(self) -> list[object]:
+        """Return the occurrences whose time has come."""
+        now = self.wall_ms()
+        return [
+            OpenOccurrence(job.job_id, job.next_occurrence)
+            for job in self.state.scheduled.values()
+            if job.spec.schedule.due_ms(job.next_occurrence) <= now
+        ]
+
+    def forgettable(self) -> list[object]:
+        """Return what drops the jobs that nobody asks for any more."""
+        now = self.state.now_ms
+        if now - self.forgot_ms < FORGET_INTERVAL_MS:
+            return []
+        self.forgot_ms = now
+        old = tuple(
+            job.job_id
+            for job in self.state.jobs.values()
+            if job.ended and not job.occurrences and now - job.ended_ms > self.kept_ms
+        )
+        return [ForgetJobs(old)] if old else []
+
+    def on_committed(self, changes: tuple[object, ...]) -> None:
+        """Give the orders that a durable round calls for."""
+        kinds = {type(change) for change in changes}
+        if kinds - {StartRun, EndRun, CancelJob}:
+            self.follow_targets()
+        for change in changes:
+            if isinstance(change, StartRun):
+                self.order_start(change)
+        if CancelJob in kinds or EndRun in kinds:
+            self.stop_unwanted()
+
+    def order_start(self, change: StartRun) -> None:
+        """Order a durable start."""
+        session = self.sessions.get(change.life)
+        task_id = TaskId(change.job_id, change.occurrence, change.step, change.index)
+        task = self.state.task(task_id)
+        if session is None or task is None or change.run not in task.live:
+            return
+        job = self.state.jobs[change.job_id]
+        session.start(task_id, change.run, job.spec.body, task.checkpoint)
+
+    def stop_unwanted(self) -> None:
+        """Stop what must not run any more."""
+        for life in set(self.state.unwanted_runs.values()):
+            session = self.sessions.get(life)
+            if session is not None:
+                session.stop_unwanted()
+
+    def note_target(self, target: Target, clock_ms: int | None):
+        """
+        Take note of a target that announces itself.
+
+        Returns
+        -------
+        Deferred of Committed or None
+            None if nothing about it is new.
+        """
+        session = self.sessions.get(target.life)
+        if session is not None and self.state.targets.get(target.life) == target:
+            session.on_announced(target, clock_ms)
+            return None
+        return self.rounds.submit(NoteTarget(target))
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -0,0 +1,133 @@
+"""
+mulberryledge_daemon.batch.service
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the leader answers to callers: jobs accepted, cancelled and asked for.
+"""
+
+import logging
+import re
+from collections.abc import Callable
+
+from result import Ok, Result
+
+from mulberryledge_core.batch.commands import CancelJob, SubmitJob
+from mulberryledge_core.batch.configuration import Queue
+from mulberryledge_core.batch.requests import (
+    CallReply,
+    CancelAsk,
+    JobStateAsk,
+    QueueAsk,
+    SubmitAsk,
+    Verdict,
+)
+from mulberryledge_core.batch.specs import spec_problem
+from mulberryledge_core.outcomes import Refusal
+from mulberryledge_daemon.batch.rounds import Committed
+from mulberryledge_daemon.batch.scheduler import Scheduler
+
+__all__ = ["JobService"]
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+ELECTION_RETRY_MS = 1_000  # about the time after which there is a leader again
+
+logger = logging.getLogger(__name__)
+
+
+class JobService:
+    """Answers callers from the durable state, while this daemon leads."""
+
+    def __init__(self, scheduler: Scheduler):
+        self.scheduler = scheduler
+        self.state = scheduler.state
+        self.handlers: dict[type, Callable] = {
+            SubmitAsk: self.submit,
+            JobStateAsk: self.job_state,
+            CancelAsk: self.cancel,
+            QueueAsk: self.waiting,
+        }
+
+    def serve(self, register: Callable[[type, Callable], None]) -> None:
+        """Register the handlers of gateways' requests."""
+        for kind in self.handlers:
+            register(kind, self.answer)
+
+    async def answer(self, ask: object) -> Result[CallReply, Refusal]:
+        """Answer a request."""
+        if not self.scheduler.may_order():
+            return Ok(unavailable("this daemon does not lead"))
+        if not self.state.configuration.version:
+            return Ok(unavailable("no configuration yet"))
+        queue = self.state.configuration.find_queue(ask.host, ask.path)
+        if queue is None:
+            return Ok(CallReply(Verdict.NO_QUEUE))
+        team = self.state.configuration.team_of_key(ask.key)
+        if team is None and not queue.public:
+            return Ok(CallReply(Verdict.BAD_KEY))
+        job_id = ask.path[len(queue.path_prefix) :]
+        reply = await self.handlers[type(ask)](ask, queue, team or "", job_id)
+        return Ok(reply)
+
+    async def submit(
+        self, ask: SubmitAsk, queue: Queue, team: str, job_id: str
+    ) -> CallReply:
+        """Accept a job, durably."""
+        if not JOB_ID.fullmatch(job_id):
+            return CallReply(Verdict.NO_QUEUE, reason="no job identifier")
+        if job_id in self.state.jobs:
+            return CallReply(Verdict.OK, reason="known")
+        problem = spec_problem(ask.spec)
+        if problem is not None:
+            return CallReply(Verdict.INVALID, reason=problem)
+        owner = "" if queue.public else team
+        change = SubmitJob(job_id, queue.name, owner, ask.spec)
+        committed = await self.scheduler.rounds.submit(change)
+        extra = {"job": job_id, "queue": queue.name, "team": team}
+        logger.info("job submitted", extra=extra | {"committed": committed})
+        return reply_for(committed)
+
+    async def job_state(
+        self, ask: JobStateAsk, queue: Queue, team: str, job_id: str
+    ) -> CallReply:
+        """Tell the state of a job."""
+        job = self.state.jobs.get(job_id)
+        if job is None:
+            return CallReply(Verdict.NO_JOB)
+        return CallReply(Verdict.OK, phase=job.phase)
+
+    async def cancel(
+        self, ask: CancelAsk, queue: Queue, team: str, job_id: str
+    ) -> CallReply:
+        """Cancel a job, durably."""
+        job = self.state.jobs.get(job_id)
+        if job is None:
+            return CallReply(Verdict.NO_JOB)
+        if job.ended:
+            return CallReply(Verdict.OK, phase=job.phase)
+        committed = await self.scheduler.rounds.submit(CancelJob(job_id))
+        logger.info("job cancelled", extra={"job": job_id, "committed": committed})
+        return reply_for(committed)
+
+    async def waiting(
+        self, ask: QueueAsk, queue: Queue, team: str, rest: str
+    ) -> CallReply:
+        """Tell how many jobs of a queue wait."""
+        if rest:
+            return CallReply(Verdict.NO_QUEUE)
+        return CallReply(Verdict.OK, waiting=self.state.waiting[queue.name])
+
+
+def unavailable(reason: str) -> CallReply:
+    """Return the answer of a daemon that can't answer now; nothing has been done."""
+    return CallReply(
+        Verdict.UNAVAILABLE, retry_after_ms=ELECTION_RETRY_MS, reason=reason
+    )
+
+
+def reply_for(committed: Committed) -> CallReply:
+    """Return the answer to a change."""
+    if committed == Committed.YES:
+        return CallReply(Verdict.OK)
+    if committed == Committed.NO:
+        return unavailable("the lead was lost")
+    return CallReply(Verdict.UNKNOWN, reason="the lead was lost")
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/__init__.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/__init__.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import maybeDeferred
 from twisted.internet.threads import deferToThreadPool
 
+from mulberryledge_daemon.log.options import DEFAULT_OPTIONS, LogOptions
 from mulberryledge_daemon.log.replicated import ReplicatedLog
 from mulberryledge_daemon.log.storage import open_storage
 from mulberryledge_daemon.settings import Settings
@@ -22,7 +23,10 @@
 
 @contextmanager
 def open_log(
-    reactor, settings: Settings, random: Random | None = None
+    reactor,
+    settings: Settings,
+    random: Random | None = None,
+    options: LogOptions = DEFAULT_OPTIONS,
 ) -> Iterator[ReplicatedLog]:
     """
     Open the replicated log of a daemon; it joins its peers once started.
@@ -36,10 +40,19 @@
         storage, run = None, maybeDeferred
         if settings.daemon.data_folder:
             folder = Path(settings.daemon.data_folder)
-            storage = stack.enter_context(open_storage(folder, settings.daemon.name))
+            name = settings.daemon.name
+            first = options.founding.folder_for(name) if options.founding else ""
+            storage = stack.enter_context(open_storage(folder, name, founding=first))
 
             def run(function, *args):
                 pool = reactor.getThreadPool()
                 return deferToThreadPool(reactor, pool, function, *args)
 
-        yield ReplicatedLog(reactor, settings, storage, random or SystemRandom(), run)
+        yield ReplicatedLog(
+            reactor,
+            settings,
+            storage,
+            random or SystemRandom(),
+            run,
+            options,
+        )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
@@ -54,7 +54,9 @@
         """Register the handler of a kind of request."""
         self.handlers[kind] = handler
 
-    async def ask(self, message: object) -> Result[object, Refusal]:
+    async def ask(
+        self, message: object, timeout_s: float = ASK_TIMEOUT_S
+    ) -> Result[object, Refusal]:
         """Have the leader answer a request."""
         if self.leads():
             return await self.answer(message)
@@ -68,7 +70,7 @@
         done = Deferred()
         self.asked[number] = Asked(leader, done)
         timer = self.clock.callLater(
-            ASK_TIMEOUT_S, self.settle, number, no_leader("the leader did not answer")
+            timeout_s, self.settle, number, lost("the leader did not answer")
         )
         outcome = await done
         if timer.active():
@@ -113,13 +115,13 @@
         """Give up the requests to a leader that is out of reach."""
         for number, asked in list(self.asked.items()):
             if asked.leader == peer:
-                self.settle(number, no_leader(f"leader {peer!r} was lost"))
+                self.settle(number, lost(f"leader {peer!r} was lost"))
 
     def on_leader(self, leader: str) -> None:
         """Give up the requests to any other leader."""
         for number, asked in list(self.asked.items()):
             if asked.leader != leader:
-                self.settle(number, no_leader("the leader changed"))
+                self.settle(number, lost("the leader changed"))
 
     def settle(self, number: int, outcome: Result[object, Refusal]) -> None:
         """Hand an outcome to the request that waits for it."""
@@ -130,15 +132,21 @@
 
 def failed(ask: Ask, failure) -> AskReply:
     """Return the reply of a handler that failed."""
-    refusal = Refusal(Code.UNAVAILABLE, f"the leader failed: {failure.value}")
+    text = f"the leader failed: {failure.value}"
+    refusal = Refusal(Code.UNAVAILABLE, text, unsure=True)
     return AskReply(ask.number, refusal=refusal)
 
 
 def no_leader(text: str) -> Result[object, Refusal]:
-    """Return the refusal of a request that may not have reached a leader."""
+    """Return the refusal of a request that reached no leader."""
     return Err(Refusal(Code.NO_LEADER, text))
 
 
+def lost(text: str) -> Result[object, Refusal]:
+    """Return the refusal of a request that a leader may have acted on."""
+    return Err(Refusal(Code.NO_LEADER, text, unsure=True))
+
+
 def encode_named(message: object) -> bytes:
     """Encode a message with its name."""
     return cbor2.dumps([type(message).__name__, CBOR.unstructure(message)])
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/joining.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/joining.py
@@ -18,10 +18,11 @@
 from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node
 from mulberryledge_daemon.log.formation import Formation
+from mulberryledge_daemon.log.founding import FOUNDING_FOLDER, Founding
 from mulberryledge_daemon.log.storage import Storage
 from mulberryledge_daemon.peers.messages import Form, Hello
 from mulberryledge_daemon.peers.network import Network, PeerAddress
-from mulberryledge_daemon.settings import Settings
+from mulberryledge_daemon.settings import PeerSection, Settings
 
 __all__ = ["Joining"]
 
@@ -50,7 +51,10 @@
         node: Node,
         storage: Storage | None,
         now: Callable[[], int],
+        founding: Founding | None = None,
     ):
+        self.founding = founding
+        self.peers = settings.peers
         self.settings = settings
         self.name = settings.daemon.name
         self.session = session
@@ -67,13 +71,22 @@
     def start(self, network: Network) -> None:
         """Listen and dial, or begin a cluster alone if there are no peers."""
         self.network = network
-        if self.settings.peers:
-            listen = self.settings.listen
+        listen = self.settings.listen
+        if self.founding is not None:
+            network.listen(listen.address, listen.peers_port)
+            if not self.cluster and self.node.folder == FOUNDING_FOLDER:
+                self.form(self.founding.cluster(), self.founding.members())
+        elif self.peers:
             network.listen(listen.address, listen.peers_port)
         elif not self.cluster:
             self.form_alone()
         self.follow_members()
 
+    def set_peers(self, peers: tuple[PeerSection, ...]) -> None:
+        """Look for the cluster at other peers from now on."""
+        self.peers = peers
+        self.follow_members()
+
     def form_alone(self) -> None:
         """Begin a cluster of this daemon only."""
         folder = self.node.folder or MEMORY_FOLDER
@@ -104,8 +117,17 @@
 
     def hello(self) -> Hello:
         """Return this daemon's first message."""
-        folder = self.formation.folder
-        return Hello(self.name, self.cluster, self.generation, folder, self.session)
+        listen = self.settings.listen
+        return Hello(
+            self.name,
+            self.cluster,
+            self.generation,
+            self.formation.folder,
+            self.session,
+            listen.address,
+            listen.peers_port,
+            self.settings.daemon.availability_zone,
+        )
 
     def greet(self, hello: Hello) -> str:
         """Return why a peer is refused, or an empty text."""
@@ -124,12 +146,16 @@
 
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Begin a cluster, or tell a peer without one where it belongs."""
+        if hello.gateway:
+            return
         if self.cluster:
             if not hello.cluster:
                 self.network.send(sender, Form(self.cluster, self.genesis()))
             if sender in self.node.log.members.former:
                 self.tell_removed(sender)
             return
+        if self.founding is not None:
+            return
         self.formation.greet(hello)
         members = self.formation.members()
         if members is not None:
@@ -159,11 +185,11 @@
 
     def follow_members(self) -> None:
         """Dial the peers that come after this daemon's name; all when lonely."""
-        if self.network is None or not self.settings.peers:
+        if self.network is None or not (self.peers or self.founding):
             return
         known = {
             peer.name: PeerAddress(peer.name, peer.address, peer.port)
-            for peer in self.settings.peers
+            for peer in self.peers
         }
         members = self.node.log.members
         for member in members.members:
@@ -172,7 +198,7 @@
         if present:
             for name in members.former:
                 known.pop(name, None)
-        everyone = self.lonely or (bool(members.members) and not present)
+        everyone = self.lonely or not present
         wanted = (peer for peer in known.values() if everyone or peer.name > self.name)
         self.network.set_peers(tuple(wanted))
         for name in members.former:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -7,7 +7,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from uuid import uuid4
 
@@ -40,15 +40,18 @@
 from mulberryledge_daemon.log.guard import stop_if_broken
 from mulberryledge_daemon.log.in_force import InForceWaits
 from mulberryledge_daemon.log.joining import Joining
+from mulberryledge_daemon.log.keeper import MemberKeeper
+from mulberryledge_daemon.log.options import DEFAULT_OPTIONS, LogOptions
 from mulberryledge_daemon.log.proposer import Proposer
 from mulberryledge_daemon.log.reads import Reads
-from mulberryledge_daemon.log.replica import Replica, StateMachine
+from mulberryledge_daemon.log.replica import Replica
 from mulberryledge_daemon.log.status import cluster_status
 from mulberryledge_daemon.log.storage import Storage
 from mulberryledge_daemon.log.writer import Writer, WriterEvents
 from mulberryledge_daemon.peers.messages import (
     Ask,
     AskReply,
+    Directory,
     Form,
     Hello,
     Propose,
@@ -84,8 +87,8 @@
         Source of election timeouts and of jitter.
     run : callable
         Runs a blocking function and returns a Deferred of its result.
-    machine : StateMachine or None
-        What the log's commands are applied to; None for calls and single jobs.
+    options : LogOptions
+        State machine, membership and timing of connections.
     """
 
     def __init__(
@@ -95,7 +98,7 @@
         storage: Storage | None,
         random: Random,
         run: Callable,
-        machine: StateMachine | None = None,
+        options: LogOptions = DEFAULT_OPTIONS,
     ):
         self.reactor = reactor
         self.settings = settings
@@ -105,7 +108,7 @@
         self.clock_base_ms = random.getrandbits(CLOCK_BASE_BITS)
         usable = storage is not None and not storage.damage
         folder = storage.identity.folder if usable else ""
-        self.machine = machine or ClusterMachine()
+        self.machine = options.machine or ClusterMachine()
         self.replica = Replica(self.machine, self.on_outcome)
         self.state = self.machine.state
         self.node = self.make_node(folder, random)
@@ -117,12 +120,22 @@
             ),
             run,
         )
-        self.joining = Joining(settings, self.session, self.node, storage, self.now)
+        self.joining = Joining(
+            settings, self.session, self.node, storage, self.now, options.founding
+        )
+        self.keeper = None
+        if options.voters:
+            self.keeper = MemberKeeper(
+                self.node, options.voters, self.propose, self.now
+            )
+        self.gateways: set[str] = set()
         handlers = Handlers(
             self.joining.hello, self.joining.greet, self.on_message, self.on_closed
         )
         tls = PeerContext(settings.tls) if settings.tls.certificate else None
-        self.network = Network(reactor, self.name, handlers, random, tls)
+        self.network = Network(
+            reactor, self.name, handlers, random, tls, options.link_timing
+        )
         self.proposer = Proposer(
             reactor, self.session, self.send_proposal, self.machine.encode
         )
@@ -261,6 +274,8 @@
             steps.tick(self.node, self.now())
             self.proposer.tick()
             self.joining.notice_loneliness()
+            if self.keeper is not None and self.is_leader():
+                self.keeper.tick()
             self.carry_out()
 
     def on_message(self, sender: str, message: object) -> None:
@@ -356,13 +371,27 @@
             logger.info("leader", extra=extra)
             if self.node.leader:
                 self.proposer.send_all()
-        self.joining.notice_members()
+            self.inform_gateways()
+        if self.node.log.members is not self.joining.members:
+            self.joining.notice_members()
+            self.inform_gateways()
 
     # What peers send besides the messages of the log.
 
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Take note of a peer that has connected."""
         self.joining.on_hello(sender, hello)
+        if hello.gateway:
+            self.gateways.add(sender)
+            self.inform_gateways((sender,))
+        elif self.keeper is not None:
+            self.keeper.on_hello(hello)
+
+    def inform_gateways(self, names: Iterable[str] | None = None) -> None:
+        """Tell gateways who leads and who the members are."""
+        message = Directory(self.node.term, self.node.leader, self.node.log.members)
+        for name in self.gateways if names is None else names:
+            self.network.send(name, message)
 
     def send_proposal(self, message: Propose) -> bool:
         """Hand a proposal of this daemon to the leader."""
@@ -409,6 +438,9 @@
     def on_closed(self, peer: str) -> None:
         """Take note of a lost connection."""
         self.joining.formation.lose(peer)
+        self.gateways.discard(peer)
+        if self.keeper is not None:
+            self.keeper.on_closed(peer)
         self.channel.on_closed(peer)
 
     def transmit(self, effect: Send) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
@@ -202,7 +202,9 @@
     disk.replace(folder / IDENTITY_FILE, text.encode())
 
 
-def read_identity(folder: Path, daemon: str, disk: Disk) -> Identity:
+def read_identity(
+    folder: Path, daemon: str, disk: Disk, founding: str = ""
+) -> Identity:
     """Return the identity of a folder; a new one for an empty folder."""
     path = folder / IDENTITY_FILE
     if not path.exists():
@@ -211,7 +213,7 @@
                 f"{folder}: holds a log but no {IDENTITY_FILE}: restore that file,"
                 " or move the folder away and start with an empty one"
             )
-        identity = Identity(uuid4().hex, daemon=daemon)
+        identity = Identity(founding or uuid4().hex, daemon=daemon)
         write_identity(folder, disk, identity)
         return identity
     try:
@@ -231,11 +233,16 @@
 
 @contextmanager
 def open_storage(
-    folder: Path, daemon: str, disk: Disk | None = None
+    folder: Path, daemon: str, disk: Disk | None = None, founding: str = ""
 ) -> Iterator[Storage]:
     """
     Open the data folder of a daemon, for it alone.
 
+    Parameters
+    ----------
+    founding : str
+        Identity that an empty folder gets, a random one if empty.
+
     Raises
     ------
     StorageFault
@@ -248,7 +255,7 @@
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
             raise StorageFault(f"{folder}: in use by another daemon") from error
-        storage = Storage(folder, disk, read_identity(folder, daemon, disk))
+        storage = Storage(folder, disk, read_identity(folder, daemon, disk, founding))
         try:
             storage.load()
             yield storage
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
@@ -11,6 +11,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import TextIO
 
 __all__ = ["JsonFormatter", "LogPosition", "RepeatFilter", "configure_logging"]
 
@@ -89,9 +90,10 @@
     daemon: str,
     level: int = logging.INFO,
     position: LogPosition = dict,
+    stream: TextIO | None = None,
 ) -> None:
     """
-    Send all logs to standard error as JSON lines.
+    Send all logs as JSON lines to a stream, standard error unless one is given.
 
     Parameters
     ----------
@@ -105,8 +107,9 @@
             setattr(record, name, value)
         return True
 
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter())
     handler.addFilter(RepeatFilter())
     handler.addFilter(add_context)
+    logging.getLogger("websockets").setLevel(logging.WARNING)
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
@@ -20,16 +20,34 @@
 from websockets.uri import parse_uri
 from zope.interface import implementer
 
-__all__ = ["Link", "Traffic", "accept_link", "dial_link"]
+__all__ = ["Link", "LinkTiming", "Traffic", "accept_link", "dial_link"]
 
 MAX_MESSAGE_BYTES = 16_777_216
 MAX_QUEUED_BYTES = 2_097_152
-SILENCE_TIMEOUT_S = 6.0
-PING_INTERVAL_S = 2.0
 
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class LinkTiming:
+    """
+    How fast a silent connection is noticed, in seconds.
+
+    Attributes
+    ----------
+    ping_s : float
+        Silence after which the peer is pinged.
+    silence_s : float
+        Silence after which the connection is given up.
+    watch_s : float
+        Time between two looks at the connections.
+    """
+
+    ping_s: float = 2.0
+    silence_s: float = 6.0
+    watch_s: float = 1.0
+
+
 @dataclass(slots=True)
 class Traffic:
     """Bytes that the links of one daemon have carried."""
@@ -58,6 +76,8 @@
         self.on_message = on_message
         self.on_close = on_close
         self.peer = ""
+        self.session = ""
+        self.dialled = False
         self.queue: deque[bytes] = deque()
         self.queued_bytes = 0
         self.paused = False
@@ -104,14 +124,14 @@
         self.pump()
         return True
 
-    def ping_if_silent(self) -> None:
+    def ping_if_silent(self, timing: LinkTiming) -> None:
         """Ping a silent peer, and drop one that does not answer."""
         now = self.clock.seconds()
-        if now - self.heard_s > SILENCE_TIMEOUT_S:
+        if now - self.heard_s > timing.silence_s:
             logger.warning("peer is silent", extra={"peer": self.peer})
             self.transport.abortConnection()
             return
-        quiet = now - max(self.heard_s, self.sent_s) > PING_INTERVAL_S
+        quiet = now - self.heard_s > timing.ping_s and now - self.sent_s > timing.ping_s
         if quiet and self.websocket.state is State.OPEN:
             self.websocket.send_ping(b"")
             self.pump()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
@@ -16,6 +16,7 @@
     "TABLE",
     "Ask",
     "AskReply",
+    "Directory",
     "Form",
     "Hello",
     "Propose",
@@ -38,6 +39,10 @@
         Identity of the data folder; empty without one.
     session : str
         Identifier of this life of the daemon.
+    address, port, availability_zone : str, int, str
+        Where the daemon listens for its peers, and where it stands.
+    gateway : bool
+        Whether the daemon only hands requests on, and holds no state.
     """
 
     name: str
@@ -45,6 +50,10 @@
     generation: int
     folder: str
     session: str
+    address: str = ""
+    port: int = 0
+    availability_zone: str = ""
+    gateway: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +64,22 @@
     members: Configuration
 
 
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """
+    Tells a gateway who the members are, and who leads as far as the sender knows.
+
+    Attributes
+    ----------
+    leader : str
+        Empty if the sender knows of none.
+    """
+
+    term: int
+    leader: str
+    members: Configuration
+
+
 @dataclass(frozen=True, slots=True)
 class Propose:
     """A command for the leader to append; ``change`` marks a change of members."""
@@ -92,5 +117,5 @@
 
 
 TABLE = MessageTable(
-    (*CONSENSUS_MESSAGES, Hello, Form, Propose, ProposeReply, Ask, AskReply)
+    (*CONSENSUS_MESSAGES, Hello, Form, Propose, ProposeReply, Ask, AskReply, Directory)
 )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -18,7 +18,13 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
-from mulberryledge_daemon.peers.link import Link, Traffic, accept_link, dial_link
+from mulberryledge_daemon.peers.link import (
+    Link,
+    LinkTiming,
+    Traffic,
+    accept_link,
+    dial_link,
+)
 from mulberryledge_daemon.peers.messages import TABLE, Hello
 from mulberryledge_daemon.peers.tls import PeerContext, certificate_names
 
@@ -27,7 +33,6 @@
 CONNECT_TIMEOUT_S = 1.0
 REDIAL_MIN_S = 0.1
 REDIAL_MAX_S = 2.0
-WATCH_INTERVAL_S = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -74,7 +79,9 @@
         handlers: Handlers,
         random: Random,
         tls: PeerContext | None = None,
+        timing: LinkTiming | None = None,
     ):
+        self.timing = timing or LinkTiming()
         self.reactor = reactor
         self.tls = tls
         self.name = name
@@ -103,7 +110,11 @@
             self.port = self.reactor.listenSSL(
                 port, factory, self.tls, interface=address
             )
-        self.watch.start(WATCH_INTERVAL_S, now=False)
+        self.start_watch()
+
+    def start_watch(self) -> None:
+        """Begin to look after the connections."""
+        self.watch.start(self.timing.watch_s, now=False)
 
     def wires(self) -> dict[str, Callable]:
         """Return the handlers of a link."""
@@ -131,6 +142,7 @@
             peer.address, peer.port, self.reactor, self.traffic, **self.wires()
         )
         link.peer = name
+        link.dialled = True
         endpoint = TCP4ClientEndpoint(
             self.reactor, peer.address, peer.port, CONNECT_TIMEOUT_S
         )
@@ -185,6 +197,12 @@
             return
         link.peer = hello.name
         older = self.links.get(hello.name)
+        if older is not None and self.is_better(older, link, hello):
+            self.opening.discard(link)
+            self.dialling.discard(hello.name)
+            link.close()
+            return
+        link.session = hello.session
         self.links[hello.name] = link
         self.opening.discard(link)
         self.dialling.discard(hello.name)
@@ -193,6 +211,16 @@
             older.transport.abortConnection()
         self.handlers.message(hello.name, hello)
 
+    def is_better(self, older: Link, link: Link, hello: Hello) -> bool:
+        """
+        Return whether an older connection is kept.
+
+        Where both sides have dialled, both keep what the lower name dialled.
+        """
+        if older.session != hello.session or older.dialled == link.dialled:
+            return False
+        return older.dialled == (self.name < hello.name)
+
     def on_close(self, link: Link) -> None:
         """Dial again if the peer is still wanted."""
         self.opening.discard(link)
@@ -210,7 +238,7 @@
     def watch_links(self) -> None:
         """Ping silent peers."""
         for link in (*self.links.values(), *self.opening):
-            link.ping_if_silent()
+            link.ping_if_silent(self.timing)
 
     async def stop(self) -> None:
         """Close everything."""
