--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/commands.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/commands.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from mulberryledge_core.batch.configuration import FleetConfiguration
+from mulberryledge_core.batch.records import UpkeepPhase
 from mulberryledge_core.batch.specs import JobSpec
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_core.consensus.wire import MessageTable
@@ -157,13 +158,16 @@
 
     Attributes
     ----------
-    phase : str
-        One of the values of ``UpkeepPhase``.
+    phase : UpkeepPhase
+        How far it is.
+    life : str
+        Life of the target on the host when the upkeep was ordered.
     """
 
     wave: int
     host: str
-    phase: str
+    phase: UpkeepPhase
+    life: str = ""
 
 
 COMMANDS = MessageTable(
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -29,12 +29,12 @@
     encode_round,
 )
 from mulberryledge_core.batch.records import (
+    HostUpkeep,
     JobPhase,
     JobRecord,
     OccurrenceRecord,
     StepRecord,
     TaskRecord,
-    UpkeepPhase,
     WaveRecord,
 )
 from mulberryledge_core.batch.sizes import Tally
@@ -425,7 +425,7 @@
     """Take a wave; a resend changes nothing."""
     if change.wave in state.waves:
         return
-    hosts = dict.fromkeys(change.hosts, UpkeepPhase.WAITING)
+    hosts = dict.fromkeys(change.hosts, HostUpkeep())
     state.waves[change.wave] = WaveRecord(
         change.wave, state.now_ms, change.duration_ms, change.limit, hosts
     )
@@ -435,7 +435,7 @@
     """Record how far the upkeep of a host is."""
     wave = state.waves.get(change.wave)
     if wave is not None and change.host in wave.hosts:
-        wave.hosts[change.host] = UpkeepPhase(change.phase)
+        wave.hosts[change.host] = HostUpkeep(change.phase, change.life, state.now_ms)
 
 
 APPLIERS: dict[type, Callable[[BatchState, object], None]] = {
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -13,11 +13,11 @@
 from mulberryledge_core.batch.commands import StartRun
 from mulberryledge_core.batch.records import JobRecord, StepRecord
 from mulberryledge_core.batch.sizes import Size, Tally
-from mulberryledge_core.batch.specs import StepId, StepSpec
+from mulberryledge_core.batch.specs import StepId, StepSpec, TaskId
 from mulberryledge_core.batch.state import BatchState
 from mulberryledge_core.batch.targets import Target
 
-__all__ = ["PlacingView", "plan_starts"]
+__all__ = ["PlacingView", "has_room_elsewhere", "plan_starts"]
 
 
 @dataclass(slots=True)
@@ -113,6 +113,15 @@
     return starts
 
 
+def has_room_elsewhere(view: PlacingView, task_id: TaskId) -> bool:
+    """Return whether a task that runs could be started on one of the targets."""
+    job = view.state.jobs[task_id.job_id]
+    spec = job.spec.steps[task_id.step]
+    step = view.state.step(task_id.step_id)
+    rooms = view.rooms.get(view.state.queue_of(job).pool, ())
+    return choose_room(rooms, spec, taken_by_life(step), "") is not None
+
+
 def taken_by_life(step: StepRecord) -> Counter[str]:
     """Return how many live runs of a step each life has."""
     return Counter(life for task in step.tasks for life in task.live.values())
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
@@ -12,6 +12,7 @@
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
 
 __all__ = [
+    "HostUpkeep",
     "JobPhase",
     "JobRecord",
     "OccurrenceRecord",
@@ -39,7 +40,8 @@
     """How far the upkeep of a host of a wave is."""
 
     WAITING = "waiting"
-    ORDERED = "ordered"
+    ORDERED = "ordered"  # the order may have been carried out
+    BEGUN = "begun"  # the order was confirmed
     DONE = "done"
     GONE = "gone"
 
@@ -155,6 +157,30 @@
         return self.phase in ENDED
 
 
+@dataclass(frozen=True, slots=True)
+class HostUpkeep:
+    """
+    The upkeep of one host.
+
+    Attributes
+    ----------
+    life : str
+        Life of the target on the host when the upkeep was ordered, empty if none was
+        known.
+    at_ms : int
+        Log time of the phase.
+    """
+
+    phase: UpkeepPhase = UpkeepPhase.WAITING
+    life: str = ""
+    at_ms: int = 0
+
+    @property
+    def away(self) -> bool:
+        """Whether the host may be down for its upkeep."""
+        return self.phase in (UpkeepPhase.ORDERED, UpkeepPhase.BEGUN)
+
+
 @dataclass(slots=True)
 class WaveRecord:
     """
@@ -166,7 +192,7 @@
         Log time of the begin, and the time in which it should end.
     limit : int
         Most hosts that may be away at once.
-    hosts : dict of str to UpkeepPhase
+    hosts : dict of str to HostUpkeep
         How far each host is.
     """
 
@@ -174,10 +200,10 @@
     began_ms: int
     duration_ms: int
     limit: int
-    hosts: dict[str, UpkeepPhase]
+    hosts: dict[str, HostUpkeep]
 
     @property
     def completed(self) -> bool:
-        """Whether no host is left to be taken out."""
-        open_phases = (UpkeepPhase.WAITING, UpkeepPhase.ORDERED)
-        return not any(phase in open_phases for phase in self.hosts.values())
+        """Whether every host that stays has had its upkeep."""
+        ended = (UpkeepPhase.DONE, UpkeepPhase.GONE)
+        return all(host.phase in ended for host in self.hosts.values())
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -22,7 +22,7 @@
 )
 from mulberryledge_core.batch.placing import PlacingView, plan_starts
 from mulberryledge_core.batch.specs import TaskId
-from mulberryledge_core.batch.state import BatchState
+from mulberryledge_core.batch.state import BatchState, RunKey
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.ports import TargetOrders
 from mulberryledge_daemon.batch.rounds import Rounds
@@ -48,6 +48,10 @@
         Term in which this daemon leads, None while it does not.
     fence : int
         Fencing token of the orders; it is the term.
+    followers : list of callable
+        Called on each tick while this daemon leads.
+    cordoned : set of str
+        Hosts on which nothing is started.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         self.fenced_term = 0
         self.forgot_ms = 0
         self.followers: list[Callable[[], None]] = []
+        self.cordoned: set[str] = set()
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -146,12 +151,17 @@
         for session in self.sessions.values():
             session.close()
         self.sessions.clear()
+        self.cordoned.clear()
         self.rounds.end()
 
     def on_fenced(self, target: Target) -> None:
-        """Stand down: another leader has given orders."""
+        """Stand down: a target has seen another leader's orders."""
+        self.fenced_off(target.life)
+
+    def fenced_off(self, place: str) -> None:
+        """Stand down: another leader has given orders at a target or a host."""
         if self.term is not None:
-            extra = {"target": target.life, "term": self.term}
+            extra = {"place": place, "term": self.term}
             logger.warning("fenced off", extra=extra)
             self.fenced_term = self.term
             self.stand_down()
@@ -181,12 +191,28 @@
     def plan(self) -> list[object]:
         """Return the changes that the committed state calls for."""
         changes: list[object] = self.due_occurrences()
-        usable = [one.target for one in self.sessions.values() if one.usable()]
-        view = PlacingView(self.state, usable, self.state.now_ms)
-        changes += plan_starts(view)
+        changes += plan_starts(self.view())
         changes += self.forgettable()
         return changes
 
+    def view(self) -> PlacingView:
+        """Return what starts are planned from."""
+        usable = [
+            one.target
+            for one in self.sessions.values()
+            if one.usable() and one.target.host not in self.cordoned
+        ]
+        return PlacingView(self.state, usable, self.state.now_ms)
+
+    def evacuate(self, key: RunKey) -> None:
+        """Stop a lasting run, so that it starts on another target."""
+        life = self.state.task(key[0]).live.get(key[1])
+        session = self.sessions.get(life)
+        if session is not None and not session.stopping(key):
+            extra = {"job": key[0].job_id, "task": key[0][1:], "target": life}
+            logger.info("evacuated", extra=extra)
+            session.stop(key)
+
     def due_occurrences(self) -> list[object]:
         """Return the occurrences whose time has come."""
         now = self.wall_ms()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -439,6 +439,13 @@
                 self.stop(key)
         self.stop_unwanted()
 
+    def stopping(self, key: RunKey) -> bool:
+        """Return whether a run has been told to stop lately."""
+        track = self.tracks.get(key)
+        if track is None:
+            return False
+        return self.leader.now() - track.stopped_ms < STOP_AGAIN_MS
+
     def stop(self, key: RunKey) -> None:
         """Order a stop."""
         if self.closed or not self.leader.may_order():
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -0,0 +1,230 @@
+"""
+mulberryledge_daemon.batch.upkeep
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The leader's task for waves: it empties hosts, orders their upkeep from the cloud, and
+takes note of their return. What may be down counts as down until it is seen again.
+"""
+
+import logging
+from collections import Counter
+
+from twisted.internet.defer import ensureDeferred
+
+from mulberryledge_core.batch.commands import EndLife, MarkUpkeep
+from mulberryledge_core.batch.evacuation import choose_evacuations
+from mulberryledge_core.batch.placing import has_room_elsewhere
+from mulberryledge_core.batch.records import HostUpkeep, UpkeepPhase, WaveRecord
+from mulberryledge_core.batch.state import RunKey
+from mulberryledge_core.batch.upkeep import (
+    HostLoad,
+    UpkeepTiming,
+    choose_hosts,
+    hosts_at_once,
+)
+from mulberryledge_daemon.batch.ports import Cloud, CloudOutcome
+from mulberryledge_daemon.batch.rounds import Committed
+from mulberryledge_daemon.batch.scheduler import Scheduler
+
+__all__ = ["Upkeep"]
+
+RETRY_S = 0.5  # between two orders for one host, if the first was not carried out
+AT_WORK_PERCENT = 100
+RETURN_MARGIN_MS = 1_000  # beyond the time that the upkeep of a host takes
+
+logger = logging.getLogger(__name__)
+
+
+class Upkeep:
+    """
+    Owns the waves while this daemon leads.
+
+    Attributes
+    ----------
+    calling : set of str
+        Hosts with a call to the cloud under way, or a retry that is due later.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        cloud: Cloud,
+        upkeep_ms: int,
+        holder_ms: int,
+        timing: UpkeepTiming,
+    ):
+        self.scheduler = scheduler
+        self.state = scheduler.state
+        self.cloud = cloud
+        self.upkeep_ms = upkeep_ms
+        self.holder_ms = holder_ms
+        self.timing = timing
+        self.calling: set[str] = set()
+        self.term: int | None = None
+        self.since_ms = 0
+        scheduler.followers.append(self.tick)
+
+    def tick(self) -> None:
+        """Do what is due in each wave."""
+        now = self.scheduler.now()
+        if self.term != self.scheduler.term:
+            self.term, self.since_ms = self.scheduler.term, now
+            self.calling.clear()
+        open_waves = [wave for wave in self.state.waves.values() if not wave.completed]
+        cordoned = self.scheduler.cordoned
+        waiting = {
+            host
+            for wave in open_waves
+            for host, upkeep in wave.hosts.items()
+            if upkeep.phase in (UpkeepPhase.WAITING, UpkeepPhase.ORDERED)
+        }
+        cordoned &= waiting
+        for wave in open_waves:
+            self.notice_returns(wave)
+            self.empty_more(wave)
+            if now - self.since_ms >= self.holder_ms:
+                self.order_empty(wave)
+        self.evacuate()
+
+    def notice_returns(self, wave: WaveRecord) -> None:
+        """Count the hosts as done that are back."""
+        for host, upkeep in wave.hosts.items():
+            if not upkeep.away:
+                continue
+            life = self.state.lives_by_host.get(host, "")
+            if life and life != upkeep.life:
+                self.mark(wave, host, UpkeepPhase.DONE)
+            elif upkeep.phase == UpkeepPhase.BEGUN and not upkeep.life:
+                gone_ms = self.state.now_ms - upkeep.at_ms
+                if gone_ms > self.upkeep_ms + RETURN_MARGIN_MS:
+                    self.mark(wave, host, UpkeepPhase.DONE)
+
+    def mark(
+        self, wave: WaveRecord, host: str, phase: UpkeepPhase, life: str = ""
+    ) -> None:
+        """Record how far a host is, unless that is under way."""
+        if host in self.calling:
+            return
+        self.calling.add(host)
+        done = self.scheduler.rounds.submit(MarkUpkeep(wave.wave, host, phase, life))
+        done.addCallback(lambda _: self.calling.discard(host))
+        extra = {"wave": wave.wave, "host": host, "phase": phase}
+        logger.info("upkeep", extra=extra)
+
+    def empty_more(self, wave: WaveRecord) -> None:
+        """Choose further hosts to be emptied."""
+        cordoned = self.scheduler.cordoned
+        out = [
+            host
+            for host, upkeep in wave.hosts.items()
+            if upkeep.away or host in cordoned
+        ]
+        count = hosts_at_once(wave, self.state.now_ms, self.timing) - len(out)
+        if count <= 0:
+            return
+        waiting = [
+            self.load_of(host)
+            for host, upkeep in wave.hosts.items()
+            if upkeep.phase == UpkeepPhase.WAITING and host not in cordoned
+        ]
+        sizes = Counter(target.pool for target in self.state.targets.values())
+        emptied = Counter(self.load_of(host).pool for host in out)
+        cordoned.update(choose_hosts(waiting, emptied, sizes, count, self.timing))
+
+    def load_of(self, host: str) -> HostLoad:
+        """Return what runs on a host."""
+        life = self.state.lives_by_host.get(host)
+        if life is None:
+            return HostLoad(host)
+        runs = self.state.live_runs(life)
+        lasting = sum(self.state.spec_of(key[0].step_id).long_running for key in runs)
+        return HostLoad(host, self.state.targets[life].pool, lasting, len(runs))
+
+    def order_empty(self, wave: WaveRecord) -> None:
+        """Order the upkeep of the hosts that run nothing any more."""
+        away = sum(upkeep.away for upkeep in wave.hosts.values())
+        for host, upkeep in wave.hosts.items():
+            if host in self.calling:
+                continue
+            if upkeep.phase == UpkeepPhase.ORDERED:
+                self.call(wave, host, upkeep)
+            elif upkeep.phase == UpkeepPhase.WAITING and away < wave.limit:
+                life = self.state.lives_by_host.get(host, "")
+                empty = not self.state.live_runs(life)
+                if host in self.scheduler.cordoned and empty:
+                    away += 1
+                    self.call(wave, host, upkeep)
+
+    def call(self, wave: WaveRecord, host: str, upkeep: HostUpkeep) -> None:
+        """Begin to order the upkeep of a host."""
+        self.calling.add(host)
+        ordered = ensureDeferred(self.order(wave, host, upkeep))
+        ordered.addErrback(self.broken)
+
+    def broken(self, failure) -> None:
+        """Log a failure of the program."""
+        logger.critical("upkeep failed", extra={"failure": failure.getTraceback()})
+
+    async def order(self, wave: WaveRecord, host: str, upkeep: HostUpkeep) -> None:
+        """Order the upkeep of a host, with the intent made durable before."""
+        rounds, term = self.scheduler.rounds, self.term
+        life = upkeep.life or self.state.lives_by_host.get(host, "")
+        if upkeep.phase == UpkeepPhase.WAITING:
+            intent = MarkUpkeep(wave.wave, host, UpkeepPhase.ORDERED, life)
+            if await rounds.submit(intent) != Committed.YES:
+                return
+        if not self.scheduler.may_order() or term != self.scheduler.term:
+            return
+        outcome = await self.cloud.upkeep(host, wave.wave, self.scheduler.fence)
+        if term != self.scheduler.term:
+            return
+        extra = {"wave": wave.wave, "host": host, "outcome": outcome}
+        logger.info("upkeep ordered", extra=extra)
+        await self.on_outcome(wave, host, life, outcome)
+        self.scheduler.after(RETRY_S, lambda: self.calling.discard(host))
+
+    async def on_outcome(
+        self, wave: WaveRecord, host: str, life: str, outcome: CloudOutcome
+    ) -> None:
+        """Deal with the cloud's answer."""
+        rounds = self.scheduler.rounds
+        if outcome == CloudOutcome.DONE:
+            if life:
+                rounds.submit(EndLife(life))
+            begun = MarkUpkeep(wave.wave, host, UpkeepPhase.BEGUN, life)
+            await rounds.submit(begun)
+        elif outcome in (CloudOutcome.INVALID, CloudOutcome.NOT_OF_WAVE):
+            await rounds.submit(MarkUpkeep(wave.wave, host, UpkeepPhase.GONE))
+        elif outcome == CloudOutcome.FENCED:
+            self.scheduler.fenced_off(host)
+        # After BUSY, THROTTLED or no answer the order is given again.
+
+    def evacuate(self) -> None:
+        """Stop lasting runs on hosts that are emptied, within their budgets."""
+        lives = [
+            target.life
+            for target in self.state.targets.values()
+            if target.host in self.scheduler.cordoned or target.draining
+        ]
+        if not lives:
+            return
+        view = self.scheduler.view()
+
+        def has_room(key: RunKey) -> bool:
+            return has_room_elsewhere(view, key[0])
+
+        for key in choose_evacuations(self.state, lives, self.at_work, has_room):
+            self.scheduler.evacuate(key)
+
+    def at_work(self, key: RunKey) -> bool:
+        """Return whether a lasting run does its work, by the target's last list."""
+        task = self.state.task(key[0])
+        session = self.scheduler.sessions.get(task.live.get(key[1], ""))
+        if session is None or session.silent_ms is not None:
+            return False
+        listed = session.listed.get(key)
+        return (
+            listed is not None
+            and listed.percent >= AT_WORK_PERCENT
+            and not session.stopping(key)
+        )
