--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -58,7 +58,9 @@
     )
     follow_members(node, now)
     for name in sorted(node.votes - {node.name}):
-        node.progress[name].confirmed_ms = node.vote_sent_ms
+        progress = node.progress[name]
+        progress.confirmed_ms = node.vote_sent_ms
+        progress.confirmed_folder = node.log.members.find(name).folder
     node.term_start = node.log.last_index + 1
     append(node, EntryKind.NOTHING, b"", Origin(), node.log.last_at_ms)
     flush(node, now)
@@ -342,9 +344,12 @@
 def _confirm(
     node: Node, sender: str, folder: str, sent_ms: int, progress: Progress
 ) -> None:
-    if node.log.members.votes(sender, folder):
-        known = progress.confirmed_ms
-        progress.confirmed_ms = sent_ms if known is None else max(known, sent_ms)
+    if not folder or node.log.members.find(sender) is None:
+        return
+    if progress.confirmed_folder != folder:
+        progress.confirmed_folder, progress.confirmed_ms = folder, None
+    known = progress.confirmed_ms
+    progress.confirmed_ms = sent_ms if known is None else max(known, sent_ms)
 
 
 def try_commit(node: Node, now: int) -> None:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leases.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leases.py
@@ -29,7 +29,8 @@
             times.append(now if voter.folder == node.folder else None)
             continue
         progress = node.progress.get(voter.name)
-        times.append(progress.confirmed_ms if progress is not None else None)
+        same = progress is not None and progress.confirmed_folder == voter.folder
+        times.append(progress.confirmed_ms if same else None)
     known = sorted((time for time in times if time is not None), reverse=True)
     majority = node.log.members.majority()
     return known[majority - 1] if len(known) >= majority else None
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -44,7 +44,9 @@
     heard_ms : int or None
         When the member last told what it holds.
     confirmed_ms : int or None
-        When the latest message was sent that the member answered in this term.
+        When the latest message was sent that the member answered in this term, with
+        the data folder ``confirmed_folder``. A learner's answer counts once it votes:
+        it has promised as much as a voter.
     held_until_ms : int
         When the member's freshness lease has surely run out.
     offset : int or None
@@ -61,6 +63,7 @@
     answered_ms: int = 0
     heard_ms: int | None = None
     confirmed_ms: int | None = None
+    confirmed_folder: str = ""
     asked: tuple[int, int] | None = None
     held_until_ms: int = 0
     offset: int | None = None
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -33,6 +33,7 @@
 
 TICK_S = 0.05  # how late a due occurrence or a new lead may be noticed
 FORGET_INTERVAL_MS = 5_000
+REPORT_INTERVAL_MS = 1_000  # between two lines on the load
 LEASE_MARGIN_MS = 300  # clocks may differ in rate by 2%, and calls take a while
 
 logger = logging.getLogger(__name__)
@@ -77,6 +78,7 @@
         self.term: int | None = None
         self.fenced_term = 0
         self.forgot_ms = 0
+        self.reported_ms = 0
         self.followers: list[Callable[[], None]] = []
         self.cordoned: set[str] = set()
         self.loop = LoopingCall(self.tick)
@@ -130,8 +132,31 @@
             session.check_quiet()
         for follower in self.followers:
             follower()
+        if self.now() - self.reported_ms >= REPORT_INTERVAL_MS:
+            self.reported_ms = self.now()
+            self.report()
         self.rounds.wake()
 
+    def report(self) -> None:
+        """Log how full the pools and how long the queues are."""
+        pools = {}
+        for session in self.sessions.values():
+            target = session.target
+            used, total = self.state.used[target.life], target.capacity
+            row = pools.setdefault(target.pool, [0, 0, 0, 0, 0, 0])
+            row[0] += session.usable() and target.host not in self.cordoned
+            row[1] += 1
+            row[2] += used.cpu_millis // 1_000
+            row[3] += total.cpu_millis // 1_000
+            row[4] += used.memory_mb // 1_024
+            row[5] += total.memory_mb // 1_024
+        queues = {
+            name: [len(steps), sum(len(step.idle) for step in steps.values())]
+            for name, steps in self.state.open_steps.items()
+            if steps
+        }
+        logger.info("pools", extra={"pools": pools, "queues": queues})
+
     def take_over(self) -> None:
         """Learn from each target what runs there, and begin to plan."""
         self.term = self.log.term
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/options.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/options.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.consensus.timing import Timing
 from mulberryledge_daemon.log.founding import Founding
 from mulberryledge_daemon.log.replica import StateMachine
 from mulberryledge_daemon.peers.link import LinkTiming
@@ -29,12 +30,18 @@
         How many voters the leader keeps by itself; 0 if operators do.
     link_timing : LinkTiming
         How fast a silent connection to a peer is noticed.
+    timing : Timing
+        Heartbeats, elections and leases.
+    tick_s : float
+        Period, in seconds, in which heartbeats and elections are looked at.
     """
 
     machine: StateMachine | None = None
     founding: Founding | None = None
     voters: int = 0
     link_timing: LinkTiming = LinkTiming()
+    timing: Timing = Timing()
+    tick_s: float = 0.1
 
 
 DEFAULT_OPTIONS = LogOptions()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -33,6 +33,7 @@
 from mulberryledge_core.consensus.memory import EntryLog
 from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_core.consensus.timing import Timing
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
 from mulberryledge_core.state import ClusterMachine
 from mulberryledge_daemon.http.cluster import ClusterStatus
@@ -64,7 +65,6 @@
 
 __all__ = ["ReplicatedLog"]
 
-TICK_S = 0.1
 POLL_S = 0.02
 HAND_OVER_TIMEOUT_S = 1.0  # under the shortest election timeout plus a slow sync
 SNAPSHOT_ENTRIES = 5_000
@@ -111,7 +111,8 @@
         self.machine = options.machine or ClusterMachine()
         self.replica = Replica(self.machine, self.on_outcome)
         self.state = self.machine.state
-        self.node = self.make_node(folder, random)
+        self.tick_s = options.tick_s
+        self.node = self.make_node(folder, random, options.timing)
         self.writer = Writer(
             reactor,
             storage if usable else None,
@@ -164,7 +165,7 @@
             AskReply: lambda sender, reply: self.channel.on_reply(reply),
         }
 
-    def make_node(self, folder: str, random: Random) -> Node:
+    def make_node(self, folder: str, random: Random, timing: Timing) -> Node:
         """Return a node that begins with what is on disk."""
         snapshot, entries, hard_state = Snapshot(), [], HardState()
         if self.storage is not None:
@@ -179,6 +180,7 @@
             draw=random.random,
             started_ms=self.now(),
             hard_state=hard_state,
+            timing=timing,
         )
 
     def now(self) -> int:
@@ -190,7 +192,7 @@
         """Join the cluster, or begin one alone if there are no peers."""
         self.started = True
         self.joining.start(self.network)
-        self.loop.start(TICK_S)
+        self.loop.start(self.tick_s)
 
     # What the daemon asks for.
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
@@ -63,9 +63,14 @@
     Records above WARNING always pass.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        allowed: int = REPEATS_ALLOWED,
+    ):
         super().__init__()
         self.clock = clock
+        self.allowed = allowed
         self.seen: OrderedDict[tuple[str, str], list[float]] = OrderedDict()
 
     def filter(self, record: logging.LogRecord) -> bool:
@@ -76,14 +81,14 @@
         now = self.clock()
         began, count = self.seen.get(key, (now, 0))
         if now - began >= REPEAT_INTERVAL_S:
-            if count > REPEATS_ALLOWED:
-                record.suppressed = int(count - REPEATS_ALLOWED)
+            if count > self.allowed:
+                record.suppressed = int(count - self.allowed)
             began, count = now, 0
         self.seen[key] = [began, count + 1]
         self.seen.move_to_end(key)
         if len(self.seen) > MAX_TRACKED:
             self.seen.popitem(last=False)
-        return count < REPEATS_ALLOWED
+        return count < self.allowed
 
 
 def configure_logging(
@@ -91,6 +96,7 @@
     level: int = logging.INFO,
     position: LogPosition = dict,
     stream: TextIO | None = None,
+    repeats_allowed: int = REPEATS_ALLOWED,
 ) -> None:
     """
     Send all logs as JSON lines to a stream, standard error unless one is given.
@@ -99,6 +105,8 @@
     ----------
     position : callable
         Returns the log's term and index, which each line carries.
+    repeats_allowed : int
+        How often a message may be written in ten seconds.
     """
 
     def add_context(record: logging.LogRecord) -> bool:
@@ -109,7 +117,7 @@
 
     handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter())
-    handler.addFilter(RepeatFilter())
+    handler.addFilter(RepeatFilter(allowed=repeats_allowed))
     handler.addFilter(add_context)
     logging.getLogger("websockets").setLevel(logging.WARNING)
     logging.basicConfig(level=level, handlers=[handler], force=True)
