--- /dev/null
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
@@ -0,0 +1,94 @@
+"""
+mulberryledge_core.batch.demand
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the jobs of a queue really take, and how much of it arrives.
+
+Declared durations are rough, and zero for tasks that last. They are corrected by a
+factor for each queue, learned from the runs that end, lagged and bounded.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from mulberryledge_core.batch.specs import JobSpec, StepSpec
+
+__all__ = ["ArrivalRate", "Durations"]
+
+LEARNED_SHARE = 0.05  # of the newest run in a factor; about 20 runs make it new
+FACTOR_MIN, FACTOR_MAX = 0.2, 5.0  # bounds on what one run may teach
+DEFAULT_MS = 1_000  # for tasks that declare no duration, before any has ended
+RATE_WINDOW_MS = 700  # a turn of demand lasts some seconds
+
+
+@dataclass(slots=True)
+class Durations:
+    """
+    Learned durations.
+
+    Attributes
+    ----------
+    factors : dict of str to float
+        By queue: real duration as a multiple of the declared one.
+    means_ms : dict of str to float
+        By queue: mean real duration.
+    """
+
+    factors: dict[str, float] = field(default_factory=dict)
+    means_ms: dict[str, float] = field(default_factory=dict)
+
+    def learn(self, queue: str, declared_ms: int, real_ms: float) -> None:
+        """Take a run that is done into account."""
+        mean = self.means_ms.get(queue, real_ms)
+        self.means_ms[queue] = mean + LEARNED_SHARE * (real_ms - mean)
+        if declared_ms > 0:
+            seen = min(FACTOR_MAX, max(FACTOR_MIN, real_ms / declared_ms))
+            known = self.factors.get(queue, 1.0)
+            self.factors[queue] = known + LEARNED_SHARE * (seen - known)
+
+    def expected_ms(self, queue: str, step: StepSpec) -> float:
+        """Return how long a task of a step runs, as far as is known."""
+        if step.estimated_ms > 0:
+            return step.estimated_ms * self.factors.get(queue, 1.0)
+        return self.means_ms.get(queue, DEFAULT_MS)
+
+    def work_of(self, queue: str, spec: JobSpec) -> float:
+        """Return the work of one occurrence, in thousandths of a core x ms."""
+        return sum(
+            step.count * step.size.cpu_millis * self.expected_ms(queue, step)
+            for step in spec.steps
+            if not step.long_running
+        )
+
+    def chain_ms(self, queue: str, spec: JobSpec) -> float:
+        """Return the longest chain of steps of a job, in milliseconds."""
+        ends: list[float] = []
+        for step in spec.steps:
+            begin = max((ends[before] for before in step.after), default=0.0)
+            ends.append(begin + self.expected_ms(queue, step))
+        return max(ends)
+
+
+@dataclass(slots=True)
+class ArrivalRate:
+    """
+    Work that arrives, as an exponentially weighted mean.
+
+    Attributes
+    ----------
+    cpu_millis : float
+        Thousandths of a core that would just keep up, at ``at_ms``.
+    """
+
+    cpu_millis: float = 0.0
+    at_ms: int = 0
+
+    def add(self, work: float, now_ms: int) -> None:
+        """Take a job's work into account, in thousandths of a core x ms."""
+        self.cpu_millis = self.at(now_ms) + work / RATE_WINDOW_MS
+        self.at_ms = now_ms
+
+    def at(self, now_ms: int) -> float:
+        """Return the rate now."""
+        age_ms = max(0, now_ms - self.at_ms)
+        return self.cpu_millis * math.exp(-age_ms / RATE_WINDOW_MS)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -246,7 +246,10 @@
     task_id = TaskId(change.job_id, change.occurrence, change.step, change.index)
     task = state.task(task_id)
     if job is None or task is None or job.ended or task.done:
-        logger.error("start of a task that is over", extra={"task": task_id})
+        logger.info("start of a task that is over", extra={"task": task_id})
+        return
+    if change.life not in state.targets:
+        logger.info("start on a target that is gone", extra={"target": change.life})
         return
     task.run = max(task.run, change.run)
     task.live[change.run] = change.life
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -74,8 +74,7 @@
     for name, steps in view.state.open_steps.items():
         if not steps:
             continue
-        queue = view.state.configuration.queues_by_name.get(name)
-        queue = queue or view.state.stored.queues[name]
+        queue = view.state.queue_named(name)
         if queue.pool not in view.rooms:
             continue
         for step_id, step in steps.items():
@@ -158,7 +157,7 @@
         rank = (
             target.life == avoid,
             bool(spec.data_rack) and target.rack != spec.data_rack,
-            room.used.cpu_millis / max(1, target.capacity.cpu_millis),
+            -room.used.cpu_millis / max(1, target.capacity.cpu_millis),
         )
         if best_rank is None or rank < best_rank:
             best, best_rank = room, rank
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
@@ -118,8 +118,12 @@
 
     def queue_of(self, job: JobRecord) -> Queue:
         """Return the queue of a job as configured now, or as it was last."""
-        found = self.configuration.queues_by_name.get(job.queue)
-        return found if found is not None else self.stored.queues[job.queue]
+        return self.queue_named(job.queue)
+
+    def queue_named(self, name: str) -> Queue:
+        """Return a queue that has taken a job, as configured now or last."""
+        found = self.configuration.queues_by_name.get(name)
+        return found if found is not None else self.stored.queues[name]
 
     def occurrence(self, step_id: StepId) -> OccurrenceRecord | None:
         """Return an occurrence that is under way, or None."""
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/election.py
@@ -78,6 +78,8 @@
 
 
 def _is_removed(node: Node, name: str) -> bool:
+    if node.log.members.find(name) is not None:
+        return False  # a restart does not know yet how much of the log is committed
     committed = node.log.members_at(node.commit)
     return bool(committed.members) and committed.find(name) is None
 
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -0,0 +1,305 @@
+"""
+mulberryledge_daemon.batch.moves
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The leader's task that moves hosts between pools, so that each pool has as many as its
+queues need now. Only empty hosts are moved.
+"""
+
+import logging
+from collections import defaultdict
+from dataclasses import replace
+
+from twisted.internet.defer import ensureDeferred
+
+from mulberryledge_core.batch.commands import EndLife, SubmitJob
+from mulberryledge_core.batch.demand import ArrivalRate, Durations
+from mulberryledge_core.batch.loads import pool_loads
+from mulberryledge_core.batch.pools import PoolPolicy, wanted_hosts
+from mulberryledge_core.batch.records import JobRecord
+from mulberryledge_core.batch.sizes import NOTHING, Size
+from mulberryledge_core.batch.specs import StepSpec
+from mulberryledge_core.batch.state import BatchState
+from mulberryledge_daemon.batch.hosts import HostTable, KnownHost
+from mulberryledge_daemon.batch.ports import Cloud, CloudOutcome
+from mulberryledge_daemon.batch.scheduler import Scheduler
+
+__all__ = ["Moves"]
+
+INTERVAL_MS = 100  # between two looks at the pools
+ARRIVAL_TIMEOUT_MS = 5_000  # after which a moved host counts as lost on its way
+BUSY_MS = 2_000  # a host that the cloud calls busy is left alone for so long
+RETRY_S = 0.5  # between two orders for one host, if the first got no answer
+LIST_RETRY_MS = 2_000
+
+logger = logging.getLogger(__name__)
+
+
+class Moves:
+    """
+    Owns the moves while this daemon leads.
+
+    Attributes
+    ----------
+    calling : set of str
+        Hosts with a call to the cloud under way.
+    surplus_ms : dict of str to int
+        By pool: since when it has had more hosts than it needs.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        cloud: Cloud,
+        table: HostTable,
+        holder_ms: int,
+        policy: PoolPolicy,
+    ):
+        self.scheduler = scheduler
+        self.state: BatchState = scheduler.state
+        self.cloud = cloud
+        self.table = table
+        self.holder_ms = holder_ms
+        self.policy = policy
+        self.durations = Durations()
+        self.rates: dict[str, ArrivalRate] = defaultdict(ArrivalRate)
+        self.calling: set[str] = set()
+        self.surplus_ms: dict[str, int] = {}
+        self.term: int | None = None
+        self.since_ms = self.looked_ms = self.listed_ms = 0
+        self.emptying = scheduler.cordon()
+        scheduler.followers.append(self.tick)
+        scheduler.watchers.append(self.on_changes)
+        scheduler.on_run_done.append(self.on_run_done)
+
+    # What is learned.
+
+    def on_changes(self, changes: tuple[object, ...]) -> None:
+        """Take the jobs that arrive into account."""
+        for change in changes:
+            if isinstance(change, SubmitJob):
+                work = self.durations.work_of(change.queue, change.spec)
+                self.rates[change.queue].add(work, self.scheduler.now())
+
+    def on_run_done(self, job: JobRecord, step: StepSpec, real_ms: int) -> None:
+        """Learn how long the tasks of a queue run."""
+        if not step.long_running:
+            self.durations.learn(job.queue, step.estimated_ms, real_ms)
+
+    # What is decided.
+
+    def tick(self) -> None:
+        """Move what should be elsewhere."""
+        now = self.scheduler.now()
+        if self.term != self.scheduler.term:
+            self.term, self.since_ms = self.scheduler.term, now
+            self.calling.clear()
+            self.surplus_ms.clear()
+            self.table.complete = False
+        if now - self.looked_ms < INTERVAL_MS or now - self.since_ms < self.holder_ms:
+            return
+        self.looked_ms = now
+        if not self.table.complete:
+            self.list_hosts(now)
+            return
+        self.table.follow_targets()
+        self.balance(now)
+
+    def list_hosts(self, now: int) -> None:
+        """Read the cloud's list, again after a while if it can't be had."""
+        if now - self.listed_ms >= LIST_RETRY_MS and self.state.configuration.version:
+            self.listed_ms = now
+            ensureDeferred(self.table.read_list()).addErrback(self.broken)
+
+    def balance(self, now: int) -> None:
+        """Fill the pools that lack hosts from those that have too many."""
+        spare = self.spare_pool()
+        if spare is None:
+            return
+        wanted = self.wanted()
+        owned = self.owned(now)
+        lacking = {
+            pool: count - len(owned.get(pool, ())) for pool, count in wanted.items()
+        }
+        self.note_surplus(lacking, now)
+        self.stop_emptying(lacking)
+        free = self.movable(owned, lacking, spare, now)
+        for pool in sorted(lacking, key=lambda one: -lacking[one]):
+            for _ in range(lacking[pool]):
+                source = self.take(free, spare, pool)
+                if source is None:
+                    break
+                self.move(source, pool)
+        for pool, hosts in free.items():
+            since_ms = self.surplus_ms.get(pool)
+            if pool == spare or since_ms is None:
+                continue
+            if now - since_ms >= self.policy.surplus_ms:
+                for host in hosts:
+                    self.move(host, spare)
+
+    def spare_pool(self) -> str | None:
+        """Return the pool whose hosts cost nothing."""
+        for pool in self.state.configuration.pools:
+            if pool.spare:
+                return pool.name
+        return None
+
+    def wanted(self) -> dict[str, int]:
+        """Return how many hosts each pool with a queue should have."""
+        loads = pool_loads(self.state, self.durations, self.rates, self.scheduler.now())
+        return {
+            pool: wanted_hosts(replace(load, host=self.host_size(pool)), self.policy)
+            for pool, load in loads.items()
+        }
+
+    def host_size(self, pool: str) -> Size:
+        """Return what a host of a pool holds, or any host if it has none."""
+        sizes = [one.capacity for one in self.table.hosts.values() if one.pool == pool]
+        sizes = sizes or [one.capacity for one in self.table.hosts.values()]
+        return sizes[0] if sizes else NOTHING
+
+    def owned(self, now: int) -> dict[str, list[KnownHost]]:
+        """Return the hosts that serve each pool, or soon will."""
+        owned = defaultdict(list)
+        for known in self.table.hosts.values():
+            life = self.table.life_of(known.host)
+            if known.moved_ms is not None:
+                if now - known.moved_ms < ARRIVAL_TIMEOUT_MS:
+                    owned[known.pool].append(known)
+            elif life and life != known.former_life and self.serves(known, life):
+                owned[known.pool].append(known)
+        return owned
+
+    def serves(self, known: KnownHost, life: str) -> bool:
+        """Return whether a host takes new work, or would but for a move."""
+        session = self.scheduler.sessions.get(life)
+        return (
+            session is not None
+            and session.silent_ms is None
+            and not session.target.draining
+            and not self.scheduler.is_cordoned(known.host, self.emptying)
+        )
+
+    def note_surplus(self, lacking: dict[str, int], now: int) -> None:
+        """Remember since when each pool has had too many hosts."""
+        for pool, count in lacking.items():
+            if count < 0:
+                self.surplus_ms.setdefault(pool, now)
+            else:
+                self.surplus_ms.pop(pool, None)
+
+    def stop_emptying(self, lacking: dict[str, int]) -> None:
+        """Use the hosts again that were to leave a pool that needs them now."""
+        for host in list(self.emptying):
+            known = self.table.hosts.get(host)
+            if known is None or lacking.get(known.pool, 0) >= 0:
+                self.emptying.discard(host)
+
+    def movable(
+        self,
+        owned: dict[str, list[KnownHost]],
+        lacking: dict[str, int],
+        spare: str,
+        now: int,
+    ) -> dict[str, list[str]]:
+        """Return the hosts that may leave, by pool; empties those that are not yet."""
+        free: dict[str, list[str]] = defaultdict(list)
+        for known in self.table.hosts.values():
+            if known.pool == spare and self.is_idle_spare(known, now):
+                free[spare].append(known.host)
+        for pool, hosts in owned.items():
+            surplus = -lacking.get(pool, 0) if pool != spare else 0
+            if surplus > 0:
+                free[pool] = self.empty(hosts, surplus, now)
+        return free
+
+    def is_idle_spare(self, known: KnownHost, now: int) -> bool:
+        """Return whether a host of the spare pool can be moved."""
+        return not self.table.in_transit(known.host) and self.is_movable(known, now)
+
+    def is_movable(self, known: KnownHost, now: int) -> bool:
+        """Return whether an order for a host makes sense now."""
+        return (
+            known.host not in self.calling
+            and known.blocked_ms <= now
+            and not self.scheduler.is_cordoned(known.host, self.emptying)
+            and not self.scheduler.in_upkeep(known.host)
+        )
+
+    def empty(self, hosts: list[KnownHost], count: int, now: int) -> list[str]:
+        """Return empty hosts out of a pool's surplus, and empty some more."""
+        ranked = []
+        for known in hosts:
+            if known.moved_ms is not None or not self.is_movable(known, now):
+                continue
+            runs = self.state.live_runs(self.table.life_of(known.host))
+            lasting = any(
+                self.state.spec_of(key[0].step_id).long_running for key in runs
+            )
+            if not lasting:
+                ranked.append((len(runs), known.host))
+        ranked.sort()
+        leaving = ranked[:count]
+        for runs, host in leaving:
+            if runs:
+                self.emptying.add(host)
+        return [host for runs, host in leaving if not runs]
+
+    def take(self, free: dict[str, list[str]], spare: str, pool: str) -> str | None:
+        """Take a host from another pool's surplus, or else from the spare pool."""
+        for source in sorted(free, key=lambda one: one == spare):
+            if source != pool and free[source]:
+                return free[source].pop()
+        return None
+
+    # What is ordered.
+
+    def move(self, host: str, pool: str) -> None:
+        """Begin to move an empty host."""
+        if host in self.calling:
+            return
+        self.calling.add(host)
+        self.emptying.add(host)
+        ensureDeferred(self.order(host, pool)).addErrback(self.broken)
+
+    def broken(self, failure) -> None:
+        """Log a failure of the program."""
+        logger.critical("moves failed", extra={"failure": failure.getTraceback()})
+
+    async def order(self, host: str, pool: str) -> None:
+        """Move a host, and take note of where it is."""
+        await self.scheduler.rounds.settled()
+        term, life = self.term, self.table.life_of(host)
+        if host not in self.table.hosts:
+            return
+        if not self.scheduler.may_order() or self.state.live_runs(life):
+            self.release(host)
+            return
+        source = self.table.hosts[host].pool
+        outcome = await self.cloud.move(host, pool, self.scheduler.fence)
+        if term != self.scheduler.term:
+            return
+        extra = {"host": host, "from": source, "to": pool, "outcome": outcome}
+        logger.info("host moved", extra=extra)
+        if outcome == CloudOutcome.DONE:
+            if life:
+                self.scheduler.rounds.submit(EndLife(life))
+            self.table.moved(host, pool, life, self.scheduler.now())
+            self.release(host)
+        elif outcome == CloudOutcome.FENCED:
+            self.scheduler.fenced_off(host)
+        elif outcome in (CloudOutcome.UNKNOWN, CloudOutcome.THROTTLED):
+            self.calling.discard(host)
+            self.scheduler.after(RETRY_S, lambda: self.move(host, pool))
+        else:
+            self.release(host)
+            if outcome == CloudOutcome.INVALID:
+                self.table.drop(host)
+            else:
+                self.table.block(host, self.scheduler.now() + BUSY_MS)
+
+    def release(self, host: str) -> None:
+        """Count a host as free for other orders again."""
+        self.calling.discard(host)
+        self.emptying.discard(host)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from mulberryledge_core.batch.commands import RunEnd
+from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import StepId, TaskId
 from mulberryledge_core.batch.targets import Target
 
@@ -226,7 +227,8 @@
     pool: str
     up: bool
     availability_zone: str
-    labels: tuple[str, ...]
+    rack: str
+    capacity: Size
     target: str
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
@@ -61,6 +61,7 @@
         self.under_way: list[Deferred] = []
         self.busy = False
         self.timer = None
+        self.settling: list[Deferred] = []
 
     def begin(self, term: int) -> None:
         """Propose from now on, in a term."""
@@ -87,6 +88,15 @@
         self.wake()
         return done
 
+    def settled(self) -> Deferred:
+        """Return what resolves once no round is under way that was planned before."""
+        done = Deferred()
+        if self.busy:
+            self.settling.append(done)
+        else:
+            done.callback(None)
+        return done
+
     def wake(self) -> None:
         """Let a round begin soon."""
         if self.timer is None and not self.busy and self.term is not None:
@@ -106,12 +116,12 @@
         waiting, self.waiting = self.waiting, []
         changes = tuple(change for change, _ in waiting) + tuple(self.plan())
         if not changes:
-            self.busy = False
+            self.set_idle()
             return
         dones = [done for _, done in waiting]
         self.under_way = dones
         outcome = await self.propose(Round(term, changes))
-        self.busy = False
+        self.set_idle()
         if self.under_way is not dones:
             return
         self.under_way = []
@@ -127,8 +137,15 @@
             done.callback(verdict)
         self.wake()
 
+    def set_idle(self) -> None:
+        """Tell those who wait for the end of a round."""
+        self.busy = False
+        settling, self.settling = self.settling, []
+        for done in settling:
+            done.callback(None)
+
     def broken(self, failure) -> None:
         """Log a failure of the program, and go on."""
-        self.busy = False
+        self.set_idle()
         logger.critical("round failed", extra={"failure": failure.getTraceback()})
         self.wake()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -21,7 +21,8 @@
     StartRun,
 )
 from mulberryledge_core.batch.placing import PlacingView, plan_starts
-from mulberryledge_core.batch.specs import TaskId
+from mulberryledge_core.batch.records import JobRecord
+from mulberryledge_core.batch.specs import StepSpec, TaskId
 from mulberryledge_core.batch.state import BatchState, RunKey
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.ports import TargetOrders
@@ -51,8 +52,13 @@
         Fencing token of the orders; it is the term.
     followers : list of callable
         Called on each tick while this daemon leads.
-    cordoned : set of str
-        Hosts on which nothing is started.
+    cordons : list of set of str
+        Sets of hosts on which nothing is started, one for each task that empties
+        hosts.
+    watchers : list of callable
+        Called with the changes of each committed round.
+    on_run_done : list of callable
+        Called with job, step and duration in milliseconds of each run that is done.
     """
 
     def __init__(
@@ -80,7 +86,9 @@
         self.forgot_ms = 0
         self.reported_ms = 0
         self.followers: list[Callable[[], None]] = []
-        self.cordoned: set[str] = set()
+        self.cordons: list[set[str]] = []
+        self.watchers: list[Callable[[tuple[object, ...]], None]] = []
+        self.on_run_done: list[Callable[[JobRecord, StepSpec, int], None]] = []
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -144,7 +152,7 @@
             target = session.target
             used, total = self.state.used[target.life], target.capacity
             row = pools.setdefault(target.pool, [0, 0, 0, 0, 0, 0])
-            row[0] += session.usable() and target.host not in self.cordoned
+            row[0] += session.usable() and not self.is_cordoned(target.host)
             row[1] += 1
             row[2] += used.cpu_millis // 1_000
             row[3] += total.cpu_millis // 1_000
@@ -176,7 +184,8 @@
         for session in self.sessions.values():
             session.close()
         self.sessions.clear()
-        self.cordoned.clear()
+        for cordon in self.cordons:
+            cordon.clear()
         self.rounds.end()
 
     def on_fenced(self, target: Target) -> None:
@@ -225,10 +234,28 @@
         usable = [
             one.target
             for one in self.sessions.values()
-            if one.usable() and one.target.host not in self.cordoned
+            if one.usable() and not self.is_cordoned(one.target.host)
         ]
         return PlacingView(self.state, usable, self.state.now_ms)
 
+    def cordon(self) -> set[str]:
+        """Return a new set of hosts on which nothing is started."""
+        cordon: set[str] = set()
+        self.cordons.append(cordon)
+        return cordon
+
+    def is_cordoned(self, host: str, but: set[str] | None = None) -> bool:
+        """Return whether a host is in one of the sets, but for the one given."""
+        return any(host in cordon for cordon in self.cordons if cordon is not but)
+
+    def in_upkeep(self, host: str) -> bool:
+        """Return whether a host may be down for its upkeep."""
+        return any(
+            wave.hosts[host].away
+            for wave in self.state.waves.values()
+            if host in wave.hosts
+        )
+
     def evacuate(self, key: RunKey) -> None:
         """Stop a lasting run, so that it starts on another target."""
         life = self.state.task(key[0]).live.get(key[1])
@@ -262,6 +289,8 @@
 
     def on_committed(self, changes: tuple[object, ...]) -> None:
         """Give the orders that a durable round calls for."""
+        for watcher in self.watchers:
+            watcher(changes)
         kinds = {type(change) for change in changes}
         if kinds - {StartRun, EndRun, CancelJob}:
             self.follow_targets()
@@ -288,6 +317,13 @@
             if session is not None:
                 session.stop_unwanted()
 
+    def run_done(self, key: RunKey, real_ms: int) -> None:
+        """Tell who learns from it that a run is done."""
+        job = self.state.jobs.get(key[0].job_id)
+        if job is not None:
+            for listener in self.on_run_done:
+                listener(job, job.spec.steps[key[0].step], real_ms)
+
     def note_target(self, target: Target, clock_ms: int | None):
         """
         Take note of a target that announces itself.
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -96,6 +96,9 @@
     def on_fenced(self, target: Target) -> None:
         """Take note that a target has seen another leader's fencing token."""
 
+    def run_done(self, key: RunKey, real_ms: int) -> None:
+        """Take note of how long a run took that is done."""
+
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Do something later, unless the lead is lost before."""
 
@@ -268,6 +271,7 @@
         self.listed = {(one.task, one.run): one for one in view.running}
         newly = not self.confirmed
         self.confirmed = True
+        self.learn_durations(view, now)
         changes = self.changes_of(view, sent_ms)
         self.stop_strays()
         if newly:
@@ -278,6 +282,15 @@
             numbers = [one.number for one in view.ended]
             self.last_seen = max([self.last_seen, *numbers])
 
+    def learn_durations(self, view: TargetView, now: int) -> None:
+        """Report how long the runs took that are done."""
+        for one in view.ended:
+            track = self.tracks.get((one.task, one.run))
+            if track is None or track.accepted_ms is None or one.how != RunEnd.DONE:
+                continue
+            if one.number > self.last_seen:
+                self.leader.run_done((one.task, one.run), now - track.accepted_ms)
+
     def changes_of(self, view: TargetView, sent_ms: int) -> list[EndRun]:
         """Return what the lists say about runs that count as live, or have ended."""
         changes = [
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -22,6 +22,7 @@
     choose_hosts,
     hosts_at_once,
 )
+from mulberryledge_daemon.batch.hosts import HostTable
 from mulberryledge_daemon.batch.ports import Cloud, CloudOutcome
 from mulberryledge_daemon.batch.rounds import Committed
 from mulberryledge_daemon.batch.scheduler import Scheduler
@@ -49,6 +50,7 @@
         self,
         scheduler: Scheduler,
         cloud: Cloud,
+        table: HostTable,
         upkeep_ms: int,
         holder_ms: int,
         timing: UpkeepTiming,
@@ -56,10 +58,12 @@
         self.scheduler = scheduler
         self.state = scheduler.state
         self.cloud = cloud
+        self.table = table
         self.upkeep_ms = upkeep_ms
         self.holder_ms = holder_ms
         self.timing = timing
         self.calling: set[str] = set()
+        self.emptying = scheduler.cordon()
         self.term: int | None = None
         self.since_ms = 0
         scheduler.followers.append(self.tick)
@@ -71,14 +75,13 @@
             self.term, self.since_ms = self.scheduler.term, now
             self.calling.clear()
         open_waves = [wave for wave in self.state.waves.values() if not wave.completed]
-        cordoned = self.scheduler.cordoned
         waiting = {
             host
             for wave in open_waves
             for host, upkeep in wave.hosts.items()
             if upkeep.phase in (UpkeepPhase.WAITING, UpkeepPhase.ORDERED)
         }
-        cordoned &= waiting
+        self.emptying &= waiting
         for wave in open_waves:
             self.notice_returns(wave)
             self.empty_more(wave)
@@ -89,12 +92,12 @@
     def notice_returns(self, wave: WaveRecord) -> None:
         """Count the hosts as done that are back."""
         for host, upkeep in wave.hosts.items():
-            if not upkeep.away:
+            if upkeep.phase != UpkeepPhase.BEGUN:
                 continue
             life = self.state.lives_by_host.get(host, "")
             if life and life != upkeep.life:
                 self.mark(wave, host, UpkeepPhase.DONE)
-            elif upkeep.phase == UpkeepPhase.BEGUN and not upkeep.life:
+            elif not upkeep.life:
                 gone_ms = self.state.now_ms - upkeep.at_ms
                 if gone_ms > self.upkeep_ms + RETURN_MARGIN_MS:
                     self.mark(wave, host, UpkeepPhase.DONE)
@@ -113,11 +116,10 @@
 
     def empty_more(self, wave: WaveRecord) -> None:
         """Choose further hosts to be emptied."""
-        cordoned = self.scheduler.cordoned
         out = [
             host
             for host, upkeep in wave.hosts.items()
-            if upkeep.away or host in cordoned
+            if upkeep.away or host in self.emptying
         ]
         count = hosts_at_once(wave, self.state.now_ms, self.timing) - len(out)
         if count <= 0:
@@ -125,11 +127,11 @@
         waiting = [
             self.load_of(host)
             for host, upkeep in wave.hosts.items()
-            if upkeep.phase == UpkeepPhase.WAITING and host not in cordoned
+            if upkeep.phase == UpkeepPhase.WAITING and host not in self.emptying
         ]
         sizes = Counter(target.pool for target in self.state.targets.values())
         emptied = Counter(self.load_of(host).pool for host in out)
-        cordoned.update(choose_hosts(waiting, emptied, sizes, count, self.timing))
+        self.emptying.update(choose_hosts(waiting, emptied, sizes, count, self.timing))
 
     def load_of(self, host: str) -> HostLoad:
         """Return what runs on a host."""
@@ -151,7 +153,8 @@
             elif upkeep.phase == UpkeepPhase.WAITING and away < wave.limit:
                 life = self.state.lives_by_host.get(host, "")
                 empty = not self.state.live_runs(life)
-                if host in self.scheduler.cordoned and empty:
+                empty = empty and not self.table.in_transit(host)
+                if host in self.emptying and empty:
                     away += 1
                     self.call(wave, host, upkeep)
 
@@ -175,6 +178,9 @@
                 return
         if not self.scheduler.may_order() or term != self.scheduler.term:
             return
+        if self.state.live_runs(life):
+            self.calling.discard(host)
+            return
         outcome = await self.cloud.upkeep(host, wave.wave, self.scheduler.fence)
         if term != self.scheduler.term:
             return
@@ -204,7 +210,7 @@
         lives = [
             target.life
             for target in self.state.targets.values()
-            if target.host in self.scheduler.cordoned or target.draining
+            if target.host in self.emptying or target.draining
         ]
         if not lives:
             return
