Order jobs by what can still be in time, and rescue late ones before they are given up

A new leader also waited 3 s before it moved hosts; now only while the leader before it still answers.

--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -11,6 +11,16 @@
 from dataclasses import dataclass, field
 
 from mulberryledge_core.batch.commands import StartRun
+from mulberryledge_core.batch.configuration import Queue
+from mulberryledge_core.batch.demand import Durations
+from mulberryledge_core.batch.ordering import (
+    Group,
+    OrderPolicy,
+    Times,
+    begin_of,
+    group_of,
+    times_of,
+)
 from mulberryledge_core.batch.records import JobRecord, StepRecord
 from mulberryledge_core.batch.sizes import Size, Tally
 from mulberryledge_core.batch.specs import StepId, StepSpec, TaskId
@@ -38,14 +48,19 @@
     targets : sequence of Target
         Targets on which tasks may be started now.
     now_ms : int
-        Log time.
+        Time of day, by which jobs are in time or late.
+    durations : Durations
+        How long tasks take.
     """
 
     state: BatchState
     targets: Sequence[Target]
     now_ms: int
+    durations: Durations
+    order: OrderPolicy = OrderPolicy()
     rooms: dict[str, list[Room]] = field(default_factory=dict)
     team_used: dict[str, Tally] = field(default_factory=dict)
+    times: dict[tuple[str, int], Times] = field(default_factory=dict)
 
     def __post_init__(self):
         for target in self.targets:
@@ -79,13 +94,27 @@
             continue
         for step_id, step in steps.items():
             if step.idle:
-                job = view.state.jobs[step_id.job_id]
-                rank = (queue.priority, job.submitted_ms)
-                ready.append((rank, step_id, step))
+                ready.append((rank_of(view, queue, step_id), step_id, step))
     ready.sort(key=lambda one: one[0])
     return [(step_id, step) for _, step_id, step in ready]
 
 
+def rank_of(view: PlacingView, queue: Queue, step_id: StepId) -> tuple:
+    """Return the rank of a step; lower ones go first."""
+    job = view.state.jobs[step_id.job_id]
+    if job.spec.steps[step_id.step].long_running:
+        return (Group.LASTING, queue.priority, job.submitted_ms)
+    key = step_id[:2]
+    times = view.times.get(key)
+    if times is None:
+        begin_ms = begin_of(job, step_id.occurrence)
+        times = times_of(view.state, view.durations, job, begin_ms, view.order)
+        view.times[key] = times
+    group = group_of(times, step_id.step, view.now_ms, view.order)
+    end_ms = times.due_ms if group == Group.IN_TIME else times.last_ms
+    return (group, queue.priority, end_ms - times.left_ms[step_id.step])
+
+
 def place_step(
     view: PlacingView, job: JobRecord, step_id: StepId, step: StepRecord
 ) -> list[StartRun]:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -90,6 +90,8 @@
         nothing as durable and does not vote.
     durable : int
         Last index on disk.
+    predecessor : str
+        The leader that this node followed last.
     resign_until_ms : int
         Until then a leader takes no more proposals, and hands the lead over to the
         first voter that holds the whole log.
@@ -119,6 +121,7 @@
     vote_sent_ms: int = 0
     term_start: int = 0
     elected_ms: int = 0
+    predecessor: str = ""
     resign_until_ms: int = 0
     progress: dict[str, Progress] = field(default_factory=dict)
     departed: dict[str, int] = field(default_factory=dict)
@@ -187,7 +190,7 @@
         self.departed = {}
         if leader:
             assert self.leader in ("", leader), "one leader a term"
-            self.leader = leader
+            self.leader = self.predecessor = leader
 
     def advance_commit(self, index: int) -> None:
         """Commit up to an index and ask for what is new to be applied."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -13,12 +13,10 @@
 from twisted.internet.defer import ensureDeferred
 
 from mulberryledge_core.batch.commands import EndLife, SubmitJob
-from mulberryledge_core.batch.demand import ArrivalRate, Durations
+from mulberryledge_core.batch.demand import ArrivalRate
 from mulberryledge_core.batch.loads import pool_loads
 from mulberryledge_core.batch.pools import PoolPolicy, wanted_hosts
-from mulberryledge_core.batch.records import JobRecord
 from mulberryledge_core.batch.sizes import NOTHING, Size
-from mulberryledge_core.batch.specs import StepSpec
 from mulberryledge_core.batch.state import BatchState
 from mulberryledge_daemon.batch.hosts import HostTable, KnownHost
 from mulberryledge_daemon.batch.ports import Cloud, CloudOutcome
@@ -61,16 +59,15 @@
         self.table = table
         self.holder_ms = holder_ms
         self.policy = policy
-        self.durations = Durations()
+        self.durations = scheduler.durations
         self.rates: dict[str, ArrivalRate] = defaultdict(ArrivalRate)
         self.calling: set[str] = set()
         self.surplus_ms: dict[str, int] = {}
         self.term: int | None = None
-        self.since_ms = self.looked_ms = self.listed_ms = 0
+        self.looked_ms = self.listed_ms = 0
         self.emptying = scheduler.cordon()
         scheduler.followers.append(self.tick)
         scheduler.watchers.append(self.on_changes)
-        scheduler.on_run_done.append(self.on_run_done)
 
     # What is learned.
 
@@ -81,22 +78,19 @@
                 work = self.durations.work_of(change.queue, change.spec)
                 self.rates[change.queue].add(work, self.scheduler.now())
 
-    def on_run_done(self, job: JobRecord, step: StepSpec, real_ms: int) -> None:
-        """Learn how long the tasks of a queue run."""
-        if not step.long_running:
-            self.durations.learn(job.queue, step.estimated_ms, real_ms)
-
     # What is decided.
 
     def tick(self) -> None:
         """Move what should be elsewhere."""
         now = self.scheduler.now()
         if self.term != self.scheduler.term:
-            self.term, self.since_ms = self.scheduler.term, now
+            self.term = self.scheduler.term
             self.calling.clear()
             self.surplus_ms.clear()
             self.table.complete = False
-        if now - self.looked_ms < INTERVAL_MS or now - self.since_ms < self.holder_ms:
+        if now - self.looked_ms < INTERVAL_MS:
+            return
+        if not self.scheduler.may_order_cloud(self.holder_ms):
             return
         self.looked_ms = now
         if not self.table.complete:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -20,9 +20,9 @@
     OpenOccurrence,
     StartRun,
 )
+from mulberryledge_core.batch.demand import Durations
 from mulberryledge_core.batch.placing import PlacingView, plan_starts
-from mulberryledge_core.batch.records import JobRecord
-from mulberryledge_core.batch.specs import StepSpec, TaskId
+from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.state import BatchState, RunKey
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.ports import TargetOrders
@@ -57,8 +57,8 @@
         hosts.
     watchers : list of callable
         Called with the changes of each committed round.
-    on_run_done : list of callable
-        Called with job, step and duration in milliseconds of each run that is done.
+    durations : Durations
+        How long tasks take, learned from the runs that end.
     """
 
     def __init__(
@@ -82,13 +82,14 @@
         self.rounds = Rounds(reactor, log.propose, self.plan, self.on_committed)
         self.sessions: dict[str, TargetSession] = {}
         self.term: int | None = None
+        self.since_ms = 0
         self.fenced_term = 0
         self.forgot_ms = 0
         self.reported_ms = 0
         self.followers: list[Callable[[], None]] = []
         self.cordons: list[set[str]] = []
         self.watchers: list[Callable[[tuple[object, ...]], None]] = []
-        self.on_run_done: list[Callable[[JobRecord, StepSpec, int], None]] = []
+        self.durations = Durations()
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -167,7 +168,7 @@
 
     def take_over(self) -> None:
         """Learn from each target what runs there, and begin to plan."""
-        self.term = self.log.term
+        self.term, self.since_ms = self.log.term, self.now()
         lapse_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
         for target in self.state.targets.values():
             self.open_session(target, lapse_ms)
@@ -200,6 +201,17 @@
             self.fenced_term = self.term
             self.stand_down()
 
+    def may_order_cloud(self, holder_ms: int) -> bool:
+        """
+        Return whether the orders of another holder of the hosts are long over.
+
+        A leader that was lost gives no more; one that follows us now may have given
+        some a moment ago.
+        """
+        if not self.log.predecessor_answers():
+            return True
+        return self.now() - self.since_ms >= holder_ms
+
     # Targets.
 
     def open_session(self, target: Target, lapse_ms: int) -> None:
@@ -236,7 +248,7 @@
             for one in self.sessions.values()
             if one.usable() and not self.is_cordoned(one.target.host)
         ]
-        return PlacingView(self.state, usable, self.state.now_ms)
+        return PlacingView(self.state, usable, self.wall_ms(), self.durations)
 
     def cordon(self) -> set[str]:
         """Return a new set of hosts on which nothing is started."""
@@ -318,11 +330,13 @@
                 session.stop_unwanted()
 
     def run_done(self, key: RunKey, real_ms: int) -> None:
-        """Tell who learns from it that a run is done."""
+        """Learn how long the tasks of a queue run."""
         job = self.state.jobs.get(key[0].job_id)
-        if job is not None:
-            for listener in self.on_run_done:
-                listener(job, job.spec.steps[key[0].step], real_ms)
+        if job is None:
+            return
+        step = job.spec.steps[key[0].step]
+        if not step.long_running:
+            self.durations.learn(job.queue, step.estimated_ms, real_ms)
 
     def note_target(self, target: Target, clock_ms: int | None):
         """
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -65,14 +65,12 @@
         self.calling: set[str] = set()
         self.emptying = scheduler.cordon()
         self.term: int | None = None
-        self.since_ms = 0
         scheduler.followers.append(self.tick)
 
     def tick(self) -> None:
         """Do what is due in each wave."""
-        now = self.scheduler.now()
         if self.term != self.scheduler.term:
-            self.term, self.since_ms = self.scheduler.term, now
+            self.term = self.scheduler.term
             self.calling.clear()
         open_waves = [wave for wave in self.state.waves.values() if not wave.completed]
         waiting = {
@@ -85,7 +83,7 @@
         for wave in open_waves:
             self.notice_returns(wave)
             self.empty_more(wave)
-            if now - self.since_ms >= self.holder_ms:
+            if self.scheduler.may_order_cloud(self.holder_ms):
                 self.order_empty(wave)
         self.evacuate()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -216,6 +216,11 @@
         """Wait until the index is in force on every daemon."""
         return await self.waits.wait(index, timeout_s)
 
+    def predecessor_answers(self) -> bool:
+        """Return whether the leader before this one follows it now."""
+        progress = self.node.progress.get(self.node.predecessor)
+        return progress is not None and progress.heard_ms is not None
+
     @property
     def term(self) -> int:
         """Return the term of the log."""
