Judge what arrives over several windows; keep hosts that a moment of the last second asked for

Cause: at the begin of a turn the exponential mean lagged by a second, and dips between two arrivals sent hosts away that were called back.

--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
@@ -8,7 +8,7 @@
 factor for each queue, learned from the runs that end, lagged and bounded.
 """
 
-import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
@@ -18,7 +18,8 @@
 LEARNED_SHARE = 0.05  # of the newest run in a factor; about 20 runs make it new
 FACTOR_MIN, FACTOR_MAX = 0.2, 5.0  # bounds on what one run may teach
 DEFAULT_MS = 1_000  # for tasks that declare no duration, before any has ended
-RATE_WINDOW_MS = 700  # a turn of demand lasts some seconds
+RATE_WINDOWS_MS = (300, 600, 1_200)  # a turn of demand lasts some seconds
+DOUBTED_ARRIVALS = 1.5  # a rate from so many arrivals counts half
 
 
 @dataclass(slots=True)
@@ -72,23 +73,33 @@
 @dataclass(slots=True)
 class ArrivalRate:
     """
-    Work that arrives, as an exponentially weighted mean.
+    Work that arrives, judged over several windows so that a turn shows at once.
 
     Attributes
     ----------
-    cpu_millis : float
-        Thousandths of a core that would just keep up, at ``at_ms``.
+    arrivals : deque of (int, float)
+        Time, and work in thousandths of a core x ms, of each job in the longest
+        window.
     """
 
-    cpu_millis: float = 0.0
-    at_ms: int = 0
+    arrivals: deque[tuple[int, float]] = field(default_factory=deque)
 
     def add(self, work: float, now_ms: int) -> None:
-        """Take a job's work into account, in thousandths of a core x ms."""
-        self.cpu_millis = self.at(now_ms) + work / RATE_WINDOW_MS
-        self.at_ms = now_ms
+        """Take a job's work into account."""
+        self.arrivals.append((now_ms, work))
 
     def at(self, now_ms: int) -> float:
-        """Return the rate now."""
-        age_ms = max(0, now_ms - self.at_ms)
-        return self.cpu_millis * math.exp(-age_ms / RATE_WINDOW_MS)
+        """Return the thousandths of a core that would just keep up."""
+        while self.arrivals and self.arrivals[0][0] <= now_ms - RATE_WINDOWS_MS[-1]:
+            self.arrivals.popleft()
+        return max(self.within(window, now_ms) for window in RATE_WINDOWS_MS)
+
+    def within(self, window_ms: int, now_ms: int) -> float:
+        """Return the rate over one window, less what few arrivals may pretend."""
+        work, count = 0.0, 0
+        for at_ms, one in reversed(self.arrivals):
+            if at_ms <= now_ms - window_ms:
+                break
+            work += one
+            count += 1
+        return work / window_ms * count / (count + DOUBTED_ARRIVALS)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections import defaultdict
+from collections import defaultdict, deque
 from dataclasses import replace
 
 from twisted.internet.defer import ensureDeferred
@@ -41,8 +41,8 @@
     ----------
     calling : set of str
         Hosts with a call to the cloud under way.
-    surplus_ms : dict of str to int
-        By pool: since when it has had more hosts than it needs.
+    recent : dict of str to deque
+        By pool: how many hosts it asked for of late, with times.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         self.durations = scheduler.durations
         self.rates: dict[str, ArrivalRate] = defaultdict(ArrivalRate)
         self.calling: set[str] = set()
-        self.surplus_ms: dict[str, int] = {}
+        self.recent: dict[str, deque[tuple[int, int]]] = defaultdict(deque)
         self.term: int | None = None
         self.looked_ms = self.listed_ms = 0
         self.emptying = scheduler.cordon()
@@ -86,7 +86,7 @@
         if self.term != self.scheduler.term:
             self.term = self.scheduler.term
             self.calling.clear()
-            self.surplus_ms.clear()
+            self.recent.clear()
             self.table.complete = False
         if now - self.looked_ms < INTERVAL_MS:
             return
@@ -115,7 +115,7 @@
         lacking = {
             pool: count - len(owned.get(pool, ())) for pool, count in wanted.items()
         }
-        self.note_surplus(lacking, now)
+        self.keep_recent(wanted, owned, lacking, now)
         self.stop_emptying(lacking)
         free = self.movable(owned, lacking, spare, now)
         for pool in sorted(lacking, key=lambda one: -lacking[one]):
@@ -125,10 +125,7 @@
                     break
                 self.move(source, pool)
         for pool, hosts in free.items():
-            since_ms = self.surplus_ms.get(pool)
-            if pool == spare or since_ms is None:
-                continue
-            if now - since_ms >= self.policy.surplus_ms:
+            if pool != spare:
                 for host in hosts:
                     self.move(host, spare)
 
@@ -175,13 +172,22 @@
             and not self.scheduler.is_cordoned(known.host, self.emptying)
         )
 
-    def note_surplus(self, lacking: dict[str, int], now: int) -> None:
-        """Remember since when each pool has had too many hosts."""
-        for pool, count in lacking.items():
-            if count < 0:
-                self.surplus_ms.setdefault(pool, now)
-            else:
-                self.surplus_ms.pop(pool, None)
+    def keep_recent(
+        self,
+        wanted: dict[str, int],
+        owned: dict[str, list[KnownHost]],
+        lacking: dict[str, int],
+        now: int,
+    ) -> None:
+        """Count as surplus only what no moment of late has asked for."""
+        for pool, count in wanted.items():
+            recent = self.recent[pool]
+            recent.append((now, count))
+            while recent[0][0] < now - self.policy.surplus_ms:
+                recent.popleft()
+            if lacking[pool] < 0:
+                most = max(count for _, count in recent)
+                lacking[pool] = min(0, most - len(owned.get(pool, ())))
 
     def stop_emptying(self, lacking: dict[str, int]) -> None:
         """Use the hosts again that were to leave a pool that needs them now."""
