--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/loads.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/loads.py
@@ -17,6 +17,7 @@
 
 __all__ = ["pool_loads"]
 
+LASTING_HOSTS = 2  # so that one lost host does not take all tasks of a step
 LEAST_SLACK_MS = 300.0  # below it a delay is not worth planning for
 
 
@@ -104,9 +105,10 @@
 def add_lasting(sums: PoolSums, spec: StepSpec) -> None:
     """Add a step that lasts."""
     sums.lasting.add(spec.reserved.times(spec.count))
+    needed = min(spec.count, LASTING_HOSTS)
     if spec.max_per_target:
-        needed = -(-spec.count // spec.max_per_target)
-        sums.lasting_hosts = max(sums.lasting_hosts, needed)
+        needed = max(needed, -(-spec.count // spec.max_per_target))
+    sums.lasting_hosts = max(sums.lasting_hosts, needed)
 
 
 def as_size(tally: Tally) -> Size:
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -174,9 +174,18 @@
 def choose_room(
     rooms: Sequence[Room], spec: StepSpec, taken: Counter[str], avoid: str
 ) -> Room | None:
-    """Return where a task runs best, None if there is no room."""
+    """
+    Return where a task runs best, None if there is no room.
+
+    Lasting tasks are spread over racks and hosts, so that a lost one takes few of a
+    step; others are packed, so that hosts without work can leave the pool.
+    """
     best, best_rank = None, None
     size, most = spec.reserved, spec.max_per_target
+    racks: Counter[str] = Counter()
+    if spec.long_running:
+        for room in rooms:
+            racks[room.target.rack] += taken[room.target.life]
     for room in rooms:
         target = room.target
         if not room.used.fits(size, target.capacity):
@@ -185,6 +194,8 @@
             continue
         rank = (
             target.life == avoid,
+            racks[target.rack],
+            taken[target.life] if spec.long_running else 0,
             bool(spec.data_rack) and target.rack != spec.data_rack,
             -room.used.cpu_millis / max(1, target.capacity.cpu_millis),
         )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import replace
 
 from twisted.internet.defer import ensureDeferred
@@ -120,7 +120,7 @@
         free = self.movable(owned, lacking, spare, now)
         for pool in sorted(lacking, key=lambda one: -lacking[one]):
             for _ in range(lacking[pool]):
-                source = self.take(free, spare, pool)
+                source = self.take(free, owned, spare, pool)
                 if source is None:
                     break
                 self.move(source, pool)
@@ -246,13 +246,26 @@
                 self.emptying.add(host)
         return [host for runs, host in leaving if not runs]
 
-    def take(self, free: dict[str, list[str]], spare: str, pool: str) -> str | None:
+    def take(
+        self,
+        free: dict[str, list[str]],
+        owned: dict[str, list[KnownHost]],
+        spare: str,
+        pool: str,
+    ) -> str | None:
         """Take a host from another pool's surplus, or else from the spare pool."""
+        racks = Counter(known.rack for known in owned.get(pool, ()))
         for source in sorted(free, key=lambda one: one == spare):
             if source != pool and free[source]:
-                return free[source].pop()
+                host = min(free[source], key=lambda one: racks[self.rack_of(one)])
+                free[source].remove(host)
+                return host
         return None
 
+    def rack_of(self, host: str) -> str:
+        """Return the rack of a host."""
+        return self.table.hosts[host].rack
+
     # What is ordered.
 
     def move(self, host: str, pool: str) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
@@ -113,8 +113,9 @@
 
     async def run_round(self, term: int) -> None:
         """Propose what waits and what is planned, and report the outcome."""
+        planned = self.planned()
         waiting, self.waiting = self.waiting, []
-        changes = tuple(change for change, _ in waiting) + tuple(self.plan())
+        changes = tuple(change for change, _ in waiting) + planned
         if not changes:
             self.set_idle()
             return
@@ -137,6 +138,14 @@
             done.callback(verdict)
         self.wake()
 
+    def planned(self) -> tuple[object, ...]:
+        """Return what is planned; a failure of the plan holds nothing else up."""
+        try:
+            return tuple(self.plan())
+        except Exception:
+            logger.critical("no plan for this round", exc_info=True)
+            return ()
+
     def set_idle(self) -> None:
         """Tell those who wait for the end of a round."""
         self.busy = False
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -137,6 +137,8 @@
             self.take_over()
         if self.term is None:
             return
+        if self.sessions.keys() != self.state.targets.keys():
+            self.follow_targets()  # a round may be applied though its outcome was lost
         for session in self.sessions.values():
             session.check_quiet()
         for follower in self.followers:
@@ -246,7 +248,9 @@
         usable = [
             one.target
             for one in self.sessions.values()
-            if one.usable() and not self.is_cordoned(one.target.host)
+            if one.usable()
+            and one.life in self.state.targets
+            and not self.is_cordoned(one.target.host)
         ]
         return PlacingView(self.state, usable, self.wall_ms(), self.durations)
 
