Ask for hosts by when jobs are due, not by how much is ready

Cause: large jobs arrive one by one, and each called hosts for all its tasks at once, to send them away two seconds later: 58 moves in and out of one pool in one turn.

--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/loads.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/loads.py
@@ -8,9 +8,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from mulberryledge_core.batch.configuration import Queue
 from mulberryledge_core.batch.demand import ArrivalRate, Durations
+from mulberryledge_core.batch.ordering import OrderPolicy, begin_of, times_of
 from mulberryledge_core.batch.pools import PoolLoad
+from mulberryledge_core.batch.records import JobRecord
 from mulberryledge_core.batch.sizes import NOTHING, Size, Tally
 from mulberryledge_core.batch.specs import StepSpec
 from mulberryledge_core.batch.state import BatchState
@@ -18,7 +19,6 @@
 __all__ = ["pool_loads"]
 
 LASTING_HOSTS = 2  # so that one lost host does not take all tasks of a step
-LEAST_SLACK_MS = 300.0  # below it a delay is not worth planning for
 
 
 @dataclass(slots=True)
@@ -27,24 +27,20 @@
 
     lasting: Tally = field(default_factory=Tally)
     lasting_hosts: int = 0
-    ready: Tally = field(default_factory=Tally)
+    due_millis: float = 0.0
+    due_mb: float = 0.0
     arriving_millis: float = 0.0
-    work: float = 0.0
-    chain_ms: float = 0.0
     slack_ms: float = 0.0
-    weight: float = 0.0
+    work: float = 0.0
 
     def load(self) -> PoolLoad:
         """Return the sums as frozen data."""
-        weight = self.weight or 1.0
         return PoolLoad(
             lasting=as_size(self.lasting),
             lasting_hosts=self.lasting_hosts,
-            ready=as_size(self.ready),
+            due=Size(int(self.due_millis), int(self.due_mb)),
             arriving_millis=self.arriving_millis,
-            work=self.work,
-            chain_ms=self.chain_ms / weight,
-            slack_ms=max(LEAST_SLACK_MS, self.slack_ms / weight),
+            slack_ms=self.slack_ms / self.work if self.work else 0.0,
             host=NOTHING,
         )
 
@@ -54,6 +50,7 @@
     durations: Durations,
     rates: Mapping[str, ArrivalRate],
     now_ms: int,
+    order: OrderPolicy,
 ) -> dict[str, PoolLoad]:
     """
     Return the demand on each pool that has a queue; the size of hosts is left out.
@@ -63,7 +60,7 @@
     rates : mapping of str to ArrivalRate
         What arrives at each queue.
     now_ms : int
-        Milliseconds of the clock that the rates go by.
+        Time of day.
     """
     sums: dict[str, PoolSums] = {}
     for queue in state.configuration.queues:
@@ -75,31 +72,42 @@
             queue = state.queue_named(name)
             one = sums.setdefault(queue.pool, PoolSums())
             for job_id in dict.fromkeys(step_id.job_id for step_id in steps):
-                add_job(one, state, durations, queue, job_id)
+                job = state.jobs[job_id]
+                for number in job.occurrences:
+                    add_occurrence(one, state, durations, job, number, now_ms, order)
     return {pool: one.load() for pool, one in sums.items()}
 
 
-def add_job(
-    sums: PoolSums, state: BatchState, durations: Durations, queue: Queue, job_id: str
+def add_occurrence(
+    sums: PoolSums,
+    state: BatchState,
+    durations: Durations,
+    job: JobRecord,
+    number: int,
+    now_ms: int,
+    order: OrderPolicy,
 ) -> None:
-    """Add what is left of a job."""
-    job = state.jobs[job_id]
-    chain_ms = durations.chain_ms(queue.name, job.spec)
-    for occurrence in job.occurrences.values():
-        work = 0.0
-        for spec, step in zip(job.spec.steps, occurrence.steps, strict=True):
-            if spec.long_running:
-                add_lasting(sums, spec)
-                continue
-            expected_ms = durations.expected_ms(queue.name, spec)
-            work += step.left * spec.size.cpu_millis * expected_ms
-            if not step.blockers:
-                sums.ready.add(spec.reserved.times(step.left))
-        sums.work += work
-        sums.weight += work
-        sums.chain_ms += work * chain_ms
-        slack_ms = (queue.stretch - 1) * chain_ms + queue.target_latency_ms
-        sums.slack_ms += work * slack_ms
+    """Add what is left of one occurrence of a job, spread until it is due."""
+    times = times_of(state, durations, job, begin_of(job, number), order)
+    cpu = memory = chain_ms = 0.0
+    for position, spec in enumerate(job.spec.steps):
+        step = job.occurrences[number].steps[position]
+        if spec.long_running:
+            add_lasting(sums, spec)
+        elif step.left:
+            expected_ms = durations.expected_ms(job.queue, spec)
+            cpu += step.left * spec.size.cpu_millis * expected_ms
+            memory += step.left * spec.size.memory_mb * expected_ms
+            chain_ms = max(chain_ms, times.left_ms[position])
+    if not chain_ms:
+        return
+    in_time = now_ms + chain_ms <= times.due_ms
+    until_ms = times.due_ms if in_time else times.last_ms
+    left_ms = max(chain_ms, until_ms - now_ms)
+    sums.due_millis += cpu / left_ms
+    sums.due_mb += memory / left_ms
+    sums.work += cpu
+    sums.slack_ms += cpu * (times.due_ms - begin_of(job, number) - max(times.left_ms))
 
 
 def add_lasting(sums: PoolSums, spec: StepSpec) -> None:
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
@@ -31,15 +31,14 @@
     surplus_ms : int
         How long hosts have to be in surplus before they leave; what a move there
         and back costs is about as much as a host in a pool for this time.
-    under_way_share : float
-        Share of the work of jobs that run without delay which is still to be done,
-        on average.
+    arrival_ms : int
+        Time from the decision to move a host until it takes work.
     """
 
-    headroom: float = 1.15
+    headroom: float = 1.25
     least: int = 1
-    surplus_ms: int = 1_000
-    under_way_share: float = 0.6
+    surplus_ms: int = 1_500
+    arrival_ms: int = 1_800
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,25 +51,22 @@
     lasting : Size
         All tasks that last, whether they run or not.
     lasting_hosts : int
-        Hosts that these need at least, as only so many may share one.
-    ready : Size
-        Other tasks that run, or could run now.
+        Hosts that these need at least.
+    due : Size
+        What has to run all the time from now on, so that every job that can still be
+        in time is.
     arriving_millis : float
         Thousandths of a core that would just keep up with what arrives.
-    work : float
-        Work of all jobs that have not ended, in thousandths of a core x ms.
-    chain_ms, slack_ms : float
-        Mean chain of the jobs that arrive, and by how much they may be delayed.
+    slack_ms : float
+        By how much the jobs that arrive may be delayed.
     host : Size
         What one host holds.
     """
 
     lasting: Size
     lasting_hosts: int
-    ready: Size
+    due: Size
     arriving_millis: float
-    work: float
-    chain_ms: float
     slack_ms: float
     host: Size
 
@@ -79,23 +75,16 @@
     """
     Return how many hosts a pool should have.
 
-    The pool has to keep up with what arrives, and to do what has been delayed within
-    the time that jobs may be delayed; what is under way has to end in time even once
-    nothing arrives any more.
+    Jobs that can wait for hosts to arrive ask for them once they are there. Where
+    they can't, hosts are called for what is expected to arrive.
     """
-    usual = policy.under_way_share * load.arriving_millis * load.chain_ms
-    delayed = max(0.0, load.work - usual) / load.slack_ms
-    keeping_up = policy.headroom * load.arriving_millis + delayed
-    ending = load.work / (load.chain_ms + load.slack_ms)
-    batch = min(max(keeping_up, ending), policy.headroom * load.ready.cpu_millis)
-    batch = max(batch, policy.headroom * load.arriving_millis)
-    cpu = load.lasting.cpu_millis + batch
-    memory = load.lasting.memory_mb + load.ready.memory_mb * min(
-        1.0, batch / max(1, load.ready.cpu_millis)
-    )
+    cpu = policy.headroom * load.due.cpu_millis
+    if load.slack_ms < policy.arrival_ms:
+        cpu = max(cpu, load.arriving_millis)
+    memory = policy.headroom * load.due.memory_mb
     return max(
         policy.least,
         load.lasting_hosts,
-        math.ceil(cpu / max(1, load.host.cpu_millis)),
-        math.ceil(memory / max(1, load.host.memory_mb)),
+        math.ceil((load.lasting.cpu_millis + cpu) / max(1, load.host.cpu_millis)),
+        math.ceil((load.lasting.memory_mb + memory) / max(1, load.host.memory_mb)),
     )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -15,6 +15,7 @@
 from mulberryledge_core.batch.commands import EndLife, SubmitJob
 from mulberryledge_core.batch.demand import ArrivalRate
 from mulberryledge_core.batch.loads import pool_loads
+from mulberryledge_core.batch.ordering import OrderPolicy
 from mulberryledge_core.batch.pools import PoolPolicy, wanted_hosts
 from mulberryledge_core.batch.sizes import NOTHING, Size
 from mulberryledge_core.batch.state import BatchState
@@ -59,7 +60,6 @@
         self.table = table
         self.holder_ms = holder_ms
         self.policy = policy
-        self.durations = scheduler.durations
         self.rates: dict[str, ArrivalRate] = defaultdict(ArrivalRate)
         self.calling: set[str] = set()
         self.recent: dict[str, deque[tuple[int, int]]] = defaultdict(deque)
@@ -75,8 +75,8 @@
         """Take the jobs that arrive into account."""
         for change in changes:
             if isinstance(change, SubmitJob):
-                work = self.durations.work_of(change.queue, change.spec)
-                self.rates[change.queue].add(work, self.scheduler.now())
+                work = self.scheduler.durations.work_of(change.queue, change.spec)
+                self.rates[change.queue].add(work, self.scheduler.wall_ms())
 
     # What is decided.
 
@@ -138,7 +138,13 @@
 
     def wanted(self) -> dict[str, int]:
         """Return how many hosts each pool with a queue should have."""
-        loads = pool_loads(self.state, self.durations, self.rates, self.scheduler.now())
+        loads = pool_loads(
+            self.state,
+            self.scheduler.durations,
+            self.rates,
+            self.scheduler.wall_ms(),
+            OrderPolicy(),
+        )
         return {
             pool: wanted_hosts(replace(load, host=self.host_size(pool)), self.policy)
             for pool, load in loads.items()
