--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
@@ -75,13 +75,14 @@
     """
     Return how many hosts a pool should have.
 
-    Jobs that can wait for hosts to arrive ask for them once they are there. Where
-    they can't, hosts are called for what is expected to arrive.
+    Jobs that can wait for twice as long as a host takes to arrive ask for hosts once
+    they are there. The less they can wait, the more hosts are called for what is
+    expected.
     """
-    cpu = policy.headroom * load.due.cpu_millis
-    if load.slack_ms < policy.arrival_ms:
-        cpu = max(cpu, load.arriving_millis)
-    memory = policy.headroom * load.due.memory_mb
+    ahead = 2 - load.slack_ms / policy.arrival_ms
+    expected = min(1.0, max(0.0, ahead)) * load.arriving_millis
+    cpu = policy.headroom * max(load.due.cpu_millis, expected)
+    memory = cpu * load.due.memory_mb / max(1, load.due.cpu_millis)
     return max(
         policy.least,
         load.lasting_hosts,
