--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
@@ -8,6 +8,7 @@
 factor for each queue, learned from the runs that end, lagged and bounded.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -17,7 +18,9 @@
 
 LEARNED_SHARE = 0.05  # of the newest run in a factor; about 20 runs make it new
 FACTOR_MIN, FACTOR_MAX = 0.2, 5.0  # bounds on what one run may teach
+UNKNOWN_SPREAD = 0.7  # about a factor of two either way
 DEFAULT_MS = 1_000  # for tasks that declare no duration, before any has ended
+SURPRISE_MIN, SURPRISE_SPREADS = 2.5, 3.0  # three mean distances off are rare
 RATE_WINDOWS_MS = (300, 600, 1_200)  # a turn of demand lasts some seconds
 DOUBTED_ARRIVALS = 1.5  # a rate from so many arrivals counts half
 
@@ -33,10 +36,13 @@
         By queue: real duration as a multiple of the declared one.
     means_ms : dict of str to float
         By queue: mean real duration.
+    spreads : dict of str to float
+        By queue: mean distance of real durations from expected ones, as a logarithm.
     """
 
     factors: dict[str, float] = field(default_factory=dict)
     means_ms: dict[str, float] = field(default_factory=dict)
+    spreads: dict[str, float] = field(default_factory=dict)
 
     def learn(self, queue: str, declared_ms: int, real_ms: float) -> None:
         """Take a run that is done into account."""
@@ -45,6 +51,9 @@
         if declared_ms > 0:
             seen = min(FACTOR_MAX, max(FACTOR_MIN, real_ms / declared_ms))
             known = self.factors.get(queue, 1.0)
+            off = abs(math.log(seen / known))
+            spread = self.spreads.get(queue, UNKNOWN_SPREAD)
+            self.spreads[queue] = spread + LEARNED_SHARE * (off - spread)
             self.factors[queue] = known + LEARNED_SHARE * (seen - known)
 
     def expected_ms(self, queue: str, step: StepSpec) -> float:
@@ -53,6 +62,11 @@
             return step.estimated_ms * self.factors.get(queue, 1.0)
         return self.means_ms.get(queue, DEFAULT_MS)
 
+    def surprising(self, queue: str) -> float:
+        """Return the factor beyond which a duration is hardly chance."""
+        spread = self.spreads.get(queue, UNKNOWN_SPREAD)
+        return max(SURPRISE_MIN, math.exp(SURPRISE_SPREADS * spread))
+
     def work_of(self, queue: str, spec: JobSpec) -> float:
         """Return the work of one occurrence, in thousandths of a core x ms."""
         return sum(
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -36,6 +36,7 @@
 
     target: Target
     used: Tally
+    closed: bool = False
 
 
 @dataclass(slots=True)
@@ -51,6 +52,8 @@
         Time of day, by which jobs are in time or late.
     durations : Durations
         How long tasks take.
+    trials : frozenset of str
+        Lives of targets that get one run at a time.
     """
 
     state: BatchState
@@ -58,12 +61,15 @@
     now_ms: int
     durations: Durations
     order: OrderPolicy = OrderPolicy()
+    trials: frozenset[str] = frozenset()
     rooms: dict[str, list[Room]] = field(default_factory=dict)
     team_used: dict[str, Tally] = field(default_factory=dict)
     times: dict[tuple[str, int], Times] = field(default_factory=dict)
 
     def __post_init__(self):
         for target in self.targets:
+            if target.life in self.trials and self.state.live_runs(target.life):
+                continue
             used = self.state.used[target.life].copy()
             self.rooms.setdefault(target.pool, []).append(Room(target, used))
 
@@ -133,7 +139,7 @@
         if not within_limit(view, job.team, spec.size):
             break
         avoid = step.tasks[index].avoid
-        room = choose_room(rooms, spec, taken, avoid)
+        room = choose_room(rooms, spec, taken, avoid, view.trials)
         if room is None:
             break
         starts.append(book(view, job, step_id, step, index, room))
@@ -172,7 +178,11 @@
 
 
 def choose_room(
-    rooms: Sequence[Room], spec: StepSpec, taken: Counter[str], avoid: str
+    rooms: Sequence[Room],
+    spec: StepSpec,
+    taken: Counter[str],
+    avoid: str,
+    trials: frozenset[str] = frozenset(),
 ) -> Room | None:
     """
     Return where a task runs best, None if there is no room.
@@ -188,12 +198,13 @@
             racks[room.target.rack] += taken[room.target.life]
     for room in rooms:
         target = room.target
-        if not room.used.fits(size, target.capacity):
+        if not room.used.fits(size, target.capacity) or room.closed:
             continue
         if most and taken[target.life] >= most:
             continue
         rank = (
             target.life == avoid,
+            target.life in trials,
             racks[target.rack],
             taken[target.life] if spec.long_running else 0,
             bool(spec.data_rack) and target.rack != spec.data_rack,
@@ -268,6 +279,7 @@
     """Count a start, and return it."""
     spec = job.spec.steps[step_id.step]
     room.used.add(spec.reserved)
+    room.closed = room.target.life in view.trials
     if job.team:
         view.team_tally(job.team).add(spec.size)
     run = step.tasks[index].run + 1 if run is None else run
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 
@@ -59,6 +60,8 @@
         Called with the changes of each committed round.
     durations : Durations
         How long tasks take, learned from the runs that end.
+    failed_on : dict of str to set of str
+        By job: lives of targets on which runs of it have failed.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         orders: TargetOrders,
         timing: SessionTiming,
         kept_ms: int,
+        remote_factor: float,
         wall_ms: Callable[[], int],
         random: Random,
     ):
@@ -77,6 +81,7 @@
         self.orders = orders
         self.timing = timing
         self.kept_ms = kept_ms
+        self.remote_factor = remote_factor
         self.wall_ms = wall_ms
         self.random = random
         self.rounds = Rounds(reactor, log.propose, self.plan, self.on_committed)
@@ -90,6 +95,7 @@
         self.cordons: list[set[str]] = []
         self.watchers: list[Callable[[tuple[object, ...]], None]] = []
         self.durations = Durations()
+        self.failed_on: dict[str, set[str]] = defaultdict(set)
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -187,6 +193,7 @@
         for session in self.sessions.values():
             session.close()
         self.sessions.clear()
+        self.failed_on.clear()
         for cordon in self.cordons:
             cordon.clear()
         self.rounds.end()
@@ -252,7 +259,12 @@
             and one.life in self.state.targets
             and not self.is_cordoned(one.target.host)
         ]
-        return PlacingView(self.state, usable, self.wall_ms(), self.durations)
+        trials = frozenset(
+            one.life for one in self.sessions.values() if one.health.on_trial
+        )
+        return PlacingView(
+            self.state, usable, self.wall_ms(), self.durations, trials=trials
+        )
 
     def cordon(self) -> set[str]:
         """Return a new set of hosts on which nothing is started."""
@@ -301,6 +313,8 @@
             for job in self.state.jobs.values()
             if job.ended and not job.occurrences and now - job.ended_ms > self.kept_ms
         )
+        for job_id in [one for one in self.failed_on if one not in self.state.jobs]:
+            del self.failed_on[job_id]
         return [ForgetJobs(old)] if old else []
 
     def on_committed(self, changes: tuple[object, ...]) -> None:
@@ -342,6 +356,17 @@
         if not step.long_running:
             self.durations.learn(job.queue, step.estimated_ms, real_ms)
 
+    def run_failed(self, session: TargetSession, task_id: TaskId) -> None:
+        """Take a failed run against its target, unless the job fails anywhere."""
+        job = self.state.jobs.get(task_id.job_id)
+        if job is None:
+            return
+        places = self.failed_on[task_id.job_id]
+        places.add(session.life)
+        if session.health.on_failed(task_id.job_id, len(places) > 1, self.now()):
+            extra = {"target": session.life, "strikes": session.health.strikes}
+            logger.warning("target fails what it starts", extra=extra)
+
     def note_target(self, target: Target, clock_ms: int | None):
         """
         Take note of a target that announces itself.
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -20,6 +20,7 @@
 from mulberryledge_core.batch.commands import EndLife, EndRun, RunEnd
 from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.state import BatchState, RunKey
+from mulberryledge_core.batch.suspicion import Health
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.clocks import TargetClock
 from mulberryledge_daemon.batch.ports import (
@@ -71,7 +72,7 @@
     """
 
     lease_ms: int = 6_000
-    start_ms: int = 1_000
+    start_ms: int = 600
     wait_ms: int = 1_000
     retry_ms: int = 250
     retry_max_ms: int = 2_000
@@ -99,6 +100,9 @@
     def run_done(self, key: RunKey, real_ms: int) -> None:
         """Take note of how long a run took that is done."""
 
+    def run_failed(self, session: "TargetSession", task: TaskId) -> None:
+        """Take note of a run that has failed."""
+
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Do something later, unless the lead is lost before."""
 
@@ -118,12 +122,19 @@
         Whether the start got no answer.
     stopped_ms : int
         When it was last told to stop.
+    percent, percent_ms : int
+        Progress by the latest list, and when it was first seen to be so.
+    listed_ms : int
+        When the latest list came.
     """
 
     deadline_ms: int
     accepted_ms: int | None = None
     unknown: bool = False
     stopped_ms: int = -1_000_000
+    percent: int = -1
+    percent_ms: int = 0
+    listed_ms: int = 0
 
 
 class TargetSession:
@@ -142,6 +153,10 @@
         Number of the last end that is durable.
     listed : dict of RunKey to ListedRun
         Runs of the latest list.
+    health : Health
+        What became of the work that the target had.
+    missed : int
+        Calls in a row that got no answer.
     """
 
     def __init__(
@@ -159,6 +174,8 @@
         self.acked = 0
         self.view_clock_ms = -1
         self.listed: dict[RunKey, ListedRun] = {}
+        self.health = Health()
+        self.missed = 0
         self.tracks: dict[RunKey, Track] = {}
         self.closed = False
         self.calling = False
@@ -177,6 +194,7 @@
             and self.silent_ms is None
             and not self.closed
             and not self.target.draining
+            and not self.health.excluded(self.leader.now())
         )
 
     def close(self) -> None:
@@ -246,7 +264,7 @@
         """Return the next order; an unanswered target's lease is not renewed."""
         fence, seen = self.leader.fence, self.last_seen
         busy = bool(self.live())
-        if not self.clock.known or self.silent_ms is not None:
+        if not self.clock.known or self.missed:
             return HoldOrder(fence, seen)
         wait_ms = self.timing.wait_ms if busy and not self.stops_due() else 0
         if not busy:
@@ -264,6 +282,7 @@
         self.clock.observe(view.clock_ms, now)
         self.heard_ms = now
         self.silent_ms = None
+        self.missed = 0
         self.retry_ms = self.timing.retry_ms
         if view.clock_ms < self.view_clock_ms:
             return
@@ -271,7 +290,7 @@
         self.listed = {(one.task, one.run): one for one in view.running}
         newly = not self.confirmed
         self.confirmed = True
-        self.learn_durations(view, now)
+        self.learn_from_ends(view, now)
         changes = self.changes_of(view, sent_ms)
         self.stop_strays()
         if newly:
@@ -282,14 +301,19 @@
             numbers = [one.number for one in view.ended]
             self.last_seen = max([self.last_seen, *numbers])
 
-    def learn_durations(self, view: TargetView, now: int) -> None:
-        """Report how long the runs took that are done."""
+    def learn_from_ends(self, view: TargetView, now: int) -> None:
+        """Report what became of the runs that have ended."""
         for one in view.ended:
-            track = self.tracks.get((one.task, one.run))
-            if track is None or track.accepted_ms is None or one.how != RunEnd.DONE:
+            if one.number <= self.last_seen:
                 continue
-            if one.number > self.last_seen:
-                self.leader.run_done((one.task, one.run), now - track.accepted_ms)
+            if one.how == RunEnd.FAILED:
+                self.leader.run_failed(self, one.task)
+            elif one.how == RunEnd.DONE:
+                self.health.on_done()
+                track = self.tracks.get((one.task, one.run))
+                if track is not None and track.accepted_ms is not None:
+                    real_ms = now - track.accepted_ms
+                    self.leader.run_done((one.task, one.run), real_ms)
 
     def changes_of(self, view: TargetView, sent_ms: int) -> list[EndRun]:
         """Return what the lists say about runs that count as live, or have ended."""
@@ -312,11 +336,17 @@
         return changes
 
     def on_listed(self, key: RunKey, sent_ms: int) -> None:
-        """Take note that a run is there."""
+        """Take note that a run is there, and how far it is."""
         track = self.tracks.get(key)
-        if track is not None and track.accepted_ms is None:
+        if track is None:
+            track = self.tracks[key] = Track(0, accepted_ms=sent_ms)
+        if track.accepted_ms is None:
             track.accepted_ms = sent_ms
             track.unknown = False
+        percent = self.listed[key].percent
+        track.listed_ms = self.leader.now()
+        if percent != track.percent:
+            track.percent, track.percent_ms = percent, track.listed_ms
 
     def missing(self, key: RunKey, clock_ms: int, sent_ms: int) -> RunEnd | None:
         """Return how a run counts that a target does not list, None if not known."""
@@ -332,6 +362,10 @@
     def on_silence(self) -> None:
         """Call again later; once the lease has run out, count the runs as lapsed."""
         now = self.leader.now()
+        self.missed += 1
+        if self.missed == 1 and self.silent_ms is None:
+            self.wake()  # one answer may be lost; the next call does not wait
+            return
         if self.silent_ms is None:
             self.silent_ms = now
             extra = {"target": self.life, "address": self.target.address}
@@ -415,6 +449,8 @@
         extra = {"job": task.job_id, "task": task[1:], "run": run}
         extra |= {"target": self.life, "outcome": outcome}
         logger.warning("start not confirmed", extra=extra)
+        if outcome in (OrderOutcome.UNHEALTHY, OrderOutcome.INVALID):
+            self.health.exclude(self.leader.now())
         if outcome in REFUSALS:
             self.leader.rounds.submit(EndRun(*task, run, RunEnd.REFUSED))
         elif outcome == OrderOutcome.FENCED:
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -0,0 +1,149 @@
+"""
+mulberryledge_testing.batch.cloud
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The owner of the hosts: pools, moves and upkeep, with fencing tokens by host.
+"""
+
+from dataclasses import dataclass
+
+from twisted.internet.task import deferLater
+
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_daemon.batch.ports import CloudOutcome, HostsView, HostView
+
+__all__ = ["StandInCloud", "StandInHost"]
+
+CALL_S = 0.004
+MOVE_S = 1.5
+UPKEEP_S = 2.0
+
+
+@dataclass(slots=True)
+class StandInHost:
+    """
+    One host.
+
+    Attributes
+    ----------
+    state : str
+        ``up``, ``moving`` or ``upkeep``.
+    upkeeps : set of int
+        Waves whose upkeep it has had.
+    """
+
+    host: str
+    pool: str
+    rack: str
+    capacity: Size
+    state: str = "up"
+    fence: int = 0
+    upkeeps: set[int] | None = None
+
+
+class StandInCloud:
+    """
+    Implements the port Cloud.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Owns the targets on the hosts.
+    """
+
+    def __init__(self, clock, fleet):
+        self.clock = clock
+        self.fleet = fleet
+        self.hosts: dict[str, StandInHost] = {}
+        self.waves: dict[int, set[str]] = {}
+        self.moves = 0
+        self.down: dict[int, int] = {}
+        self.most_down: dict[int, int] = {}
+        self.silent = False
+        self.lost_answers = 0
+
+    async def list_hosts(self) -> HostsView | CloudOutcome:
+        """Return all hosts."""
+        await deferLater(self.clock, CALL_S)
+        if self.silent:
+            return CloudOutcome.UNKNOWN
+        rows = (
+            HostView(
+                one.host,
+                one.pool,
+                one.state == "up",
+                "",
+                one.rack,
+                one.capacity,
+                self.fleet.target_name(one.host),
+            )
+            for one in self.hosts.values()
+        )
+        return HostsView(tuple(rows))
+
+    async def move(self, host: str, pool: str, fence: int) -> CloudOutcome:
+        """Move a host."""
+        await deferLater(self.clock, CALL_S)
+        if self.silent:
+            return CloudOutcome.UNKNOWN
+        one = self.hosts.get(host)
+        if one is None:
+            return CloudOutcome.INVALID
+        if fence < one.fence:
+            return CloudOutcome.FENCED
+        one.fence = fence
+        if one.pool == pool and one.state in ("up", "moving"):
+            return CloudOutcome.DONE
+        if one.state != "up" or self.fleet.is_leaving(host):
+            return CloudOutcome.BUSY
+        self.moves += 1
+        one.pool = pool
+        self.take_down(one, "moving", MOVE_S)
+        return self.reported()
+
+    async def upkeep(self, host: str, wave: int, fence: int) -> CloudOutcome:
+        """Take a host down for its upkeep."""
+        await deferLater(self.clock, CALL_S)
+        if self.silent:
+            return CloudOutcome.UNKNOWN
+        one = self.hosts.get(host)
+        if one is None:
+            return CloudOutcome.INVALID
+        if fence < one.fence:
+            return CloudOutcome.FENCED
+        one.fence = fence
+        if host not in self.waves.get(wave, ()):
+            return CloudOutcome.NOT_OF_WAVE
+        if one.upkeeps is None:
+            one.upkeeps = set()
+        if wave in one.upkeeps:
+            return CloudOutcome.DONE
+        if one.state != "up" or self.fleet.is_leaving(host):
+            return CloudOutcome.BUSY
+        one.upkeeps.add(wave)
+        self.down[wave] = self.down.get(wave, 0) + 1
+        self.most_down[wave] = max(self.most_down.get(wave, 0), self.down[wave])
+        self.take_down(one, "upkeep", UPKEEP_S, wave)
+        return self.reported()
+
+    def reported(self) -> CloudOutcome:
+        """Return the answer to an order that was carried out, if it isn't lost."""
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return CloudOutcome.UNKNOWN
+        return CloudOutcome.DONE
+
+    def take_down(
+        self, one: StandInHost, state: str, seconds: float, wave: int = 0
+    ) -> None:
+        """End what runs on a host, and bring it back after a while."""
+        one.state = state
+        self.fleet.end_target(one.host)
+
+        def back() -> None:
+            one.state = "up"
+            if wave:
+                self.down[wave] -= 1
+            self.fleet.start_target(one.host)
+
+        self.clock.callLater(seconds, back)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
@@ -0,0 +1,106 @@
+"""
+mulberryledge_testing.batch.log
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+A replicated log in virtual time: one state, and daemons of which one leads. What a
+deposed leader proposes is void, as it is in the real log.
+"""
+
+from collections.abc import Callable
+
+from result import Err
+from twisted.internet.defer import Deferred
+
+from mulberryledge_core.batch.commands import Round
+from mulberryledge_core.batch.machine import BatchMachine
+from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.state.tables import Context
+
+__all__ = ["StandInLog", "StandInReplica"]
+
+COMMIT_S = 0.012  # a sync of 9 ms and a round trip between zones
+WALL_BASE_MS = 1_700_000_000_000
+
+
+class StandInLog:
+    """
+    Owns the committed state.
+
+    Attributes
+    ----------
+    leader : str
+        Name of the daemon that leads, empty for none.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.machine = BatchMachine()
+        self.index = 0
+        self.term = 1
+        self.leader = ""
+        self.frozen: set[str] = set()
+        self.rounds: list[Round] = []
+
+    def now(self) -> int:
+        """Return milliseconds of the daemons' clocks."""
+        return int(self.clock.seconds() * 1_000)
+
+    def wall_ms(self) -> int:
+        """Return the time of day."""
+        return WALL_BASE_MS + self.now()
+
+    def elect(self, name: str) -> None:
+        """Let another daemon lead, in a new term."""
+        self.term += 1
+        self.leader = name
+
+    def apply(self, command: Round) -> object:
+        """Append and apply a command."""
+        self.index += 1
+        data = self.machine.encode(command)
+        context = Context(self.index, self.wall_ms(), self.term)
+        self.rounds.append(command)
+        return self.machine.apply(self.machine.decode(data), context)
+
+
+class StandInReplica:
+    """The log as one daemon sees it; its interface is that of ReplicatedLog."""
+
+    def __init__(self, log: StandInLog, name: str):
+        self.log = log
+        self.name = name
+        self.state = log.machine.state
+
+    @property
+    def term(self) -> int:
+        """Return the term of the log."""
+        return self.log.term
+
+    def now(self) -> int:
+        """Return milliseconds of the daemon's clock."""
+        return self.log.now()
+
+    def is_leader(self) -> bool:
+        """Return whether this daemon leads."""
+        return self.log.leader == self.name and self.name not in self.log.frozen
+
+    def predecessor_answers(self) -> bool:
+        """Return whether the leader before this one follows it now."""
+        return False
+
+    def serve(self, kind: type, handler: Callable) -> None:
+        """Register the handler of a request; tests call it directly."""
+
+    def propose(self, command: Round) -> Deferred:
+        """Append a command; it may be lost with the lead."""
+        done = Deferred()
+        self.log.clock.callLater(COMMIT_S, self.commit, command, done)
+        return done
+
+    def commit(self, command: Round, done: Deferred) -> None:
+        """Commit, unless another daemon leads meanwhile."""
+        if not self.log.leader:
+            refusal = Refusal(Code.NO_LEADER, "no leader")
+            done.callback(Err(refusal))
+            return
+        done.callback(self.log.apply(command))
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -0,0 +1,323 @@
+"""
+mulberryledge_testing.batch.play
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Plays a day on the fleet in virtual time, and reports what callers got.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from twisted.internet.task import Clock
+
+from mulberryledge_core.batch.commands import (
+    BeginWave,
+    CancelJob,
+    PutConfiguration,
+    Round,
+    SubmitJob,
+)
+from mulberryledge_core.batch.configuration import (
+    FleetConfiguration,
+    PoolConfig,
+    Queue,
+    TeamConfig,
+)
+from mulberryledge_core.batch.pools import PoolPolicy
+from mulberryledge_core.batch.records import JobPhase
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import TaskId
+from mulberryledge_core.batch.suspicion import SuspicionPolicy
+from mulberryledge_core.batch.upkeep import UpkeepTiming
+from mulberryledge_daemon.batch.hosts import HostTable
+from mulberryledge_daemon.batch.moves import Moves
+from mulberryledge_daemon.batch.scheduler import Scheduler
+from mulberryledge_daemon.batch.sessions import SessionTiming
+from mulberryledge_daemon.batch.upkeep import Upkeep
+from mulberryledge_daemon.batch.watchdog import Watchdog
+from mulberryledge_testing.batch.demand import Arrival, Site, arrivals
+from mulberryledge_testing.batch.fleet import Fleet
+from mulberryledge_testing.batch.log import StandInLog, StandInReplica
+from mulberryledge_testing.batch.target import TaskTruth
+from mulberryledge_testing.batch.witness import Witness
+
+__all__ = ["Day", "Report", "play"]
+
+STEP_S = 0.001
+LOOK_S = 0.25
+SPARE = "office"
+DAEMONS = ("core-1", "core-2", "core-3")
+LATE_FACTOR = 3.0
+LASTING_WINDOW_S = 2.0
+POOL_POLICY = PoolPolicy()
+MOVE_MS, UPKEEP_MS, HOLDER_MS = 1_500, 2_000, 3_000
+
+
+@dataclass(slots=True)
+class Report:
+    """
+    What callers got on a day, and what it cost.
+
+    Attributes
+    ----------
+    in_time, late, given_up : dict of str to int
+        Jobs by queue.
+    lasting : list of float
+        Share of lasting tasks at work, at each look.
+    host_seconds : float
+        Seconds of hosts in pools that cost.
+    """
+
+    in_time: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    late: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    given_up: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    lasting: list[float] = field(default_factory=list)
+    host_seconds: float = 0.0
+    moves: int = 0
+    problems: list[str] = field(default_factory=list)
+
+    def share_in_time(self) -> float:
+        """Return the share of the jobs that ended in time."""
+        good = sum(self.in_time.values())
+        whole = good + sum(self.late.values()) + sum(self.given_up.values())
+        return good / max(1, whole)
+
+
+class Day:
+    """
+    Owns everything of one day.
+
+    Parameters
+    ----------
+    pool_policy : PoolPolicy or None
+        How pools are sized; None leaves the hosts where they are.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        seed: int,
+        pool_policy: PoolPolicy | None = POOL_POLICY,
+        limit_factor: float = 0.0,
+    ):
+        self.site = site
+        self.random = Random(seed)
+        self.clock = Clock()
+        self.log = StandInLog(self.clock)
+        self.truths: dict[str, tuple[TaskTruth, ...]] = {}
+        state = self.log.machine.state
+        self.witness = Witness(self.clock, state, self.log.wall_ms)
+        self.fleet = Fleet(
+            self.clock, self.random, self.truth_of, self.witness.on_event
+        )
+        self.fleet.spare = SPARE
+        self.fleet.announce = self.on_beat
+        self.schedulers: dict[str, Scheduler] = {}
+        self.pool_policy = pool_policy
+        self.limit_factor = limit_factor
+        self.submitted: dict[str, Arrival] = {}
+        self.completed_s: dict[str, float] = {}
+        self.report = Report()
+        self.build()
+
+    def build(self) -> None:
+        """Put the installation together."""
+        for pool in (*self.site.pools, SPARE):
+            for number in range(self.site.hosts):
+                rack = f"r{number % self.site.racks}"
+                self.fleet.add_host(pool, rack, self.site.host)
+        for name in DAEMONS:
+            self.schedulers[name] = self.make_scheduler(name)
+        self.log.elect(DAEMONS[0])
+        self.log.apply(Round(self.log.term, (self.configuration(),)))
+        for scheduler in self.schedulers.values():
+            scheduler.start()
+
+    def make_scheduler(self, name: str) -> Scheduler:
+        """Return the scheduler of one daemon."""
+        replica = StandInReplica(self.log, name)
+        scheduler = Scheduler(
+            self.clock,
+            replica,
+            self.fleet,
+            SessionTiming(lease_ms=4_000),
+            150_000,
+            2.0,
+            self.log.wall_ms,
+            self.random,
+        )
+        table = HostTable(
+            self.log.machine.state, self.fleet.cloud, MOVE_MS, replica.now
+        )
+        cloud = self.fleet.cloud
+        Watchdog(scheduler, SuspicionPolicy())
+        Upkeep(scheduler, cloud, table, UPKEEP_MS, HOLDER_MS, UpkeepTiming())
+        if self.pool_policy is not None:
+            Moves(scheduler, cloud, table, HOLDER_MS, self.pool_policy)
+        return scheduler
+
+    def configuration(self) -> PutConfiguration:
+        """Return the configuration of the installation."""
+        queues = tuple(
+            Queue(
+                name=kind.queue,
+                host="example",
+                path_prefix=f"/{kind.queue}/",
+                pool=kind.pool,
+                public=kind.lasting,
+                priority=kind.priority,
+                max_attempts=kind.attempts,
+                stretch=kind.stretch,
+                target_latency_ms=kind.latency_ms,
+                timeout_ms=3_000,
+            )
+            for kind in self.site.kinds
+        )
+        pools = (*(PoolConfig(one) for one in self.site.pools), PoolConfig(SPARE, True))
+        limit = Size()
+        if self.limit_factor:
+            whole = self.site.host.times(self.site.hosts)
+            limit = Size(int(whole.cpu_millis * self.limit_factor))
+        teams = tuple(
+            TeamConfig(f"team-{number}", (f"key-{number}",), upper_limit=limit)
+            for number in range(self.site.teams)
+        )
+        return PutConfiguration(FleetConfiguration(1, queues, pools, teams), b"{}")
+
+    def truth_of(self, task: TaskId) -> TaskTruth:
+        """Return what a task really is."""
+        return self.truths[task.job_id][task.step]
+
+    @property
+    def leader(self) -> Scheduler | None:
+        """The scheduler of the daemon that leads."""
+        return self.schedulers.get(self.log.leader)
+
+    def on_beat(self, target, clock_ms: int) -> None:
+        """Hand a target's announcement to the leader."""
+        if self.leader is not None and self.leader.may_order():
+            self.leader.note_target(target, clock_ms)
+
+    def submit(self, arrival: Arrival, tries: int = 20) -> None:
+        """Hand a job in, again until a leader has accepted it."""
+        self.truths[arrival.job_id] = arrival.truths
+        self.submitted.setdefault(arrival.job_id, arrival)
+        self.witness.submitted[arrival.job_id] = SubmitJob(
+            arrival.job_id, arrival.kind.queue, arrival.team, arrival.spec
+        )
+        if self.leader is None or not self.leader.may_order():
+            if tries:
+                self.clock.callLater(0.25, self.submit, arrival, tries - 1)
+            return
+        done = self.leader.rounds.submit(self.witness.submitted[arrival.job_id])
+        done.addCallback(
+            lambda verdict: (
+                verdict == "yes"
+                or self.clock.callLater(0.25, self.submit, arrival, tries - 1)
+            )
+        )
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job."""
+        done = self.leader.rounds.submit(CancelJob(job_id))
+
+        def acknowledged(verdict) -> None:
+            self.witness.cancelled[job_id] = self.clock.seconds()
+
+        done.addCallback(acknowledged)
+
+    def begin_wave(self, wave: int, share: float, seconds: float, limit: int) -> None:
+        """Let the operator ask for a wave."""
+        hosts = sorted(self.fleet.cloud.hosts)
+        chosen = self.random.sample(hosts, int(len(hosts) * share))
+        self.fleet.cloud.waves[wave] = set(chosen)
+        change = BeginWave(wave, tuple(chosen), int(seconds * 1_000), limit)
+        self.leader.rounds.submit(change)
+
+    def at(self, seconds: float, action: Callable, *arguments) -> None:
+        """Do something at a time of the day."""
+        self.clock.callLater(seconds, action, *arguments)
+
+    def run(self, duration_s: float, load: float = 1.0, tail_s: float = 12.0) -> Report:
+        """Play the day, and report."""
+        for arrival in arrivals(self.site, self.random, duration_s, load):
+            self.at(arrival.at_s, self.submit, arrival)
+        self.clock.callLater(LOOK_S, self.look)
+        end_s = duration_s + tail_s
+        while self.clock.seconds() < end_s:
+            calls = self.clock.getDelayedCalls()
+            next_s = min((call.getTime() for call in calls), default=end_s)
+            self.clock.advance(max(0.0, min(next_s, end_s) - self.clock.seconds()))
+        return self.finish(duration_s)
+
+    def look(self) -> None:
+        """Take note of what has ended, and of what the fleet costs."""
+        for job_id in self.submitted:
+            job = self.log.machine.state.jobs.get(job_id)
+            if job_id not in self.completed_s and job is not None and job.ended:
+                self.completed_s[job_id] = job.ended_ms / 1_000
+        hosts = self.fleet.cloud.hosts.values()
+        self.report.host_seconds += LOOK_S * sum(one.pool != SPARE for one in hosts)
+        self.report.lasting.append(self.lasting_share())
+        self.clock.callLater(LOOK_S, self.look)
+
+    def lasting_share(self) -> float:
+        """Return the share of lasting tasks that are at work."""
+        wanted = at_work = 0
+        for arrival in self.submitted.values():
+            if arrival.kind.lasting:
+                wanted += sum(step.count for step in arrival.spec.steps)
+        for life in self.fleet.targets.values():
+            for run in life.running.values():
+                if run.truth.spec.long_running and life.percent(run) == 100:
+                    at_work += 1
+        return at_work / wanted if wanted else 1.0
+
+    def finish(self, duration_s: float) -> Report:
+        """Return the report of the day."""
+        for job_id, arrival in self.submitted.items():
+            if arrival.kind.lasting or job_id in self.witness.cancelled:
+                continue
+            if any(truth.fails for truth in arrival.truths):
+                continue
+            took_ms = self.took_ms(job_id, arrival)
+            objective = objective_ms(arrival)
+            queue = arrival.kind.queue
+            if took_ms is not None and took_ms <= objective:
+                self.report.in_time[queue] += 1
+            elif took_ms is not None and took_ms <= LATE_FACTOR * objective:
+                self.report.late[queue] += 1
+            else:
+                self.report.given_up[queue] += 1
+        self.report.moves = self.fleet.cloud.moves
+        self.report.problems = self.witness.problems
+        return self.report
+
+    def took_ms(self, job_id: str, arrival: Arrival) -> float | None:
+        """Return how long a job took, None if it is not complete."""
+        job = self.log.machine.state.jobs.get(job_id)
+        if job is None or job.phase != JobPhase.COMPLETED:
+            return None
+        return job.ended_ms - self.log.wall_ms() + self.log.now() - arrival.at_s * 1_000
+
+
+def objective_ms(arrival: Arrival) -> float:
+    """Return the objective of a job, from what its tasks really take."""
+    ends: list[float] = []
+    for step, truth in zip(arrival.spec.steps, arrival.truths, strict=True):
+        begin = max((ends[before] for before in step.after), default=0.0)
+        ends.append(begin + truth.duration_ms)
+    return arrival.kind.stretch * max(ends) + arrival.kind.latency_ms
+
+
+def play(
+    site: Site,
+    seed: int,
+    duration_s: float = 34.0,
+    load: float = 1.0,
+    pool_policy: PoolPolicy | None = POOL_POLICY,
+) -> Report:
+    """Play a calm day."""
+    return Day(site, seed, pool_policy).run(duration_s, load)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -0,0 +1,144 @@
+"""
+mulberryledge_testing.batch.troubles
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Troubles of a day, by name: each one arranges what happens, at times drawn by the
+day's seed.
+"""
+
+from collections.abc import Callable
+
+from mulberryledge_testing.batch.play import DAEMONS, Day
+
+__all__ = ["TROUBLES", "trouble"]
+
+CUT_S = 6.0
+WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
+
+
+def working_hosts(day: Day) -> list[str]:
+    """Return the hosts with targets, in order."""
+    return sorted(day.fleet.targets)
+
+
+def pick(day: Day, share: float) -> list[str]:
+    """Return a share of the hosts with targets, one at least."""
+    hosts = working_hosts(day)
+    return day.random.sample(hosts, min(len(hosts), max(1, int(len(hosts) * share))))
+
+
+def crash(day: Day) -> None:
+    """Crash some targets; new lives begin seconds later."""
+    for host in pick(day, 0.15):
+        day.fleet.crash(host, day.random.uniform(0.3, 6.0))
+
+
+def lose_rack(day: Day) -> None:
+    """Lose all targets of one rack for some seconds."""
+    racks = sorted({one.target.rack for one in day.fleet.targets.values()})
+    rack = day.random.choice(racks)
+    for host, life in list(day.fleet.targets.items()):
+        if life.target.rack == rack:
+            day.fleet.crash(host, CUT_S)
+
+
+def cut_targets(day: Day) -> None:
+    """Cut some targets off; they run on."""
+    hosts = pick(day, 0.2)
+    day.fleet.faults.cut.update(hosts)
+    day.at(CUT_S, day.fleet.faults.cut.difference_update, hosts)
+
+
+def late_orders(day: Day) -> None:
+    """Leave some orders unanswered and carry them out late."""
+    day.fleet.faults.late_share = 0.06
+    day.at(CUT_S, setattr, day.fleet.faults, "late_share", 0.0)
+
+
+def change_leader(day: Day) -> None:
+    """Let the leader freeze and another lead; the old one wakes up later."""
+    old = day.log.leader
+    day.log.frozen.add(old)
+    day.log.leader = ""
+    others = [name for name in DAEMONS if name != old]
+    day.at(day.random.uniform(0.6, 1.5), day.log.elect, day.random.choice(others))
+    day.at(7.0, day.log.frozen.discard, old)
+
+
+def drain(day: Day) -> None:
+    """Let some targets announce that they leave, and end."""
+    for host in pick(day, 0.08):
+        day.fleet.drain(host, day.random.uniform(2.0, 7.0))
+
+
+def fail_all(day: Day) -> None:
+    """Let a target fail all that it starts."""
+    for host in pick(day, 0.04):
+        day.fleet.targets[host].behaviour.fails = True
+
+
+def hang(day: Day) -> None:
+    """Let what a target starts stand still."""
+    for host in pick(day, 0.04):
+        day.fleet.targets[host].behaviour.hangs = True
+
+
+def slow(day: Day) -> None:
+    """Let some targets take six times as long."""
+    for host in pick(day, 0.1):
+        day.fleet.targets[host].behaviour.slow = 6.0
+
+
+def wave(day: Day) -> None:
+    """Ask for a wave of upkeep."""
+    number = len(day.fleet.cloud.waves) + 1
+    day.begin_wave(number, WAVE_SHARE, WAVE_S, WAVE_LIMIT)
+
+
+def lose_answers(day: Day) -> None:
+    """Lose the cloud's answers to the next orders."""
+    day.fleet.cloud.lost_answers += 5
+
+
+def silence_cloud(day: Day) -> None:
+    """Let the cloud answer nothing for a while."""
+    day.fleet.cloud.silent = True
+    day.at(CUT_S, setattr, day.fleet.cloud, "silent", False)
+
+
+def cancel_jobs(day: Day) -> None:
+    """Cancel some of the jobs that run."""
+    jobs = day.log.machine.state.jobs.values()
+    open_jobs = [job.job_id for job in jobs if not job.ended]
+    for job_id in open_jobs[: len(open_jobs) // 3]:
+        if not day.submitted[job_id].kind.lasting:
+            day.cancel(job_id)
+
+
+TROUBLES: dict[str, Callable[[Day], None]] = {
+    "crash": crash,
+    "lost rack": lose_rack,
+    "cut targets": cut_targets,
+    "late orders": late_orders,
+    "new leader": change_leader,
+    "drain": drain,
+    "failing target": fail_all,
+    "hanging target": hang,
+    "slow targets": slow,
+    "wave": wave,
+    "lost answers of the cloud": lose_answers,
+    "silent cloud": silence_cloud,
+    "cancelled jobs": cancel_jobs,
+}
+
+
+def trouble(day: Day, name: str, at_s: float) -> None:
+    """Arrange a trouble; one that needs a leader waits for one."""
+
+    def act() -> None:
+        if day.leader is None:
+            day.at(0.2, act)
+        else:
+            TROUBLES[name](day)
+
+    day.at(at_s, act)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -0,0 +1,151 @@
+"""
+mulberryledge_testing.batch.witness
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What must hold whatever happens, checked at each start and end on the targets.
+"""
+
+from collections import defaultdict
+
+from mulberryledge_core.batch.commands import RunEnd
+from mulberryledge_core.batch.sizes import Tally
+from mulberryledge_core.batch.specs import StepId, TaskId
+from mulberryledge_core.batch.state import BatchState
+
+__all__ = ["Witness"]
+
+EARLY_MS = 250
+
+
+class Witness:
+    """
+    Owns what has been seen on the targets.
+
+    Attributes
+    ----------
+    problems : list of str
+        Promises that were broken, each with its time.
+    """
+
+    def __init__(self, clock, state: BatchState, wall_ms):
+        self.clock = clock
+        self.state = state
+        self.wall_ms = wall_ms
+        self.problems: list[str] = []
+        self.live: dict[TaskId, set[tuple[str, int]]] = defaultdict(set)
+        self.done: set[TaskId] = set()
+        self.noted: set[TaskId] = set()
+        self.last_start_s: dict[TaskId, float] = {}
+        self.done_s: dict[tuple[TaskId, int], float] = {}
+        self.failures: dict[TaskId, int] = defaultdict(int)
+        self.team_used: dict[str, Tally] = defaultdict(Tally)
+        self.submitted: dict[str, object] = {}
+        self.cancelled: dict[str, float] = {}
+        self.starts = 0
+
+    def problem(self, text: str) -> None:
+        """Note a broken promise."""
+        self.problems.append(f"{self.clock.seconds():.3f} s: {text}")
+
+    def on_event(self, what: str, target, task: TaskId, run: int, how) -> None:
+        """Check a start or an end on a target."""
+        if what == "start":
+            self.on_start(target, task, run)
+        elif what == "noted":
+            self.on_noted(task, run, how)
+        else:
+            self.on_end(target, task, run, how)
+
+    def on_start(self, target, task: TaskId, run: int) -> None:
+        """Check a start."""
+        self.starts += 1
+        job = self.submitted.get(task.job_id)
+        if job is None:
+            self.problem(f"{task} was never submitted")
+            return
+        spec = job.spec.steps[task.step]
+        self.check_order(job, task)
+        if self.live[task] and not spec.speculative:
+            self.problem(f"{task} runs twice: {self.live[task]}, {run}")
+        if task in self.noted and not spec.long_running:
+            self.problem(f"{task} starts again after it was done")
+        self.last_start_s[task] = self.clock.seconds()
+        if spec.required_label and spec.required_label not in target.target.labels:
+            self.problem(f"{task} starts without its label")
+        self.check_room(target, task)
+        self.check_spread(target, task, spec)
+        self.live[task].add((target.target.life, run))
+        if job.team:
+            self.team_used[job.team].add(spec.size)
+            self.check_team(job.team, spec)
+        if task.job_id in self.cancelled:
+            late = self.clock.seconds() - self.cancelled[task.job_id]
+            if late > 3.0:
+                self.problem(f"{task} starts {late:.1f} s after its cancelling")
+
+    def on_noted(self, task: TaskId, run: int, how: RunEnd) -> None:
+        """Check that nothing was started again after an end that counts."""
+        job = self.submitted.get(task.job_id)
+        if how != RunEnd.DONE or job is None or job.spec.steps[task.step].long_running:
+            return
+        if job.spec.steps[task.step].speculative:
+            return
+        self.noted.add(task)
+        if self.last_start_s.get(task, 0) > self.done_s[task, run]:
+            self.problem(f"{task} was started again after its end, which counts")
+
+    def check_order(self, job, task: TaskId) -> None:
+        """Check that what comes before a step is done, and that its time has come."""
+        for before in job.spec.steps[task.step].after:
+            for index in range(job.spec.steps[before].count):
+                if TaskId(task.job_id, task.occurrence, before, index) not in self.done:
+                    self.problem(f"{task} starts before step {before} is done")
+                    return
+        if job.spec.schedule is not None:
+            due_ms = job.spec.schedule.due_ms(task.occurrence)
+            if self.wall_ms() < due_ms - EARLY_MS:
+                self.problem(f"{task} starts before its time")
+
+    def check_room(self, target, task: TaskId) -> None:
+        """Check that a target is not asked for more than it holds."""
+        used = Tally()
+        for other, run in target.running.items():
+            used.add(run.truth.spec.reserved)
+            assert other is not None
+        capacity = target.target.capacity
+        over = used.cpu_millis > capacity.cpu_millis
+        if over or used.memory_mb > capacity.memory_mb:
+            self.problem(f"{task} brings {target.target.life} over its capacity")
+
+    def check_spread(self, target, task: TaskId, spec) -> None:
+        """Check that not too many tasks of a step are on one target."""
+        if not spec.max_per_target:
+            return
+        same: StepId = task.step_id
+        count = sum(one.step_id == same for one in target.running)
+        if count > spec.max_per_target:
+            self.problem(f"{count} tasks of {same} on {target.target.life}")
+
+    def check_team(self, team: str, spec) -> None:
+        """Check a team's upper limit, with the overrun that is allowed."""
+        config = self.state.configuration.teams_by_name.get(team)
+        if config is None or not config.upper_limit.cpu_millis:
+            return
+        most = 1.1 * config.upper_limit.cpu_millis + spec.size.cpu_millis
+        if self.team_used[team].cpu_millis > most:
+            self.problem(f"team {team} has more running than its limit")
+
+    def on_end(self, target, task: TaskId, run: int, how: RunEnd) -> None:
+        """Take note of an end."""
+        self.live[task].discard((target.target.life, run))
+        job = self.submitted.get(task.job_id)
+        if job is None:
+            return
+        spec = job.spec.steps[task.step]
+        if job.team:
+            self.team_used[job.team].add(spec.size, -1)
+        if how == RunEnd.DONE:
+            self.done.add(task)
+            self.done_s[task, run] = self.clock.seconds()
+        if how == RunEnd.FAILED:
+            self.failures[task] += 1
