--- /dev/null
+++ b/features/batch/fleet.feature
@@ -0,0 +1,51 @@
+Feature: The scheduler keeps its promises on a fleet in virtual time
+
+  The fleet plays the users' sheets: queues whose demand comes in turns, sizes drawn
+  from wide spreads, estimates that are off. A witness at the targets checks each start
+  and each end.
+
+  Scenario Outline: A calm day breaks no promise
+    When a calm day of "<site>" is played with seeds 1 to 2
+    Then no promise is broken
+    And every job that can be done has ended
+
+    Examples:
+      | site  |
+      | falaj |
+      | yayla |
+
+  Scenario Outline: A day with <trouble> breaks no promise
+    When a day of each site with <trouble> is played, twice on each day
+    Then no promise is broken
+    And every job that can be done has ended
+    And no wave had more hosts down than allowed, and each is complete
+
+    Examples:
+      | trouble                   |
+      | crash                     |
+      | lost rack                 |
+      | cut targets               |
+      | late orders               |
+      | new leader                |
+      | drain                     |
+      | failing target            |
+      | hanging target            |
+      | slow targets              |
+      | wave                      |
+      | lost answers of the cloud |
+      | silent cloud              |
+      | cancelled jobs            |
+
+  Scenario: Days with three troubles at once break no promise
+    When 6 days with three troubles each are played
+    Then no promise is broken
+    And every job that can be done has ended
+    And no wave had more hosts down than allowed, and each is complete
+
+  Scenario: The witness finds a scheduler that counts no capacity
+    When a calm day of "yayla" is played with targets that seem to hold more
+    Then a promise is broken
+
+  Scenario: The witness finds a scheduler that forgets what a silent target runs
+    When a day with cut targets is played without waiting for their leases
+    Then a promise is broken
--- /dev/null
+++ b/features/batch/policies.feature
@@ -0,0 +1,33 @@
+Feature: Decisions that callers feel, each against the load that it answers
+
+  Scenario: Jobs that can still be in time go first
+    Given a heavy day of "falaj" whose pools keep their hosts
+    When it is played in order of what can be in time, and first in, first out
+    Then at least a tenth more of the jobs end in time than first in, first out
+    And no more are given up
+
+  Scenario Outline: Hosts follow the turns of demand
+    Given a day of "<site>" at its usual load
+    When it is played with hosts that move, and with hosts that stay
+    Then callers get as many jobs in time, give or take 3 of 100
+    And pools cost at most three quarters as many host-seconds
+
+    Examples:
+      | site  |
+      | falaj |
+      | yayla |
+
+  Scenario: More hosts come to a pool that is asked for more than it holds
+    Given a day of "falaj" at 1.3 times its usual load
+    When it is played with hosts that move, and with hosts that stay
+    Then more jobs end in time where hosts move
+
+  Scenario: A target that fails all it starts does not draw the pool's work
+    Given a day of "falaj" on which a target begins to fail all that it starts
+    When it is played with and without the judgement of targets
+    Then fewer runs fail where targets are judged
+
+  Scenario: A target that lets its work stand still is emptied
+    Given a day of "falaj" on which a target begins to let its work stand still
+    When it is played with and without the judgement of targets
+    Then every job ends where targets are judged, and not without it
--- /dev/null
+++ b/features/batch/steps/fleet.py
@@ -0,0 +1,183 @@
+"""Steps on the fleet in virtual time."""
+
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+from behave import given, then, when
+from mulberryledge_testing.batch.plans import Outcome, Plan, carry_out
+from mulberryledge_testing.batch.troubles import TROUBLES
+
+WORKERS = 2
+CALM_S, TROUBLED_S, HEAVY_S, TURNS_S = 16.0, 18.0, 20.0, 34.0
+SITES = ("falaj", "yayla")
+
+
+def play_all(plans) -> list[Outcome]:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        return list(pool.map(carry_out, plans))
+
+
+@when('a calm day of "{site}" is played with seeds {first:d} to {last:d}')
+def play_calm(context, site, first, last):
+    context.outcomes = play_all(
+        Plan(site, seed, CALM_S) for seed in range(first, last + 1)
+    )
+
+
+@when("a day of each site with {name} is played, twice on each day")
+def play_trouble(context, name):
+    assert name in TROUBLES, name
+    times = ((name, 5.0), (name, 12.0))
+    context.outcomes = play_all(
+        Plan(site, seed, TROUBLED_S, times) for seed, site in enumerate(SITES, 1)
+    )
+
+
+@when("{count:d} days with three troubles each are played")
+def play_mixed(context, count):
+    names = sorted(TROUBLES)
+    plans = []
+    for number in range(count):
+        chosen = [names[(5 * number + 3 * step) % len(names)] for step in range(3)]
+        times = tuple((name, 5.0 + 1.5 * at) for at, name in enumerate(chosen))
+        plans.append(Plan(SITES[number % 2], 10 + number, TROUBLED_S, times))
+    context.outcomes = play_all(plans)
+
+
+@when('a calm day of "{site}" is played with targets that seem to hold more')
+def play_without_capacity(context, site):
+    plan = Plan(site, 1, CALM_S, moves=False, without=("capacity",))
+    context.outcomes = [carry_out(plan)]
+
+
+@when("a day with cut targets is played without waiting for their leases")
+def play_without_leases(context):
+    times = (("cut targets", 5.0),)
+    plan = Plan("falaj", 2, TROUBLED_S, times, without=("leases",))
+    context.outcomes = [carry_out(plan)]
+
+
+@then("no promise is broken")
+def nothing_broken(context):
+    found = [(one.plan, one.problems[:3]) for one in context.outcomes if one.problems]
+    assert not found, found
+
+
+@then("a promise is broken")
+def something_broken(context):
+    assert any(one.problems for one in context.outcomes)
+
+
+@then("every job that can be done has ended")
+def all_ended(context):
+    found = [(one.plan, one.unfinished) for one in context.outcomes if one.unfinished]
+    assert not found, found
+
+
+@then("no wave had more hosts down than allowed, and each is complete")
+def waves_kept(context):
+    found = [(one.plan, one.waves) for one in context.outcomes if one.waves]
+    assert not found, found
+
+
+@given('a heavy day of "{site}" whose pools keep their hosts')
+def heavy_day(context, site):
+    context.plans = [
+        Plan(site, seed, HEAVY_S, load=1.5, moves=False) for seed in (1, 2)
+    ]
+
+
+@given('a day of "{site}" at its usual load')
+def usual_day(context, site):
+    context.plans = [Plan(site, seed, TURNS_S) for seed in (1, 2)]
+
+
+@given('a day of "{site}" at {load:f} times its usual load')
+def loaded_day(context, site, load):
+    context.plans = [Plan(site, seed, HEAVY_S, load=load) for seed in (1, 2)]
+
+
+@given('a day of "{site}" on which a target begins to {what}')
+def troubled_day(context, site, what):
+    names = {
+        "fail all that it starts": "failing target",
+        "let its work stand still": "hanging target",
+    }
+    times = ((names[what], 5.0),)
+    context.plans = [Plan(site, 2, TROUBLED_S, times)]
+
+
+def play_both(context, **changes):
+    others = [replace(plan, **changes) for plan in context.plans]
+    outcomes = play_all([*context.plans, *others])
+    context.ours = outcomes[: len(others)]
+    context.others = outcomes[len(others) :]
+
+
+@when("it is played in order of what can be in time, and first in, first out")
+def play_orders(context):
+    play_both(context, without=("order",))
+
+
+@when("it is played with hosts that move, and with hosts that stay")
+def play_moves(context):
+    play_both(context, moves=False)
+
+
+@when("it is played with and without the judgement of targets")
+def play_judgement(context):
+    play_both(context, without=("judgement", "watchdog"))
+
+
+def mean(values) -> float:
+    values = list(values)
+    return sum(values) / len(values)
+
+
+def in_time(outcomes) -> float:
+    return mean(one.in_time for one in outcomes)
+
+
+@then("at least a tenth more of the jobs end in time than first in, first out")
+def more_in_time(context):
+    ours, others = in_time(context.ours), in_time(context.others)
+    assert ours >= others + 0.1, (ours, others)
+
+
+@then("no more are given up")
+def no_more_given_up(context):
+    ours = sum(one.given_up for one in context.ours)
+    others = sum(one.given_up for one in context.others)
+    assert ours <= others, (ours, others)
+
+
+@then("callers get as many jobs in time, give or take {percent:d} of 100")
+def as_many(context, percent):
+    ours, others = in_time(context.ours), in_time(context.others)
+    assert ours >= others - percent / 100, (ours, others)
+
+
+@then("pools cost at most three quarters as many host-seconds")
+def cheaper(context):
+    ours = mean(one.host_seconds for one in context.ours)
+    others = mean(one.host_seconds for one in context.others)
+    assert ours <= 0.75 * others, (ours, others)
+
+
+@then("more jobs end in time where hosts move")
+def more_where_moved(context):
+    ours, others = in_time(context.ours), in_time(context.others)
+    assert ours > others, (ours, others)
+
+
+@then("fewer runs fail where targets are judged")
+def fewer_failures(context):
+    ours = sum(one.failed_runs for one in context.ours)
+    others = sum(one.failed_runs for one in context.others)
+    assert ours < others, (ours, others)
+
+
+@then("every job ends where targets are judged, and not without it")
+def ends_where_judged(context):
+    assert not any(one.unfinished for one in context.ours)
+    assert any(one.unfinished for one in context.others)
--- /dev/null
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -0,0 +1,131 @@
+"""
+mulberryledge_testing.batch.plans
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Days that are played by their description, in processes of their own, with or without
+parts of the program.
+"""
+
+import logging
+from contextlib import ExitStack
+from dataclasses import dataclass
+from unittest.mock import patch
+
+from mulberryledge_core.batch import placing, suspicion
+from mulberryledge_core.batch.sizes import Tally
+from mulberryledge_daemon.batch import sessions, watchdog
+from mulberryledge_testing.batch.demand import site_named
+from mulberryledge_testing.batch.play import POOL_POLICY, Day
+from mulberryledge_testing.batch.troubles import trouble
+
+__all__ = ["REPLACED", "Outcome", "Plan", "carry_out"]
+
+TAIL_S = 20.0  # for what was handed in last, with all that a trouble delays
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """
+    A day to be played.
+
+    Attributes
+    ----------
+    troubles : tuple of (str, float)
+        Names of troubles, and the seconds at which they begin.
+    moves : bool
+        Whether hosts move between pools.
+    without : tuple of str
+        Parts of the program that are left out, by their names in ``REPLACED``.
+    """
+
+    site: str
+    seed: int
+    seconds: float
+    troubles: tuple[tuple[str, float], ...] = ()
+    load: float = 1.0
+    moves: bool = True
+    without: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """
+    What became of a day.
+
+    Attributes
+    ----------
+    in_time : float
+        Share of the jobs that ended in time.
+    problems, unfinished, waves : tuple of str
+        Broken promises, jobs that never ended, and waves that went wrong.
+    """
+
+    plan: Plan
+    in_time: float
+    given_up: int
+    host_seconds: float
+    failed_runs: int
+    problems: tuple[str, ...]
+    unfinished: tuple[str, ...]
+    waves: tuple[str, ...] = ()
+
+
+def first_in_first_out(view, queue, step_id) -> tuple:
+    """Rank steps by when their job came."""
+    job = view.state.jobs[step_id.job_id]
+    lasting = job.spec.steps[step_id.step].long_running
+    return (not lasting, queue.priority, job.submitted_ms)
+
+
+def no_lease(self) -> None:
+    """Count the runs of a silent target as lapsed at once."""
+    self.lapse_ms = 0
+    ON_SILENCE(self)
+
+
+ON_SILENCE = sessions.TargetSession.on_silence
+REPLACED = {
+    "order": lambda: patch.object(placing, "rank_of", first_in_first_out),
+    "capacity": lambda: patch.object(Tally, "fits", lambda self, size, capacity: (
+        self.cpu_millis + size.cpu_millis <= 10 * capacity.cpu_millis
+    )),
+    "leases": lambda: patch.object(sessions.TargetSession, "on_silence", no_lease),
+    "judgement": lambda: patch.object(
+        suspicion.Health, "exclude", lambda self, *arguments: None
+    ),
+    "watchdog": lambda: patch.object(watchdog.Watchdog, "tick", lambda self: None),
+}  # fmt: skip
+
+
+def carry_out(plan: Plan) -> Outcome:
+    """Play a day as planned."""
+    logging.disable(logging.CRITICAL)
+    with ExitStack() as stack:
+        for name in plan.without:
+            stack.enter_context(REPLACED[name]())
+        policy = POOL_POLICY if plan.moves else None
+        day = Day(site_named(plan.site), plan.seed, policy)
+        for name, at_s in plan.troubles:
+            trouble(day, name, at_s)
+        report = day.run(plan.seconds, plan.load, tail_s=TAIL_S)
+    state = day.log.machine.state
+    unfinished = [
+        job.job_id
+        for job in state.jobs.values()
+        if not job.ended and not job.spec.steps[0].long_running
+    ]
+    waves = []
+    for wave in state.waves.values():
+        most = day.fleet.cloud.most_down.get(wave.wave, 0)
+        if most > wave.limit or not wave.completed:
+            waves.append(f"wave {wave.wave}: {most} of {wave.limit} down at once")
+    return Outcome(
+        plan,
+        report.share_in_time(),
+        sum(report.given_up.values()),
+        report.host_seconds,
+        sum(day.witness.failures.values()),
+        tuple(report.problems),
+        tuple(unfinished),
+        tuple(waves),
+    )
