--- a/features/log/simulation.feature
+++ b/features/log/simulation.feature
@@ -8,6 +8,10 @@
   Scenario: A state machine of faults breaks no promise
     Then the hypothesis state machine finds nothing
 
+  Scenario: A leader that keeps the members by itself breaks no promise
+    When seeds 1 to 400 run with members that are kept
+    Then no run breaks a promise
+
   Scenario: A leader with entries on their way still hands its lead over
     When 40 calm clusters have their leader resign just after a proposal
     Then each has another leader within 200 ms
--- a/features/log/steps/simulation.py
+++ b/features/log/steps/simulation.py
@@ -102,6 +102,13 @@
         context.outcomes = list(found)
 
 
+@when("seeds {first:d} to {last:d} run with members that are kept")
+def step_run_kept(context, first, last):
+    with ProcessPoolExecutor(WORKERS) as pool:
+        seeds = range(first, last + 1)
+        context.outcomes = list(pool.map(runs.try_kept_seed, seeds, chunksize=CHUNK))
+
+
 @then("no run breaks a promise")
 def step_none(context):
     broken = [one for one in context.outcomes if isinstance(one, str)]
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
@@ -15,6 +15,7 @@
     PromoteMember,
     RemoveMember,
 )
+from mulberryledge_core.consensus.repair import Applicant, next_change
 from mulberryledge_core.consensus.steps import resign
 from mulberryledge_testing.simulation.world import (
     VOTERS,
@@ -23,11 +24,22 @@
     World,
 )
 
-__all__ = ["FAULTS", "Focus", "RunReport", "calm", "run_seed", "try_seed"]
+__all__ = [
+    "FAULTS",
+    "Focus",
+    "RunReport",
+    "calm",
+    "run_kept_seed",
+    "run_seed",
+    "try_kept_seed",
+    "try_seed",
+]
 
 STEPS = 60
 STEP_MAX_MS = 250
 CALM_MS = 9_000
+KEEP_MS = 200
+STANDBY = ("d",)
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,6 +248,33 @@
     world.free_disk(pick(world))
 
 
+def keep_members(world: World) -> None:
+    """Let the leader make the change of members that it would make by itself."""
+    leader = world.leader()
+    if leader is None:
+        return
+    applicants = [
+        Applicant(one.name, "", 0, "", one.disk.folder)
+        for one in world.members.values()
+        if one.node is not None and one.disk is not None
+        if (leader.name, one.name) not in world.blocked
+    ]
+    now = world.now(leader)
+    change = next_change(leader.node, applicants, len(VOTERS), now)
+    if change is not None:
+        world.change(change)
+
+
+def keep_on(world: World) -> None:
+    """Keep the members, again and again."""
+
+    def act() -> None:
+        keep_members(world)
+        world.after(KEEP_MS, act)
+
+    world.after(KEEP_MS, act)
+
+
 FAULTS = (
     (propose, 30),
     (resend, 10),
@@ -257,6 +296,9 @@
 )
 
 
+KEPT_FAULTS = tuple(one for one in FAULTS if one[0] is not change_members)
+
+
 def calm(world: World) -> None:
     """End every fault and check that the cluster works."""
     heal(world)
@@ -318,3 +360,43 @@
         len(witness.copies),
         witness.in_force,
     )
+
+
+def try_kept_seed(seed: int) -> RunReport | str:
+    """Run once with a leader that keeps the members by itself."""
+    try:
+        return run_kept_seed(seed)
+    except AssertionError as error:
+        return f"seed {seed}: {error}"
+
+
+def run_kept_seed(seed: int) -> RunReport:
+    """
+    Run once with a standby beside the voters, and wiped disks more often.
+
+    Raises
+    ------
+    AssertionError
+        If a promise of the log is broken, or voters are missing in the end.
+    """
+    world = World(seed, standby=STANDBY)
+    keep_on(world)
+    world.run(world.random.choice((0, 1_600)))
+    faults = (*KEPT_FAULTS, (wipe, 4))
+    actions = [action for action, _ in faults]
+    weights = [weight for _, weight in faults]
+    for _ in range(STEPS):
+        world.random.choices(actions, weights)[0](world)
+        world.run(world.random.uniform(0, STEP_MAX_MS))
+    calm(world)
+    members = world.leader().node.log.members
+    assert len(members.voters()) == len(VOTERS), f"{len(members.voters())} voters"
+    assert not lost_voters(world), f"voters without their disk: {lost_voters(world)}"
+    witness = world.witness
+    return RunReport(
+        seed,
+        len(witness.leaders),
+        len(witness.committed),
+        len(witness.copies),
+        witness.in_force,
+    )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
@@ -107,7 +107,10 @@
         Decides everything that is random.
     """
 
-    def __init__(self, seed: int, defects: Defects | None = None):
+    def __init__(
+        self, seed: int, defects: Defects | None = None, standby: tuple[str, ...] = ()
+    ):
+        self.standby = standby
         self.random = Random(seed)
         self.defects = defects or Defects()
         self.witness = Witness()
@@ -134,7 +137,7 @@
     def make_member(self, name: str) -> SimulatedMember:
         """Return a member that has not started."""
         disk = None
-        if name in VOTERS:
+        if name in VOTERS or name in self.standby:
             disk = SimulatedDisk(name, snapshot=Snapshot(members=self.genesis))
         rate = self.random.uniform(1 - DRIFT, 1 + DRIFT)
         return SimulatedMember(name, disk, rate, self.random.uniform(0, 1e6))
