Test the adapter's decoding, the replicated state of jobs, and the programs end to end

Found by random histories: two starts of one run in one round left a run counted for ever; run numbers now only rise.

--- /dev/null
+++ b/features/batch/steps/machine.py
@@ -0,0 +1,357 @@
+"""Steps on the replicated state of jobs."""
+
+from random import Random
+
+from behave import given, then, when
+
+from mulberryledge_core.batch.commands import (
+    BeginWave,
+    CancelJob,
+    EndLife,
+    EndRun,
+    ForgetJobs,
+    MarkUpkeep,
+    NoteTarget,
+    OpenOccurrence,
+    PutConfiguration,
+    Round,
+    RunEnd,
+    StartRun,
+    SubmitJob,
+)
+from mulberryledge_core.batch.configuration import (
+    FleetConfiguration,
+    PoolConfig,
+    Queue,
+    TeamConfig,
+)
+from mulberryledge_core.batch.machine import BatchMachine
+from mulberryledge_core.batch.records import UpkeepPhase
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import JobSpec, Schedule, StepSpec
+from mulberryledge_core.batch.targets import Target
+from mulberryledge_core.state.tables import Context
+
+JOB = "0123456789abcdef"
+TERM = 3
+
+
+def target(name, born_ms=1, host=None):
+    return Target(
+        name,
+        born_ms,
+        host or f"m-{name}",
+        f"10.0.0.{ord(name[0])}:80",
+        "rounds",
+        "z1",
+        "r1",
+        ("a", "r1"),
+        Size(8_000, 8_000),
+    )
+
+
+def configuration(attempts=3):
+    queue = Queue("plans", "h", "/p/", "rounds", max_attempts=attempts)
+    fleet = FleetConfiguration(
+        1, (queue,), (PoolConfig("rounds"),), (TeamConfig("dispatch", ("k",)),)
+    )
+    return PutConfiguration(fleet, b"{}")
+
+
+class Replica:
+    """Applies rounds to a machine, as a log would."""
+
+    def __init__(self):
+        self.machine = BatchMachine()
+        self.index = 0
+
+    @property
+    def state(self):
+        return self.machine.state
+
+    def apply(self, *changes, term=TERM):
+        self.index += 1
+        planned = self.machine.decode(self.machine.encode(Round(term, changes)))
+        return self.machine.apply(
+            planned, Context(self.index, 1_000 + self.index, TERM)
+        )
+
+
+def derived(state):
+    """Return everything of a state that can be compared."""
+    plain = {
+        key: value
+        for key, value in vars(state).items()
+        if key not in ("open_steps", "team_used", "waiting")
+    }
+    plain["open_steps"] = {
+        name: set(steps) for name, steps in state.open_steps.items() if steps
+    }
+    plain["team_used"] = {
+        name: used for name, used in state.team_used.items() if used != type(used)()
+    }
+    plain["waiting"] = {name: count for name, count in state.waiting.items() if count}
+    return plain
+
+
+def random_history(seed):
+    """Apply random changes, most of which make sense."""
+    random = Random(seed)
+    replica = Replica()
+    replica.apply(configuration(2))
+    names = "abc"
+    for _ in range(120):
+        replica.apply(*(random_change(random, replica, names) for _ in range(3)))
+    return replica
+
+
+def random_change(random, replica, names):
+    state = replica.state
+    jobs = list(state.jobs) or ["none"]
+    lives = list(state.targets) or ["none"]
+    kind = random.randrange(12)
+    if kind == 0:
+        return NoteTarget(target(random.choice(names), random.randint(1, 5)))
+    if kind == 1:
+        return EndLife(random.choice(lives))
+    if kind in (2, 3):
+        return SubmitJob(
+            f"{random.randrange(40):016x}", "plans", "dispatch", a_spec(random)
+        )
+    if kind == 4 and random.random() < 0.3:
+        return CancelJob(random.choice(jobs))
+    if kind == 5 and random.random() < 0.3:
+        return ForgetJobs((random.choice(jobs),))
+    if kind == 6:
+        job = state.jobs.get(random.choice(jobs))
+        number = job.next_occurrence if job is not None else 0
+        return OpenOccurrence(random.choice(jobs), number)
+    if kind == 7:
+        return BeginWave(random.randint(1, 3), ("m-a", "m-b"), 20_000, 1)
+    if kind == 8:
+        phase = random.choice(list(UpkeepPhase))
+        return MarkUpkeep(random.randint(1, 3), "m-a", phase, "a@1")
+    live = [(key, life) for life in state.runs for key in state.live_runs(life)]
+    if kind in (9, 10) and live:
+        (task, run), _ = random.choice(live)
+        return EndRun(*task, run, random.choice(list(RunEnd)), "c")
+    for steps in state.open_steps.values():
+        for step_id, step in steps.items():
+            if step.idle and random.random() < 0.5:
+                index = random.choice(list(step.idle))
+                run = step.tasks[index].run + 1
+                return StartRun(*step_id, index, run, random.choice(lives))
+    return EndLife("none")
+
+
+def a_spec(random):
+    steps = []
+    for number in range(random.randint(1, 3)):
+        after = (random.randrange(number),) if number else ()
+        steps.append(
+            StepSpec(
+                random.randint(1, 3),
+                Size(100, 100),
+                after=after,
+                gang=random.random() < 0.2,
+                long_running=random.random() < 0.1,
+                speculative=random.random() < 0.2,
+            )
+        )
+    schedule = Schedule(0, 10, 3) if random.random() < 0.2 else None
+    return JobSpec("text", tuple(steps), schedule)
+
+
+@then(
+    "in {count:d} random histories a restored replica has the same state and"
+    " derived state"
+)
+def same_state(context, count):
+    for seed in range(count):
+        replica = random_history(seed)
+        other = BatchMachine()
+        other.restore(replica.machine.snapshot())
+        ours, theirs = derived(replica.state), derived(other.state)
+        for key in ours:
+            assert ours[key] == theirs[key], (seed, key, ours[key], theirs[key])
+
+
+@then("a round that was planned in another term changes nothing")
+def void(context):
+    replica = random_history(1)
+    before = replica.machine.snapshot()[8:]
+    outcome = replica.apply(NoteTarget(target("z")), term=TERM + 1)
+    assert outcome.is_err()
+    assert "z@1" not in replica.state.targets
+    assert before
+
+
+def submit(context, spec, attempts):
+    context.replica = Replica()
+    context.replica.apply(configuration(attempts))
+    context.replica.apply(NoteTarget(target("a")), NoteTarget(target("b")))
+    context.replica.apply(SubmitJob(JOB, "plans", "dispatch", spec))
+
+
+@given(
+    "a job of two steps with two tasks each and {attempts:d} attempts, and two targets"
+)
+def two_steps(context, attempts):
+    step = StepSpec(2, Size(100, 100))
+    after = StepSpec(2, Size(100, 100), after=(0,))
+    submit(context, JobSpec("text", (step, after)), attempts)
+
+
+@given("a gang of three tasks with {attempts:d} attempts, and two targets")
+def gang(context, attempts):
+    step = StepSpec(3, Size(100, 100), gang=True)
+    submit(context, JobSpec("text", (step,)), attempts)
+
+
+@given("a job with three occurrences")
+def occurrences(context):
+    step = StepSpec(1, Size(100, 100))
+    submit(context, JobSpec("text", (step,), Schedule(0, 10, 3)), 1)
+
+
+def start(context, step, index, run=1, life="a@1", occurrence=0):
+    context.replica.apply(StartRun(JOB, occurrence, step, index, run, life))
+
+
+def end(context, step, index, how, run=1, occurrence=0):
+    context.replica.apply(EndRun(JOB, occurrence, step, index, run, how))
+
+
+def start_and_end(context, how, times):
+    for run in range(1, times + 1):
+        start(context, 0, 0, run)
+        end(context, 0, 0, how, run)
+
+
+def do_all(context, steps):
+    for step in steps:
+        for index in range(2):
+            start(context, step, index)
+            end(context, step, index, RunEnd.DONE)
+
+
+def lapse_then_done(context):
+    start(context, 0, 0)
+    end(context, 0, 0, RunEnd.LAPSED)
+    end(context, 0, 0, RunEnd.DONE)
+
+
+def start_and_lose(context):
+    start(context, 0, 0)
+    context.replica.apply(EndLife("a@1"))
+
+
+def start_and_cancel(context):
+    start(context, 0, 0)
+    context.replica.apply(CancelJob(JOB))
+
+
+EVENTS = {
+    "nothing happens": lambda context: None,
+    "task 0.0 starts": lambda context: start(context, 0, 0),
+    "task 0.0 and 0.1 start and are done": lambda context: do_all(context, (0,)),
+    "all tasks start and are done": lambda context: do_all(context, (0, 1)),
+    "task 0.0 starts and fails": lambda context: start_and_end(
+        context, RunEnd.FAILED, 1
+    ),
+    "task 0.0 starts and fails 3 times": lambda context: start_and_end(
+        context, RunEnd.FAILED, 3
+    ),
+    "task 0.0 starts and is refused 5 times": lambda context: start_and_end(
+        context, RunEnd.REFUSED, 5
+    ),
+    "task 0.0 starts on target a, which is lost": start_and_lose,
+    "task 0.0 starts, lapses, and is done all the same": lapse_then_done,
+    "task 0.0 starts on a target that is gone": lambda context: start(
+        context, 0, 0, life="gone@1"
+    ),
+    "task 0.0 starts and the job is cancelled": start_and_cancel,
+    "the same job is handed in again": lambda context: context.replica.apply(
+        SubmitJob(JOB, "plans", "dispatch", context.replica.state.jobs[JOB].spec)
+    ),
+}
+
+
+@when("the gang starts and one member is done")
+def gang_done(context):
+    for index in range(3):
+        start(context, 0, index)
+    end(context, 0, 1, RunEnd.DONE)
+
+
+@when("the gang starts, one member fails and the others are broken, twice")
+def gang_fails(context):
+    for run in (1, 2):
+        for index in range(3):
+            start(context, 0, index, run)
+        end(context, 0, 1, RunEnd.FAILED, run)
+        end(context, 0, 0, RunEnd.BROKEN, run)
+        end(context, 0, 2, RunEnd.BROKEN, run)
+
+
+@when("task 0.0 starts on target a, which comes back as a later life")
+def later_life(context):
+    start(context, 0, 0)
+    context.replica.apply(NoteTarget(target("a", born_ms=9)))
+
+
+@when("an earlier life of target a announces itself late")
+def late_announcement(context):
+    context.replica.apply(NoteTarget(target("a", born_ms=1)))
+
+
+@then("the later life of target a is the one that counts")
+def later_counts(context):
+    lives = [life for life in context.replica.state.targets if life.startswith("a@")]
+    assert lives == ["a@9"], lives
+
+
+@when("two occurrences become due")
+def two_due(context):
+    for number in range(2):
+        context.replica.apply(OpenOccurrence(JOB, number))
+
+
+@then("it has two occurrences with idle tasks, and is not complete")
+def two_open(context):
+    job = context.replica.state.jobs[JOB]
+    assert sorted(job.occurrences) == [0, 1]
+    assert not job.ended
+
+
+@when("all occurrences become due and all their tasks are done")
+def all_due(context):
+    context.replica.apply(OpenOccurrence(JOB, 2))
+    for number in range(3):
+        start(context, 0, 0, occurrence=number)
+        end(context, 0, 0, RunEnd.DONE, occurrence=number)
+
+
+@when("{events}")
+def happens(context, events):
+    EVENTS[events](context)
+
+
+@then("the job is {phase}")
+def phase_is(context, phase):
+    assert context.replica.state.jobs[JOB].phase == phase
+
+
+def idle_of(context, number):
+    job = context.replica.state.jobs[JOB]
+    if job.ended:
+        return []
+    step = job.occurrences[0].steps[number]
+    return [] if step.blockers else sorted(step.idle)
+
+
+@then("step 0 has idle tasks {first} and step 1 {second}")
+def idle_are(context, first, second):
+    for number, wanted in ((0, first), (1, second)):
+        expected = [] if wanted == "none" else [int(one) for one in wanted.split()]
+        assert idle_of(context, number) == expected, (number, idle_of(context, number))
--- /dev/null
+++ b/features/platform/path.feature
@@ -0,0 +1,59 @@
+Feature: The deployment's programs serve jobs of steps end to end
+
+  Real processes on loopback addresses, with targets, operators and callers that speak
+  the platform's interfaces.
+
+  Background:
+    Given three core machines, two entries and targets of two pools
+
+  Scenario: A job is accepted, run and shown as completed
+    When the operator sends a manifest with version 3
+    And a caller hands in a job of two steps with three tasks each
+    Then the job is shown as "completed" through every entry within 5 seconds
+    And each of its tasks was started once, in the order of the steps
+
+  Scenario: What is not allowed is refused
+    When the operator sends a manifest with version 3
+    Then a job without a key gets 401
+    And a job with a key that nobody holds gets 401
+    And a job for a path that no queue has gets 404
+    And a job that cannot be read gets 400
+    And the state of a job that nobody handed in gets 410
+
+  Scenario: The leader is killed while a job runs
+    When the operator sends a manifest with version 3
+    And a caller hands in a job whose tasks take 2 seconds
+    And the leader is killed
+    Then the job is shown as "completed" through every entry within 8 seconds
+    And each of its tasks was started once, in the order of the steps
+
+  Scenario: A manifest is never older again
+    When the operator sends a manifest with version 3
+    And the operator sends a manifest with version 7
+    And the operator sends a manifest with version 5
+    Then every core machine returns the manifest with version 7, or that it cannot tell
+    When every core machine is killed and started again
+    Then within 6 seconds every core machine returns the manifest with version 7
+
+  Scenario: A core machine that lost its disk votes again, and the other may be lost
+    When the operator sends a manifest with version 3
+    And a core machine that does not lead is killed, loses its disk and starts again
+    And 3 seconds pass
+    And the operator sends a manifest with version 4
+    And the leader is killed
+    Then within 6 seconds the operator can send a manifest with version 5
+
+  Scenario: A cancelled job is stopped
+    When the operator sends a manifest with version 3
+    And a caller hands in a job whose tasks last
+    And the tasks of the job run
+    And the caller cancels the job
+    Then the job is shown as "cancelled" through every entry within 2 seconds
+    And none of its tasks runs 2 seconds later
+
+  Scenario: An entry that is stopped leaves the rotation and cuts off nothing
+    When the operator sends a manifest with version 3
+    And an entry is told to stop while callers keep asking through it
+    Then its readiness turns to 503 within 1 second
+    And every request that it had read is answered whole
+    And it ends by itself with exit code 0 within 6 seconds
--- /dev/null
+++ b/features/platform/steps/decoding.py
@@ -0,0 +1,205 @@
+"""Steps on what the platform writes."""
+
+import copy
+import json
+import tomllib
+
+from behave import then, when
+from hypothesis import given as given_any
+from hypothesis import settings, strategies
+from result import Err, Ok
+from support.programs import SETTINGS
+
+from mulberryledge_core.batch.specs import TaskId, spec_problem
+from mulberryledge_platform.announcements import decode_announcement
+from mulberryledge_platform.jobs import decode_job, decode_task, encode_task
+from mulberryledge_platform.manifest import decode_manifest
+from mulberryledge_platform.settings import decode_settings
+
+ROUTE = {
+    "name": "plans",
+    "host": "rounds.example",
+    "path_prefix": "/plans/",
+    "kind": "unsafe",
+    "timeout_ms": 3000,
+    "target_latency_ms": 600,
+    "priority": 0,
+    "service": "rounds",
+    "max_attempts": 3,
+    "stretch": 1.6,
+    "public": False,
+}
+LIMIT = {"cpu": 9000, "memory_limit_mb": 0, "gpu": 0}
+MANIFEST = {
+    "version": 7,
+    "routes": [ROUTE, ROUTE | {"name": "stock", "path_prefix": "/stock/"}],
+    "services": [{"name": "rounds"}, {"name": "office", "spare": True}],
+    "limits": {},
+    "tenants": [
+        {"name": "dispatch", "api_keys": ["key-1"], "weight": 2, "upper_limit": LIMIT},
+        {"name": "depots", "api_keys": ["key-2"], "weight": 1},
+    ],
+}
+REPORT = {
+    "service": "rounds",
+    "address": "10.128.0.9:8080",
+    "zone": "nizwa",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 16000, "memory_limit_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "machine": "m-1",
+    "born": 1786604924020,
+    "clock_ms": 482113,
+    "sequence": 4,
+}
+JOB = {
+    "task_spec": "(text)",
+    "steps": [
+        {
+            "count": 4,
+            "cpu": 500,
+            "memory_limit_mb": 256,
+            "estimated_ms": 900,
+            "data_rack": "r1-3",
+        },
+        {"count": 20, "cpu": 2000, "after": [0], "checkpointing": True},
+    ],
+}
+
+
+def decode_checked_job(data):
+    """Decode a job and check it, as the entry and the leader do together."""
+    decoded = decode_job(data)
+    if isinstance(decoded, Ok):
+        problem = spec_problem(decoded.ok_value)
+        return decoded if problem is None else Err(problem)
+    return decoded
+
+
+EXAMPLES = {
+    "manifest": (MANIFEST, decode_manifest),
+    "status report": (REPORT, lambda data: decode_announcement("i-1", data)),
+    "job": (JOB, decode_checked_job),
+}
+
+
+def changed(plain, change):
+    """Return the text of an example after a change."""
+    plain = copy.deepcopy(plain)
+    if change == "half of its text":
+        text = json.dumps(plain)
+        return text[: len(text) // 2].encode()
+    path, _, rest = change.partition('" ')
+    *parents, last = path.strip('"').split(".")
+    place = plain
+    for key in parents:
+        place = place[int(key) if key.isdigit() else key]
+    last = int(last) if last.isdigit() else last
+    if rest == "left out":
+        del place[last]
+    else:
+        place[last] = json.loads(rest.removeprefix("set to "))
+    return json.dumps(plain).encode()
+
+
+@when("the example {what} is decoded with {change}")
+def decode_changed(context, what, change):
+    plain, decode = EXAMPLES[what]
+    context.decoded = decode(changed(plain, change))
+
+
+@when("the example {what} is decoded")
+def decode_example(context, what):
+    plain, decode = EXAMPLES[what]
+    context.decoded = decode(json.dumps(plain).encode())
+
+
+@then("it is refused")
+def refused(context):
+    assert isinstance(context.decoded, Err), context.decoded
+
+
+@then("it is accepted")
+def accepted(context):
+    assert isinstance(context.decoded, Ok), context.decoded
+
+
+@then('queue "{name}" serves "{host}" under "{prefix}" from pool "{pool}"')
+def queue_is(context, name, host, prefix, pool):
+    configuration = context.decoded.ok_value
+    queue = configuration.find_queue(host, prefix + "0123456789abcdef")
+    assert (queue.name, queue.pool) == (name, pool), queue
+
+
+@then('team "{team}" holds key "{key}" and may run {cpu:d} thousandths of a core')
+def team_is(context, team, key, cpu):
+    configuration = context.decoded.ok_value
+    assert configuration.team_of_key(key) == team
+    assert configuration.teams_by_name[team].upper_limit.cpu_millis == cpu
+
+
+@then('pool "{name}" is spare')
+def spare(context, name):
+    assert context.decoded.ok_value.pools_by_name[name].spare
+
+
+@then(
+    'it is target "{name}" of pool "{pool}" on host "{host}" in rack "{rack}", {state}'
+)
+def target_is(context, name, pool, host, rack, state):
+    target = context.decoded.ok_value.target
+    found = (target.name, target.pool, target.host, target.rack, target.draining)
+    assert found == (name, pool, host, rack, state == "draining"), found
+
+
+@then(
+    "step {number:d} has {count:d} tasks of {cpu:d} thousandths of a core and"
+    ' {memory:d} MB near rack "{rack}"'
+)
+def step_is(context, number, count, cpu, memory, rack):
+    step = context.decoded.ok_value.steps[number]
+    found = (step.count, step.size.cpu_millis, step.size.memory_mb, step.data_rack)
+    assert found == (count, cpu, memory, rack), found
+
+
+@then("step {number:d} comes after step {before:d} and saves checkpoints")
+def step_after(context, number, before):
+    step = context.decoded.ok_value.steps[number]
+    assert step.after == (before,)
+    assert step.checkpointing
+
+
+@when("the example settings are read without {name}")
+def read_settings(context, name):
+    values = dict.fromkeys(
+        ("name", "role", "ip", "peers", "peers_end", "folder", "listen"), "1"
+    )
+    text = SETTINGS.format(**(values | {"listen": "", "seeds": "", "first": "true"}))
+    plain = tomllib.loads(text)
+    del plain[name]
+    try:
+        decode_settings(plain)
+        context.error = None
+    except KeyError as error:
+        context.error = str(error)
+
+
+@then("the error names {name}")
+def names(context, name):
+    assert context.error == repr(name), context.error
+
+
+@then("{count:d} names of tasks are read back as they were written")
+def round_trip(context, count):
+    numbers = strategies.integers(0, 10_000)
+    identifiers = strategies.integers(0, 2**64 - 1).map(lambda one: f"{one:016x}")
+
+    @settings(max_examples=count, derandomize=True, deadline=None)
+    @given_any(strategies.builds(TaskId, identifiers, numbers, numbers, numbers))
+    def check(task):
+        assert decode_task(encode_task(task)) == task
+
+    check()
--- /dev/null
+++ b/features/platform/support/http_targets.py
@@ -0,0 +1,235 @@
+"""Targets that take orders over HTTP and announce themselves, on loopback addresses."""
+
+import json
+from itertools import count
+
+from mulberryledge_testing.batch.target import SimulatedTarget, TaskTruth
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import StepSpec
+from mulberryledge_core.batch.targets import Target
+from mulberryledge_daemon.batch.ports import (
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+)
+from mulberryledge_platform.http_client import HttpAnswer, HttpClient, HttpRequest
+from mulberryledge_platform.jobs import decode_task, encode_task
+from mulberryledge_platform.settings import Address
+
+BEAT_S = 0.4
+REASONS = {
+    OrderOutcome.FENCED: "fence",
+    OrderOutcome.OLD_RUN: "old",
+    OrderOutcome.LATE: "late",
+}
+
+
+class HttpTargets:
+    """
+    Owns the targets of a small fleet and their hosts.
+
+    Attributes
+    ----------
+    events : list of tuple
+        Starts and ends as the targets saw them.
+    """
+
+    def __init__(self, reactor, controls: list[Address], pools: dict[str, int]):
+        self.reactor = reactor
+        self.controls = controls
+        self.client = HttpClient(reactor, 2)
+        self.numbers = count(1)
+        self.events: list[tuple] = []
+        self.lives: dict[str, SimulatedTarget] = {}
+        self.durations_ms: dict[str, float] = {}
+        self.lasting: set[tuple[str, int]] = set()
+        self.address_numbers = count(100)
+        self.beats: dict[str, LoopingCall] = {}
+        self.ports: dict[str, object] = {}
+        for pool, number in pools.items():
+            for _ in range(number):
+                self.add(f"m-{next(self.numbers)}", pool)
+
+    def add(self, host: str, pool: str) -> None:
+        """Start a target on a host."""
+        ip = f"127.0.9.{next(self.address_numbers)}"
+        site = Site(Orders(self, host))
+        site.noisy = False
+        port = self.reactor.listenTCP(0, site, interface=ip)
+        target = Target(
+            name=f"i-{next(self.numbers)}",
+            born_ms=int(self.reactor.seconds() * 1_000),
+            host=host,
+            address=f"{ip}:{port.getHost().port}",
+            pool=pool,
+            availability_zone="z1",
+            rack="r1",
+            labels=("a", "r1"),
+            capacity=Size(8_000, 16_384, 0),
+        )
+        life = SimulatedTarget(target, self.reactor, self.truth_of, self.watch)
+        self.lives[host], self.ports[host] = life, port
+        self.beats[host] = LoopingCall(self.beat, life, count(1))
+        self.beats[host].start(BEAT_S)
+
+    def truth_of(self, task) -> TaskTruth:
+        """Return what a task really is."""
+        lasting = (task.job_id, task.step) in self.lasting
+        spec = StepSpec(1, Size(1_000, 512), long_running=lasting)
+        return TaskTruth(spec, self.durations_ms.get(task.job_id, 100.0))
+
+    def watch(self, what, target, task, run, how) -> None:
+        """Take note of what happens on a target."""
+        self.events.append((what, target.target.name, task, run, how))
+
+    def beat(self, life: SimulatedTarget, numbers) -> Deferred:
+        """Announce a target to one daemon after the other until one takes it."""
+        target = life.target
+        plain = {
+            "service": target.pool,
+            "address": target.address,
+            "zone": target.availability_zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "sequence": next(numbers),
+            "cold_remaining_ms": 0,
+            "born": target.born_ms,
+            "capacity": {"cpu": 8_000, "memory_limit_mb": 16_384, "gpu": 0},
+            "labels": list(target.labels),
+            "machine": target.host,
+            "clock_ms": int(life.now_ms()),
+        }
+        return ensureDeferred(self.announce(target.name, plain))
+
+    async def announce(self, name: str, plain: dict) -> None:
+        """Send a status report to the first daemon that takes it."""
+        body = json.dumps(plain).encode()
+        request = HttpRequest("POST", f"/Instances.Heartbeat/{name}", 1.0, body)
+        for control in self.controls:
+            answer = await self.client.request(control, request)
+            if isinstance(answer, HttpAnswer) and answer.status == 200:
+                return
+
+    def stop_all(self) -> None:
+        """End all targets."""
+        for loop in self.beats.values():
+            if loop.running:
+                loop.stop()
+        for port in self.ports.values():
+            port.stopListening()
+        for life in self.lives.values():
+            life.die()
+        self.client.close()
+
+
+class Orders(Resource):
+    """Takes the orders for the target on one host."""
+
+    isLeaf = True
+
+    def __init__(self, fleet: HttpTargets, host: str):
+        super().__init__()
+        self.fleet = fleet
+        self.host = host
+
+    def render(self, request) -> int:
+        """Begin to answer."""
+        ensureDeferred(self.answer(request))
+        return NOT_DONE_YET
+
+    async def answer(self, request) -> None:
+        """Carry an order out and answer."""
+        plain = json.loads(request.content.read() or b"{}")
+        life = self.fleet.lives[self.host]
+        expected = request.getHeader("x-expect-instance")
+        if expected not in (None, life.target.name):
+            self.reply(request, 421, {})
+            return
+        path = request.path.decode()
+        if path == "/hold":
+            await self.hold(request, life, plain)
+            return
+        handler = {"/run-start": start, "/run-stop": stop, "/pace": pace}[path]
+        answer = handler(life, plain)
+        reason = REASONS.get(answer.outcome)
+        body = {"clock_ms": answer.clock_ms}
+        if reason is not None:
+            body["reason"] = reason
+        self.reply(request, 409 if reason else 200, body)
+
+    async def hold(self, request, life: SimulatedTarget, plain: dict) -> None:
+        """Answer with the lists, once something has ended or the time is over."""
+        order = HoldOrder(
+            plain.get("fencing_token", 0), plain["last_seen"], plain.get("deadline_ms")
+        )
+        view = life.view(order)
+        if isinstance(view, OrderAnswer):
+            body = {"clock_ms": view.clock_ms, "reason": "fence"}
+            self.reply(request, 409, body)
+            return
+        until = self.fleet.reactor.seconds() + plain.get("wait_ms", 0) / 1_000
+        while not life.ended and self.fleet.reactor.seconds() < until:
+            await deferLater(self.fleet.reactor, 0.01)
+        view = life.lists()
+        body = {
+            "clock_ms": view.clock_ms,
+            "born": view.born_ms,
+            "running": [
+                [encode_task(one.task), one.run, one.checkpoint, one.percent, 0]
+                for one in view.running
+            ],
+            "ended": [
+                [one.number, encode_task(one.task), one.run, one.how, one.checkpoint]
+                for one in view.ended
+            ],
+        }
+        self.reply(request, 200, body)
+
+    def reply(self, request, status: int, plain: dict) -> None:
+        """Write an answer."""
+        if request.channel is None:
+            return
+        request.setResponseCode(status)
+        request.setHeader(b"content-type", b"application/json")
+        request.write(json.dumps(plain).encode())
+        request.finish()
+
+
+def start(life: SimulatedTarget, plain: dict) -> OrderAnswer:
+    """Carry a start out."""
+    return life.start(
+        StartOrder(
+            decode_task(plain["task"]),
+            plain["run"],
+            plain["task_spec"],
+            plain["deadline_ms"],
+            plain["fencing_token"],
+        )
+    )
+
+
+def stop(life: SimulatedTarget, plain: dict) -> OrderAnswer:
+    """Carry a stop out."""
+    order = StopOrder(decode_task(plain["task"]), plain["run"], plain["fencing_token"])
+    return life.stop(order)
+
+
+def pace(life: SimulatedTarget, plain: dict) -> OrderAnswer:
+    """Carry a pace out."""
+    return life.pace(
+        PaceOrder(
+            decode_task(plain["task"]),
+            plain["run"],
+            plain["percent"],
+            plain["fencing_token"],
+        )
+    )
--- /dev/null
+++ b/features/platform/support/programs.py
@@ -0,0 +1,183 @@
+"""The deployment's programs as processes on loopback, as the users run them."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[3]
+PEERS_PORT, CONTROL_PORT, CALLERS_PORT, PROBE_PORT = 7_600, 7_610, 7_620, 7_621
+STOP_TIMEOUT_S = 10.0
+SETTINGS = """
+node_name = "{name}"
+role = "{role}"
+machine_class = "{role}"
+serves = []
+ip = "{ip}"
+zone = "z1"
+region = "here"
+internal_ports = [{peers}, {peers_end}]
+seeds = [{seeds}]
+bootstrap = {first}
+tolerance_counted = true
+data_directory = "{folder}"
+discovery = "registration"
+entry = "virtual_ip"
+heartbeat_ms = 400
+orders = "call"
+[listen]
+{listen}
+[fault_tolerance]
+machines = 1
+zones = 0
+regions = 0
+[bounds]
+grace_s = 6
+status_s = 120
+max_hold_ms = 6000
+lease_ms = 3000
+harm_ms = 4000
+notice_ms = 4500
+migration_s = 1.5
+maintenance_s = 2
+remote_factor = 2
+"""
+
+
+@dataclass(slots=True)
+class Program:
+    """One machine with one program."""
+
+    role: str
+    ip: str
+    folder: Path
+    process: subprocess.Popen | None = None
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Owns the processes of a small installation."""
+
+    folder: Path
+    network: int
+    programs: dict[str, Program] = field(default_factory=dict)
+
+    def add(self, role: str, first: bool = True) -> str:
+        """Start a program on a machine of its own; return the machine's name."""
+        number = len(self.programs) + 1
+        name = f"{role}-{number}"
+        folder = self.folder / name
+        folder.mkdir()
+        ip = f"127.{self.network}.0.{number}"
+        self.programs[name] = Program(role, ip, folder)
+        self.start(name, first)
+        return name
+
+    def seeds(self) -> list[str]:
+        """Return the control addresses of the first three core machines."""
+        core = [one for one in self.programs.values() if one.role == "core"]
+        return [f"{one.ip}:{CONTROL_PORT}" for one in core[:3]]
+
+    def start(self, name: str, first: bool = False) -> None:
+        """Start a program with the settings of this moment."""
+        program = self.programs[name]
+        self.write_settings(name, first)
+        environment = dict(os.environ)
+        environment["MULBERRYLEDGE_NODE_FILE"] = str(program.folder / "local.toml")
+        with open(program.folder / "log", "ab") as log:
+            program.process = subprocess.Popen(
+                [sys.executable, "platform/run.py", program.role],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def write_settings(self, name: str, first: bool) -> None:
+        """Write the settings file of a machine."""
+        program = self.programs[name]
+        if program.role == "core":
+            listen = f'control = "{program.ip}:{CONTROL_PORT}"'
+            folder = str(program.folder / "data")
+        else:
+            listen = f'front = "{program.ip}:{CALLERS_PORT}"\n'
+            listen += f'readiness = "{program.ip}:{PROBE_PORT}"'
+            folder = ""
+        text = SETTINGS.format(
+            name=name,
+            role=program.role,
+            ip=program.ip,
+            peers=PEERS_PORT,
+            peers_end=PEERS_PORT + 15,
+            seeds=", ".join(f'"{seed}"' for seed in self.seeds()),
+            first=str(first).lower(),
+            folder=folder,
+            listen=listen,
+        )
+        (program.folder / "local.toml").write_text(text)
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a program."""
+        self.programs[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a program at once."""
+        self.signal(name, signal.SIGKILL)
+        self.programs[name].process.wait()
+
+    def stop(self, name: str) -> int:
+        """End a program in a planned way; return its exit code."""
+        self.signal(name, signal.SIGTERM)
+        return self.programs[name].process.wait(STOP_TIMEOUT_S)
+
+    def log(self, name: str) -> str:
+        """Return what a program has logged."""
+        return (self.programs[name].folder / "log").read_text(errors="replace")
+
+    def close(self) -> None:
+        """End all programs."""
+        for program in self.programs.values():
+            process = program.process
+            if process is not None and process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+@contextmanager
+def running_deployment(folder: Path, cores: int, entries: int) -> Iterator[Deployment]:
+    """Run a small installation on addresses of its own."""
+    deployment = Deployment(folder, free_network())
+    try:
+        names = [f"core-{number + 1}" for number in range(cores)]
+        for number, name in enumerate(names):
+            machine = folder / name
+            machine.mkdir()
+            ip = f"127.{deployment.network}.0.{number + 1}"
+            deployment.programs[name] = Program("core", ip, machine)
+        for name in names:
+            deployment.start(name, first=True)
+        for _ in range(entries):
+            deployment.add("entry")
+        yield deployment
+    finally:
+        deployment.close()
+
+
+def free_network() -> int:
+    """Return the second number of a loopback network that nobody listens on."""
+    first = 20 + os.getpid() % 200
+    for number in range(first, first + 20):
+        with socket.socket() as one:
+            try:
+                one.bind((f"127.{number}.0.1", PEERS_PORT))
+            except OSError:
+                time.sleep(0.01)
+                continue
+            return number
+    raise AssertionError("no loopback network is free")
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -248,10 +248,13 @@
     if job is None or task is None or job.ended or task.done:
         logger.info("start of a task that is over", extra={"task": task_id})
         return
+    if change.run <= task.run:
+        logger.error("run numbers only rise", extra={"task": task_id})
+        return
     if change.life not in state.targets:
         logger.info("start on a target that is gone", extra={"target": change.life})
         return
-    task.run = max(task.run, change.run)
+    task.run = change.run
     task.live[change.run] = change.life
     step = state.step(task_id.step_id)
     step.idle.pop(change.index, None)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -12,7 +12,7 @@
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_daemon.batch.ports import CloudOutcome, HostsView, HostView
 
-__all__ = ["StandInCloud", "StandInHost"]
+__all__ = ["SimulatedCloud", "SimulatedHost"]
 
 CALL_S = 0.004
 MOVE_S = 1.5
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True)
-class StandInHost:
+class SimulatedHost:
     """
     One host.
 
@@ -41,7 +41,7 @@
     upkeeps: set[int] | None = None
 
 
-class StandInCloud:
+class SimulatedCloud:
     """
     Implements the port Cloud.
 
@@ -54,7 +54,7 @@
     def __init__(self, clock, fleet):
         self.clock = clock
         self.fleet = fleet
-        self.hosts: dict[str, StandInHost] = {}
+        self.hosts: dict[str, SimulatedHost] = {}
         self.waves: dict[int, set[str]] = {}
         self.moves = 0
         self.down: dict[int, int] = {}
@@ -134,7 +134,7 @@
         return CloudOutcome.DONE
 
     def take_down(
-        self, one: StandInHost, state: str, seconds: float, wave: int = 0
+        self, one: SimulatedHost, state: str, seconds: float, wave: int = 0
     ) -> None:
         """End what runs on a host, and bring it back after a while."""
         one.state = state
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -24,8 +24,8 @@
     StopOrder,
     TargetView,
 )
-from mulberryledge_testing.batch.cloud import StandInCloud, StandInHost
-from mulberryledge_testing.batch.target import StandInTarget
+from mulberryledge_testing.batch.cloud import SimulatedCloud, SimulatedHost
+from mulberryledge_testing.batch.target import SimulatedTarget
 
 __all__ = ["Fleet", "NetworkFaults"]
 
@@ -67,8 +67,8 @@
         self.random = random
         self.truth_of = truth_of
         self.watch = watch
-        self.cloud = StandInCloud(clock, self)
-        self.targets: dict[str, StandInTarget] = {}
+        self.cloud = SimulatedCloud(clock, self)
+        self.targets: dict[str, SimulatedTarget] = {}
         self.faults = NetworkFaults(set())
         self.numbers = count(1)
         self.announce: Callable | None = None
@@ -77,7 +77,7 @@
     def add_host(self, pool: str, rack: str, capacity: Size) -> str:
         """Add a host, with a target unless its pool is the spare one."""
         host = f"m-{next(self.numbers)}"
-        self.cloud.hosts[host] = StandInHost(host, pool, rack, capacity)
+        self.cloud.hosts[host] = SimulatedHost(host, pool, rack, capacity)
         self.start_target(host)
         return host
 
@@ -98,11 +98,11 @@
             capacity=one.capacity,
         )
         rate = self.random.uniform(0.985, 1.015)
-        life = StandInTarget(target, self.clock, self.truth_of, self.watch, rate)
+        life = SimulatedTarget(target, self.clock, self.truth_of, self.watch, rate)
         self.targets[host] = life
         self.clock.callLater(self.random.uniform(0, 0.1), self.beat, life)
 
-    def beat(self, life: StandInTarget) -> None:
+    def beat(self, life: SimulatedTarget) -> None:
         """Announce a target, again and again."""
         if not life.alive:
             return
@@ -168,7 +168,7 @@
         await deferLater(self.clock, LATENCY_S)
         return life.lists()
 
-    async def end_within(self, life: StandInTarget, seconds: float) -> None:
+    async def end_within(self, life: SimulatedTarget, seconds: float) -> None:
         """Wait until something ends on a target, or the time is over."""
         waiter = Deferred()
         timer = self.clock.callLater(seconds, life.wake)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
@@ -16,13 +16,13 @@
 from mulberryledge_core.outcomes import Code, Refusal
 from mulberryledge_core.state.tables import Context
 
-__all__ = ["StandInLog", "StandInReplica"]
+__all__ = ["SimulatedLog", "SimulatedReplica"]
 
 COMMIT_S = 0.012  # a sync of 9 ms and a round trip between zones
 WALL_BASE_MS = 1_700_000_000_000
 
 
-class StandInLog:
+class SimulatedLog:
     """
     Owns the committed state.
 
@@ -63,10 +63,10 @@
         return self.machine.apply(self.machine.decode(data), context)
 
 
-class StandInReplica:
+class SimulatedReplica:
     """The log as one daemon sees it; its interface is that of ReplicatedLog."""
 
-    def __init__(self, log: StandInLog, name: str):
+    def __init__(self, log: SimulatedLog, name: str):
         self.log = log
         self.name = name
         self.state = log.machine.state
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -39,7 +39,7 @@
 from mulberryledge_daemon.batch.watchdog import Watchdog
 from mulberryledge_testing.batch.demand import Arrival, Site, arrivals
 from mulberryledge_testing.batch.fleet import Fleet
-from mulberryledge_testing.batch.log import StandInLog, StandInReplica
+from mulberryledge_testing.batch.log import SimulatedLog, SimulatedReplica
 from mulberryledge_testing.batch.target import TaskTruth
 from mulberryledge_testing.batch.witness import Witness
 
@@ -105,7 +105,7 @@
         self.site = site
         self.random = Random(seed)
         self.clock = Clock()
-        self.log = StandInLog(self.clock)
+        self.log = SimulatedLog(self.clock)
         self.truths: dict[str, tuple[TaskTruth, ...]] = {}
         state = self.log.machine.state
         self.witness = Witness(self.clock, state, self.log.wall_ms)
@@ -137,7 +137,7 @@
 
     def make_scheduler(self, name: str) -> Scheduler:
         """Return the scheduler of one daemon."""
-        replica = StandInReplica(self.log, name)
+        replica = SimulatedReplica(self.log, name)
         scheduler = Scheduler(
             self.clock,
             replica,
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -25,7 +25,7 @@
     TargetView,
 )
 
-__all__ = ["Behaviour", "StandInTarget", "TaskTruth"]
+__all__ = ["Behaviour", "SimulatedTarget", "TaskTruth"]
 
 STOP_MS = 100
 GANG_TIMEOUT_MS = 3_000
@@ -82,7 +82,7 @@
 
 
 @dataclass(slots=True)
-class StandInTarget:
+class SimulatedTarget:
     """
     Owns the runs of one life.
 
