--- a/features/platform/steps/path.py
+++ b/features/platform/steps/path.py
@@ -160,6 +160,9 @@
         reactor, HttpTargets, reactor, controls, POOLS
     )
     context.scene.callback(blockingCallFromThread, reactor, context.targets.stop_all)
+    for name in machines(context, "core"):
+        url = control_url(context, name) + "/Configuration.Get"
+        within(READY_S, lambda url=url: call(url)[0] != 0, f"{name} serves")
     for name in machines(context, "entry"):
         ip = context.deployment.programs[name].ip
         url = f"http://{ip}:{PROBE_PORT}/readiness"
