--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -104,7 +104,7 @@
         "let its work stand still": "hanging target",
     }
     times = ((names[what], 5.0),)
-    context.plans = [Plan(site, 2, TROUBLED_S, times)]
+    context.plans = [Plan(site, seed, TROUBLED_S, times) for seed in (2, 6, 8)]
 
 
 def play_both(context, **changes):
