Time the upkeep of an empty host on the steady clock

Cause: a host of the spare pool runs no target that could announce its return, so its upkeep counted as over after the agreed time of the log. Ruled out: lost answers of the cloud, a second leader (none in that span), a wrong limit. Change: the leader counts from when it first knew of the upkeep, on its steady clock; a new life on the host counts as the return only after that time too, so that a delayed report of an earlier life is not taken for it. Conclusion: the time of day decides on occurrences only.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -44,6 +44,9 @@
     ----------
     calling : set of str
         Hosts with a call to the cloud under way, or a retry that is due later.
+    away_since : dict of (int, str) to int
+        By wave and host: when this leader first knew that its upkeep had begun, on its
+        steady clock; the time of day may jump.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.holder_ms = holder_ms
         self.timing = timing
         self.calling: set[str] = set()
+        self.away_since: dict[tuple[int, str], int] = {}
         self.emptying = scheduler.cordon()
         self.term: int | None = None
         scheduler.followers.append(self.tick)
@@ -72,6 +76,7 @@
         if self.term != self.scheduler.term:
             self.term = self.scheduler.term
             self.calling.clear()
+            self.away_since.clear()
         open_waves = [wave for wave in self.state.waves.values() if not wave.completed]
         waiting = {
             host
@@ -92,13 +97,15 @@
         for host, upkeep in wave.hosts.items():
             if upkeep.phase != UpkeepPhase.BEGUN:
                 continue
+            now = self.scheduler.now()
+            away_ms = now - self.away_since.setdefault((wave.wave, host), now)
             life = self.state.lives_by_host.get(host, "")
             if life and life != upkeep.life:
+                back = away_ms >= self.upkeep_ms  # else a report from before it
+            else:
+                back = not upkeep.life and away_ms > self.upkeep_ms + RETURN_MARGIN_MS
+            if back:
                 self.mark(wave, host, UpkeepPhase.DONE)
-            elif not upkeep.life:
-                gone_ms = self.state.now_ms - upkeep.at_ms
-                if gone_ms > self.upkeep_ms + RETURN_MARGIN_MS:
-                    self.mark(wave, host, UpkeepPhase.DONE)
 
     def mark(
         self, wave: WaveRecord, host: str, phase: UpkeepPhase, life: str = ""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
@@ -30,6 +30,8 @@
     ----------
     leader : str
         Name of the daemon that leads, empty for none.
+    skew_ms : int
+        By how much the time of day is wrong.
     """
 
     def __init__(self, clock):
@@ -38,6 +40,7 @@
         self.index = 0
         self.term = 1
         self.leader = ""
+        self.skew_ms = 0
         self.frozen: set[str] = set()
         self.rounds: list[Round] = []
 
@@ -47,7 +50,7 @@
 
     def wall_ms(self) -> int:
         """Return the time of day."""
-        return WALL_BASE_MS + self.now()
+        return WALL_BASE_MS + self.now() + self.skew_ms
 
     def elect(self, name: str) -> None:
         """Let another daemon lead, in a new term."""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -13,6 +13,7 @@
 __all__ = ["TROUBLES", "trouble"]
 
 CUT_S = 6.0
+JUMP_MS = 2_000
 WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
 
 
@@ -115,6 +116,18 @@
             day.cancel(job_id)
 
 
+def jump_clock(day: Day) -> None:
+    """Let the time of day jump ahead, and back after a while."""
+    day.log.skew_ms += JUMP_MS
+    day.at(CUT_S, setattr, day.log, "skew_ms", 0)
+
+
+def silence_advisor(day: Day) -> None:
+    """Let the advisor answer nothing for a while."""
+    day.advisor.silent = True
+    day.at(CUT_S, setattr, day.advisor, "silent", False)
+
+
 TROUBLES: dict[str, Callable[[Day], None]] = {
     "crash": crash,
     "lost rack": lose_rack,
@@ -129,6 +142,8 @@
     "lost answers of the cloud": lose_answers,
     "silent cloud": silence_cloud,
     "cancelled jobs": cancel_jobs,
+    "silent advisor": silence_advisor,
+    "clock jump": jump_clock,
 }
 
 
