Ask the placement advisor for tickets, and pace fillers beside served tasks

Cause: a queue with a placement policy would never have run a task (each start refused for want of a ticket), and fillers would have kept served tail latencies over their bound. A lasting task is evacuated only to where it may run.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -10,9 +10,10 @@
     And every job that can be done has ended
 
     Examples:
-      | site  |
-      | falaj |
-      | yayla |
+      | site   |
+      | falaj  |
+      | yayla  |
+      | shared |
 
   Scenario Outline: A day with <trouble> breaks no promise
     When a day of each site with <trouble> is played, twice on each day
@@ -36,6 +37,41 @@
       | silent cloud              |
       | cancelled jobs            |
 
+  Scenario Outline: Fillers, served tasks, gangs and advice under <trouble>
+    When a day of "shared" with <trouble> is played, twice on the day
+    Then no promise is broken
+    And every job that can be done has ended
+
+    Examples:
+      | trouble        |
+      | crash          |
+      | cut targets    |
+      | late orders    |
+      | new leader     |
+      | drain          |
+      | wave           |
+      | silent advisor |
+
+  Scenario Outline: A wave keeps its limit while the time of day jumps
+    When a day of "<site>" is played with a wave and a clock jump <gap> seconds after
+    Then no promise is broken
+    And no wave had more hosts down than allowed, and each is complete
+
+    Examples:
+      | site  | gap |
+      | falaj | 0.3 |
+      | falaj | 1.0 |
+      | yayla | 1.0 |
+      | yayla | 3.0 |
+
+  Scenario: The witness finds fillers that nobody slows down
+    When a busy day of "shared" is played without "pacing"
+    Then a promise is broken
+
+  Scenario: Steps of a guarded queue start with a ticket only
+    When a calm day of "shared" is played without "tickets"
+    Then a job never ends
+
   Scenario: Days with three troubles at once break no promise
     When 6 days with three troubles each are played
     Then no promise is broken
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -10,6 +10,7 @@
 WORKERS = 2
 CALM_S, TROUBLED_S, HEAVY_S, TURNS_S = 16.0, 18.0, 20.0, 34.0
 SITES = ("falaj", "yayla")
+NOT_MIXED = ("silent advisor", "clock jump")  # in scenarios of their own
 
 
 def play_all(plans) -> list[Outcome]:
@@ -33,9 +34,36 @@
     )
 
 
+@when('a day of "{site}" with {name} is played, twice on the day')
+def play_on_site(context, site, name):
+    times = ((name, 4.0), (name, 10.0))
+    context.outcomes = play_all(Plan(site, seed, TROUBLED_S, times) for seed in (1, 2))
+
+
+@when('a day of "{site}" is played with a wave and a clock jump {gap:f} seconds after')
+def play_jump(context, site, gap):
+    times = (("wave", 4.0), ("clock jump", 4.0 + gap))
+    context.outcomes = play_all(Plan(site, seed, TROUBLED_S, times) for seed in (1, 2))
+
+
+@when('a busy day of "{site}" is played without "{part}"')
+def play_busy_without(context, site, part):
+    context.outcomes = [carry_out(Plan(site, 1, CALM_S, load=1.5, without=(part,)))]
+
+
+@when('a calm day of "{site}" is played without "{part}"')
+def play_without(context, site, part):
+    context.outcomes = [carry_out(Plan(site, 1, CALM_S, without=(part,)))]
+
+
+@then("a job never ends")
+def never_ends(context):
+    assert any(one.unfinished for one in context.outcomes)
+
+
 @when("{count:d} days with three troubles each are played")
 def play_mixed(context, count):
-    names = sorted(TROUBLES)
+    names = sorted(name for name in TROUBLES if name not in NOT_MIXED)
     plans = []
     for number in range(count):
         chosen = [names[(5 * number + 3 * step) % len(names)] for step in range(3)]
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -131,6 +131,8 @@
     if life not in state.used:
         state.used[life] = Tally()
     state.used[life].add(reserved)
+    if spec.filler:
+        state.filling[life] += spec.size.cpu_millis
     if job.team:
         state.team_used[job.team].add(spec.size)
     done = state.task(task_id).done and not spec.gang
@@ -145,11 +147,14 @@
     spec = job.spec.steps[task_id.step]
     state.runs[life].pop((task_id, run))
     state.used[life].add(spec.reserved, -1)
+    if spec.filler:
+        state.filling[life] -= spec.size.cpu_millis
     if job.team:
         state.team_used[job.team].add(spec.size, -1)
     state.unwanted_runs.pop((task_id, run), None)
     if not state.runs[life] and life not in state.targets:
         del state.runs[life], state.used[life]
+        state.filling.pop(life, None)
 
 
 def put_configuration(state: BatchState, change: PutConfiguration) -> None:
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -26,17 +26,38 @@
 from mulberryledge_core.batch.specs import StepId, StepSpec, TaskId
 from mulberryledge_core.batch.state import BatchState
 from mulberryledge_core.batch.targets import Target
+from mulberryledge_core.batch.tickets import Tickets
 
-__all__ = ["PlacingView", "has_room_elsewhere", "plan_starts"]
+__all__ = [
+    "PlacingView",
+    "has_room_elsewhere",
+    "permitted_rooms",
+    "plan_starts",
+    "ready_steps",
+    "rooms_with_space",
+]
 
 
 @dataclass(slots=True)
 class Room:
-    """What is used of a target, with the starts planned so far."""
+    """
+    What is used of a target, with the starts planned so far.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether it gets no more.
+    filled_millis : int
+        What its fillers would use if they could.
+    paced : bool
+        Whether its fillers work below their full pace.
+    """
 
     target: Target
     used: Tally
     closed: bool = False
+    filled_millis: int = 0
+    paced: bool = False
 
 
 @dataclass(slots=True)
@@ -54,6 +75,12 @@
         How long tasks take.
     trials : frozenset of str
         Lives of targets that get one run at a time.
+    tickets : Tickets or None
+        Answers of the placement advisor; None if there is no advisor.
+    log_ms : int
+        Time of the log, by which tickets expire.
+    paced : frozenset of str
+        Lives of targets where fillers work below their full pace.
     """
 
     state: BatchState
@@ -62,6 +89,9 @@
     durations: Durations
     order: OrderPolicy = OrderPolicy()
     trials: frozenset[str] = frozenset()
+    tickets: Tickets | None = None
+    log_ms: int = 0
+    paced: frozenset[str] = frozenset()
     rooms: dict[str, list[Room]] = field(default_factory=dict)
     team_used: dict[str, Tally] = field(default_factory=dict)
     times: dict[tuple[str, int], Times] = field(default_factory=dict)
@@ -71,7 +101,13 @@
             if target.life in self.trials and self.state.live_runs(target.life):
                 continue
             used = self.state.used[target.life].copy()
-            self.rooms.setdefault(target.pool, []).append(Room(target, used))
+            room = Room(
+                target,
+                used,
+                filled_millis=self.state.filling[target.life],
+                paced=target.life in self.paced,
+            )
+            self.rooms.setdefault(target.pool, []).append(room)
 
     def team_tally(self, team: str) -> Tally:
         """Return what a team has running, with the starts planned so far."""
@@ -126,11 +162,7 @@
 ) -> list[StartRun]:
     """Return the runs of one step to start now."""
     spec = job.spec.steps[step_id.step]
-    rooms = [
-        room
-        for room in view.rooms.get(view.state.queue_of(job).pool, ())
-        if not spec.required_label or spec.required_label in room.target.labels
-    ]
+    rooms = permitted_rooms(view, job, step_id)
     if spec.gang:
         return place_gang(view, job, step_id, step, rooms)
     starts = []
@@ -147,12 +179,49 @@
     return starts
 
 
+def labelled_rooms(view: PlacingView, job: JobRecord, spec: StepSpec) -> list[Room]:
+    """Return the targets of a job's pool with the label that a step requires."""
+    return [
+        room
+        for room in view.rooms.get(view.state.queue_of(job).pool, ())
+        if not spec.required_label or spec.required_label in room.target.labels
+    ]
+
+
+def permitted_rooms(view: PlacingView, job: JobRecord, step_id: StepId) -> list[Room]:
+    """Return the targets on which a step may run."""
+    rooms = labelled_rooms(view, job, job.spec.steps[step_id.step])
+    if view.tickets is None or view.state.queue_of(job).advice is None:
+        return rooms
+    return [
+        room
+        for room in rooms
+        if view.tickets.text(step_id, room.target.life, view.log_ms)
+    ]
+
+
+def rooms_with_space(
+    view: PlacingView, job: JobRecord, step_id: StepId, step: StepRecord
+) -> list[Room]:
+    """Return where a step has room, whether or not it may run there, widest first."""
+    spec = job.spec.steps[step_id.step]
+    taken = taken_by_life(step)
+    rooms = [
+        room
+        for room in labelled_rooms(view, job, spec)
+        if room.used.fits(spec.reserved, room.target.capacity)
+        and not room.closed
+        and not (spec.max_per_target and taken[room.target.life] >= spec.max_per_target)
+    ]
+    return sorted(rooms, key=lambda room: room.used.cpu_millis)
+
+
 def has_room_elsewhere(view: PlacingView, task_id: TaskId) -> bool:
     """Return whether a task that runs could be started on one of the targets."""
     job = view.state.jobs[task_id.job_id]
     spec = job.spec.steps[task_id.step]
     step = view.state.step(task_id.step_id)
-    rooms = view.rooms.get(view.state.queue_of(job).pool, ())
+    rooms = permitted_rooms(view, job, task_id.step_id)
     return choose_room(rooms, spec, taken_by_life(step), "") is not None
 
 
@@ -208,13 +277,24 @@
             racks[target.rack],
             taken[target.life] if spec.long_running else 0,
             bool(spec.data_rack) and target.rack != spec.data_rack,
-            -room.used.cpu_millis / max(1, target.capacity.cpu_millis),
+            filler_rank(room) if spec.filler else -busy_share(room),
         )
         if best_rank is None or rank < best_rank:
             best, best_rank = room, rank
     return best
 
 
+def busy_share(room: Room) -> float:
+    """Return how much of a target's processors is reserved."""
+    return room.used.cpu_millis / max(1, room.target.capacity.cpu_millis)
+
+
+def filler_rank(room: Room) -> float:
+    """Rank targets for a filler: where most is left over, and others are not harmed."""
+    filled = room.filled_millis / max(1, room.target.capacity.cpu_millis)
+    return busy_share(room) + filled + 2.0 * room.paced
+
+
 def place_gang(
     view: PlacingView,
     job: JobRecord,
@@ -279,6 +359,8 @@
     """Count a start, and return it."""
     spec = job.spec.steps[step_id.step]
     room.used.add(spec.reserved)
+    if spec.filler:
+        room.filled_millis += spec.size.cpu_millis
     room.closed = room.target.life in view.trials
     if job.team:
         view.team_tally(job.team).add(spec.size)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
@@ -64,6 +64,8 @@
         Live runs by life, with what each reserves.
     used : dict of str to Tally
         What the live runs of each life reserve together.
+    filling : Counter of str
+        Thousandths of a core that the fillers of each life would use if they could.
     team_used : dict of str to Tally
         What the live runs of each team ask for together.
     open_steps : dict of str to dict
@@ -87,6 +89,7 @@
         """Forget what is derived from the stored state."""
         self.runs: dict[str, dict[RunKey, Size]] = {}
         self.used: dict[str, Tally] = {}
+        self.filling: Counter[str] = Counter()
         self.team_used: dict[str, Tally] = defaultdict(Tally)
         self.open_steps: dict[str, dict[StepId, StepRecord]] = defaultdict(dict)
         self.waiting: Counter[str] = Counter()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -110,8 +110,8 @@
         spare = self.spare_pool()
         if spare is None:
             return
-        wanted = self.wanted()
         owned = self.owned(now)
+        wanted = self.wanted(owned)
         lacking = {
             pool: count - len(owned.get(pool, ())) for pool, count in wanted.items()
         }
@@ -136,7 +136,7 @@
                 return pool.name
         return None
 
-    def wanted(self) -> dict[str, int]:
+    def wanted(self, owned: dict[str, list[KnownHost]]) -> dict[str, int]:
         """Return how many hosts each pool with a queue should have."""
         loads = pool_loads(
             self.state,
@@ -145,10 +145,15 @@
             self.scheduler.wall_ms(),
             OrderPolicy(),
         )
-        return {
+        wanted = {
             pool: wanted_hosts(replace(load, host=self.host_size(pool)), self.policy)
             for pool, load in loads.items()
         }
+        for wish in self.scheduler.wishes:
+            for pool, more in wish().items():
+                have = len(owned.get(pool, ()))
+                wanted[pool] = max(wanted.get(pool, 0), have + more)
+        return wanted
 
     def host_size(self, pool: str) -> Size:
         """Return what a host of a pool holds, or any host if it has none."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from mulberryledge_core.batch.commands import RunEnd
+from mulberryledge_core.batch.configuration import AdviceCost
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import StepId, TaskId
 from mulberryledge_core.batch.targets import Target
@@ -254,7 +255,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TicketGrant:
-    """Leave to run a step on one life of a target."""
+    """Leave to run a step on the target of that name, in its present life."""
 
     target: str
     ticket: str
@@ -264,6 +265,6 @@
     """Decides which targets may run the steps of some queues."""
 
     def advise(
-        self, step: StepId, targets: tuple[str, ...]
+        self, step: StepId, targets: tuple[str, ...], cost: AdviceCost
     ) -> Awaitable[tuple[TicketGrant, ...] | None]:
         """Return tickets for those that may run it, None without an answer."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from random import Random
 
@@ -26,6 +26,7 @@
 from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.state import BatchState, RunKey
 from mulberryledge_core.batch.targets import Target
+from mulberryledge_core.batch.tickets import Tickets
 from mulberryledge_daemon.batch.ports import TargetOrders
 from mulberryledge_daemon.batch.rounds import Rounds
 from mulberryledge_daemon.batch.sessions import SessionTiming, TargetSession
@@ -58,10 +59,16 @@
         hosts.
     watchers : list of callable
         Called with the changes of each committed round.
+    wishes : list of callable
+        Each returns, by pool, how many hosts it lacks for reasons other than its load.
     durations : Durations
         How long tasks take, learned from the runs that end.
     failed_on : dict of str to set of str
         By job: lives of targets on which runs of it have failed.
+    tickets : Tickets
+        Answers of the placement advisor.
+    needs_tickets : bool
+        Whether there is an advisor to ask.
     """
 
     def __init__(
@@ -93,9 +100,12 @@
         self.reported_ms = 0
         self.followers: list[Callable[[], None]] = []
         self.cordons: list[set[str]] = []
+        self.wishes: list[Callable[[], Counter[str]]] = []
         self.watchers: list[Callable[[tuple[object, ...]], None]] = []
         self.durations = Durations()
         self.failed_on: dict[str, set[str]] = defaultdict(set)
+        self.tickets = Tickets()
+        self.needs_tickets = False
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -194,6 +204,7 @@
             session.close()
         self.sessions.clear()
         self.failed_on.clear()
+        self.tickets = Tickets()
         for cordon in self.cordons:
             cordon.clear()
         self.rounds.end()
@@ -263,7 +274,14 @@
             one.life for one in self.sessions.values() if one.health.on_trial
         )
         return PlacingView(
-            self.state, usable, self.wall_ms(), self.durations, trials=trials
+            self.state,
+            usable,
+            self.wall_ms(),
+            self.durations,
+            trials=trials,
+            tickets=self.tickets if self.needs_tickets else None,
+            log_ms=self.now(),
+            paced=frozenset(one.life for one in self.sessions.values() if one.paced),
         )
 
     def cordon(self) -> set[str]:
@@ -338,7 +356,8 @@
         if session is None or task is None or change.run not in task.live:
             return
         job = self.state.jobs[change.job_id]
-        session.start(task_id, change.run, job.spec.body, task.checkpoint)
+        ticket = self.tickets.text(task_id.step_id, change.life, self.now())
+        session.start(task_id, change.run, job.spec.body, task.checkpoint, ticket)
 
     def stop_unwanted(self) -> None:
         """Stop what must not run any more."""
@@ -347,13 +366,17 @@
             if session is not None:
                 session.stop_unwanted()
 
+    def ticket_refused(self, session: TargetSession, task_id: TaskId) -> None:
+        """Forget a ticket that a target has refused."""
+        self.tickets.drop(task_id.step_id, session.life)
+
     def run_done(self, key: RunKey, real_ms: int) -> None:
         """Learn how long the tasks of a queue run."""
         job = self.state.jobs.get(key[0].job_id)
         if job is None:
             return
         step = job.spec.steps[key[0].step]
-        if not step.long_running:
+        if not step.long_running and not step.filler:
             self.durations.learn(job.queue, step.estimated_ms, real_ms)
 
     def run_failed(self, session: TargetSession, task_id: TaskId) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -103,6 +103,9 @@
     def run_failed(self, session: "TargetSession", task: TaskId) -> None:
         """Take note of a run that has failed."""
 
+    def ticket_refused(self, session: "TargetSession", task: TaskId) -> None:
+        """Take note of a ticket that the target did not take."""
+
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Do something later, unless the lead is lost before."""
 
@@ -157,6 +160,10 @@
         What became of the work that the target had.
     missed : int
         Calls in a row that got no answer.
+    look_ms : int or None
+        How long a list may wait for an end at most, if less than usual.
+    paced : bool
+        Whether what fills there works below its full pace.
     """
 
     def __init__(
@@ -176,6 +183,8 @@
         self.listed: dict[RunKey, ListedRun] = {}
         self.health = Health()
         self.missed = 0
+        self.look_ms: int | None = None
+        self.paced = False
         self.tracks: dict[RunKey, Track] = {}
         self.closed = False
         self.calling = False
@@ -266,9 +275,11 @@
         busy = bool(self.live())
         if not self.clock.known or self.missed:
             return HoldOrder(fence, seen)
-        wait_ms = self.timing.wait_ms if busy and not self.stops_due() else 0
         if not busy:
             return HoldOrder(fence, seen)
+        wait_ms = 0 if self.stops_due() else self.timing.wait_ms
+        if self.look_ms is not None:
+            wait_ms = min(wait_ms, self.look_ms)
         deadline_ms = self.clock.estimate(now) + self.timing.lease_ms
         self.lapse_ms = max(self.lapse_ms, self.clock.surely_past(deadline_ms))
         return HoldOrder(fence, seen, deadline_ms, wait_ms)
@@ -412,13 +423,15 @@
 
     # Starts and stops.
 
-    def start(self, task: TaskId, run: int, body: str, checkpoint: str) -> None:
+    def start(
+        self, task: TaskId, run: int, body: str, checkpoint: str, ticket: str
+    ) -> None:
         """Order a start that is durable."""
-        started = ensureDeferred(self.order_start(task, run, body, checkpoint))
+        started = ensureDeferred(self.order_start(task, run, body, checkpoint, ticket))
         started.addErrback(self.broken)
 
     async def order_start(
-        self, task: TaskId, run: int, body: str, checkpoint: str
+        self, task: TaskId, run: int, body: str, checkpoint: str, ticket: str
     ) -> None:
         """Order a start, and deal with its answer."""
         now = self.leader.now()
@@ -429,7 +442,8 @@
         self.lapse_ms = max(self.lapse_ms, self.clock.surely_past(deadline_ms))
         track = Track(deadline_ms)
         self.tracks[task, run] = track
-        order = StartOrder(task, run, body, deadline_ms, self.leader.fence, checkpoint)
+        fence = self.leader.fence
+        order = StartOrder(task, run, body, deadline_ms, fence, checkpoint, ticket)
         self.wake()  # the start alone gives a lease up to its own deadline
         answer = await self.leader.orders.start(self.target, order)
         if self.closed:
@@ -452,6 +466,8 @@
         logger.warning("start not confirmed", extra=extra)
         if outcome in (OrderOutcome.UNHEALTHY, OrderOutcome.INVALID):
             self.health.exclude(self.leader.now())
+        if outcome == OrderOutcome.BAD_TICKET:
+            self.leader.ticket_refused(self, task)
         if outcome in REFUSALS:
             self.leader.rounds.submit(EndRun(*task, run, RunEnd.REFUSED))
         elif outcome == OrderOutcome.FENCED:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/demand.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/demand.py
@@ -37,6 +37,16 @@
         Whether its tasks last.
     hopeless_share : float
         Share of the jobs that always fail.
+    filler : bool
+        Whether its tasks use only what others leave.
+    serves_ms : int
+        Bound on the tail latency of its tasks, 0 if they serve nobody.
+    advised : bool
+        Whether an advisor decides where its steps run.
+    label : str
+        Label that its targets must have.
+    gang : bool
+        Whether the tasks of a step work only together.
     """
 
     queue: str
@@ -57,6 +67,11 @@
     speculative_share: float = 0.0
     spread_share: float = 0.0
     hopeless_share: float = 0.0
+    filler: bool = False
+    serves_ms: int = 0
+    advised: bool = False
+    label: str = ""
+    gang: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +138,26 @@
         JobKind("letters", "treasury", 1, 5, 0, 3_400, 9_000, 0, 0.837, lasting=True),
     ),
 )  # fmt: skip
-KINDS = {site.name: site for site in (FALAJ, YAYLA)}
+# No installation of the sheets: the forms of step that theirs don't send.
+SHARED = Site(
+    "shared",
+    ("web", "vault"),
+    6,
+    Size(32_000, 65_536, 0),
+    6,
+    4,
+    (
+        JobKind("site", "web", 1, 6, 0, 4_000, 4_000, 0, 1.0, lasting=True,
+                serves_ms=80),
+        JobKind("crawl", "web", 1, 6, 1_500, 3_000, 1_000, 0.2, 0.4, stretch=6.0,
+                latency_ms=6_000, per_s=0.8, filler=True),
+        JobKind("audit", "vault", 1.6, 5, 800, 2_500, 2_000, 0.2, 0.4, stretch=2.0,
+                latency_ms=1_500, per_s=1.2, advised=True),
+        JobKind("model", "vault", 1, 4, 900, 4_000, 4_000, 0.2, 0.8, stretch=2.0,
+                latency_ms=1_500, per_s=0.4, gang=True, label="a"),
+    ),
+)  # fmt: skip
+KINDS = {site.name: site for site in (FALAJ, YAYLA, SHARED)}
 SPREAD = 0.5
 TURN_FACTOR, QUIET_FACTOR = 4.0, 0.05  # of the mean rate, in a turn and outside
 
@@ -172,6 +206,10 @@
             max_per_target=2 if random.random() < kind.spread_share else 0,
             long_running=kind.lasting,
             max_unavailable=1 if kind.lasting else None,
+            latency_target_ms=kind.serves_ms,
+            filler=kind.filler,
+            required_label=kind.label,
+            gang=kind.gang,
         )
         steps.append(spec)
         truths.append(TaskTruth(spec, work_ms, fails))
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -72,6 +72,7 @@
         self.faults = NetworkFaults(set())
         self.numbers = count(1)
         self.announce: Callable | None = None
+        self.ticket_valid: Callable | None = None
         self.spare = ""
 
     def add_host(self, pool: str, rack: str, capacity: Size) -> str:
@@ -98,7 +99,9 @@
             capacity=one.capacity,
         )
         rate = self.random.uniform(0.985, 1.015)
-        life = SimulatedTarget(target, self.clock, self.truth_of, self.watch, rate)
+        life = SimulatedTarget(
+            target, self.clock, self.truth_of, self.watch, rate, self.ticket_valid
+        )
         self.targets[host] = life
         self.clock.callLater(self.random.uniform(0, 0.1), self.beat, life)
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from unittest.mock import patch
 
-from mulberryledge_core.batch import placing, suspicion
+from mulberryledge_core.batch import placing, suspicion, tickets
 from mulberryledge_core.batch.sizes import Tally
-from mulberryledge_daemon.batch import sessions, watchdog
+from mulberryledge_daemon.batch import pacer, sessions, watchdog
 from mulberryledge_testing.batch.demand import site_named
 from mulberryledge_testing.batch.play import POOL_POLICY, Day
 from mulberryledge_testing.batch.troubles import trouble
@@ -93,6 +93,10 @@
     "judgement": lambda: patch.object(
         suspicion.Health, "exclude", lambda self, *arguments: None
     ),
+    "pacing": lambda: patch.object(pacer.Pacer, "tick", lambda self: None),
+    "tickets": lambda: patch.object(
+        tickets.Tickets, "text", lambda self, *arguments: "none"
+    ),
     "watchdog": lambda: patch.object(watchdog.Watchdog, "tick", lambda self: None),
 }  # fmt: skip
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -20,23 +20,28 @@
     SubmitJob,
 )
 from mulberryledge_core.batch.configuration import (
+    AdviceCost,
     FleetConfiguration,
     PoolConfig,
     Queue,
     TeamConfig,
 )
+from mulberryledge_core.batch.pacing import PacePolicy
 from mulberryledge_core.batch.pools import PoolPolicy
 from mulberryledge_core.batch.records import JobPhase
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.suspicion import SuspicionPolicy
 from mulberryledge_core.batch.upkeep import UpkeepTiming
+from mulberryledge_daemon.batch.advice import Questions
 from mulberryledge_daemon.batch.hosts import HostTable
 from mulberryledge_daemon.batch.moves import Moves
+from mulberryledge_daemon.batch.pacer import Pacer
 from mulberryledge_daemon.batch.scheduler import Scheduler
 from mulberryledge_daemon.batch.sessions import SessionTiming
 from mulberryledge_daemon.batch.upkeep import Upkeep
 from mulberryledge_daemon.batch.watchdog import Watchdog
+from mulberryledge_testing.batch.advisor import SimulatedAdvisor
 from mulberryledge_testing.batch.demand import Arrival, Site, arrivals
 from mulberryledge_testing.batch.fleet import Fleet
 from mulberryledge_testing.batch.log import SimulatedLog, SimulatedReplica
@@ -52,6 +57,7 @@
 LATE_FACTOR = 3.0
 LASTING_WINDOW_S = 2.0
 POOL_POLICY = PoolPolicy()
+ADVICE = AdviceCost(decision_ms=60, per_target_ms=5, validity_ms=2_000)
 MOVE_MS, UPKEEP_MS, HOLDER_MS = 1_500, 2_000, 3_000
 
 
@@ -114,6 +120,8 @@
         )
         self.fleet.spare = SPARE
         self.fleet.announce = self.on_beat
+        self.advisor = SimulatedAdvisor(self.clock, self.random, self.needs_ticket)
+        self.fleet.ticket_valid = self.advisor.valid
         self.schedulers: dict[str, Scheduler] = {}
         self.pool_policy = pool_policy
         self.limit_factor = limit_factor
@@ -152,6 +160,8 @@
             self.log.machine.state, self.fleet.cloud, MOVE_MS, replica.now
         )
         cloud = self.fleet.cloud
+        Questions(scheduler, self.advisor)
+        Pacer(scheduler, PacePolicy())
         Watchdog(scheduler, SuspicionPolicy())
         Upkeep(scheduler, cloud, table, UPKEEP_MS, HOLDER_MS, UpkeepTiming())
         if self.pool_policy is not None:
@@ -172,6 +182,7 @@
                 stretch=kind.stretch,
                 target_latency_ms=kind.latency_ms,
                 timeout_ms=3_000,
+                advice=ADVICE if kind.advised else None,
             )
             for kind in self.site.kinds
         )
@@ -186,6 +197,10 @@
         )
         return PutConfiguration(FleetConfiguration(1, queues, pools, teams), b"{}")
 
+    def needs_ticket(self, job_id: str) -> bool:
+        """Return whether the tasks of a job need a ticket."""
+        return self.submitted[job_id].kind.advised
+
     def truth_of(self, task: TaskId) -> TaskTruth:
         """Return what a task really is."""
         return self.truths[task.job_id][task.step]
@@ -261,6 +276,8 @@
         hosts = self.fleet.cloud.hosts.values()
         self.report.host_seconds += LOOK_S * sum(one.pool != SPARE for one in hosts)
         self.report.lasting.append(self.lasting_share())
+        for life in self.fleet.targets.values():
+            self.witness.check_tails(life)
         self.clock.callLater(LOOK_S, self.look)
 
     def lasting_share(self) -> float:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -31,6 +31,7 @@
 GANG_TIMEOUT_MS = 3_000
 MAX_LEASE_MS = 6_000
 STARTUP_MS = 700  # until a lasting task is at work
+TAIL_ALONE, TAIL_FILLER = 0.6, 0.1  # share of the bound: alone, and for each filler
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +72,16 @@
 
 @dataclass(slots=True)
 class Running:
-    """A run that is under way."""
+    """
+    A run that is under way.
+
+    Attributes
+    ----------
+    pace : int
+        Percentage of its speed at which it works.
+    done_ms, paced_ms : float
+        Work done until the pace was set last, and when that was.
+    """
 
     run: int
     truth: TaskTruth
@@ -79,6 +89,9 @@
     ends_ms: float | None
     timer: object = None
     stopping: bool = False
+    pace: int = 100
+    done_ms: float = 0.0
+    paced_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -92,6 +105,8 @@
         Number of the last end when the lease last ran out.
     truth_of : callable
         Returns what a task really is.
+    ticket_valid : callable or None
+        Tells whether a ticket lets a task start here.
     watch : callable
         Called with ``"start"``, ``"end"`` or ``"noted"``, the target, task, run and
         how it ended.
@@ -102,6 +117,7 @@
     truth_of: Callable[[TaskId], TaskTruth]
     watch: Callable[..., None]
     rate: float = 1.0
+    ticket_valid: Callable[["SimulatedTarget", StartOrder], bool] | None = None
     behaviour: Behaviour = field(default_factory=Behaviour)
     alive: bool = True
     fence: int = 0
@@ -130,6 +146,8 @@
             return self.answer(OrderOutcome.DONE)
         if order.run <= self.closed_runs.get(order.task, 0) or known is not None:
             return self.answer(OrderOutcome.OLD_RUN)
+        if self.ticket_valid is not None and not self.ticket_valid(self, order):
+            return self.answer(OrderOutcome.BAD_TICKET)
         self.extend_lease(order.deadline_ms)
         self.begin(order)
         return self.answer(OrderOutcome.DONE)
@@ -147,7 +165,7 @@
             ends_ms, how = now + 50, RunEnd.FAILED
         elif not (self.behaviour.hangs or truth.spec.long_running):
             ends_ms = now + truth.duration_ms * self.behaviour.slow
-        run = Running(order.run, truth, now, ends_ms)
+        run = Running(order.run, truth, now, ends_ms, paced_ms=now)
         self.running[order.task] = run
         self.watch("start", self, order.task, order.run, None)
         if ends_ms is not None:
@@ -193,11 +211,41 @@
         return self.answer(OrderOutcome.DONE)
 
     def pace(self, order: PaceOrder) -> OrderAnswer:
-        """Take a pace; it changes nothing here."""
+        """Take a pace; a filler that works goes on at it."""
         if order.fence < self.fence:
             return self.answer(OrderOutcome.FENCED)
+        run = self.running.get(order.task)
+        if run is not None and run.run == order.run:
+            self.set_pace(order.task, run, order.percent)
         return self.answer(OrderOutcome.DONE)
 
+    def set_pace(self, task: TaskId, run: Running, percent: int) -> None:
+        """Let a run go on at another pace."""
+        now = self.now_ms()
+        run.done_ms += (now - run.paced_ms) * run.pace / 100
+        run.pace, run.paced_ms = percent, now
+        if run.ends_ms is None:
+            return
+        if run.timer is not None and run.timer.active():
+            run.timer.cancel()
+        if percent:
+            left_ms = run.truth.duration_ms * self.behaviour.slow - run.done_ms
+            run.ends_ms = now + max(0.0, left_ms) * 100 / percent
+            delay_s = (run.ends_ms - now) / 1_000
+            run.timer = self.clock.callLater(
+                delay_s, self.end, task, run.run, RunEnd.DONE
+            )
+
+    def tail_ms(self, run: Running, fillers: bool = True) -> int:
+        """Return the tail latency of a run that serves, 0 for others."""
+        bound_ms = run.truth.spec.latency_target_ms
+        beside = sum(
+            one.pace
+            for one in self.running.values()
+            if one.truth.spec.filler and fillers
+        )
+        return int(bound_ms * (TAIL_ALONE + TAIL_FILLER * beside / 100))
+
     def extend_lease(self, deadline_ms: float) -> None:
         """Let what runs live until then; a lease never gets shorter."""
         until = min(deadline_ms, self.now_ms() + MAX_LEASE_MS)
@@ -234,7 +282,7 @@
     def lists(self) -> TargetView:
         """Return the lists as they are."""
         rows = tuple(
-            ListedRun(task, run.run, "", self.percent(run), 0)
+            ListedRun(task, run.run, "", self.percent(run), self.tail_ms(run))
             for task, run in self.running.items()
         )
         return TargetView(
@@ -249,6 +297,9 @@
             return 100 if at_work else 0
         if run.ends_ms is None:
             return 0
+        if run.truth.spec.filler:
+            done_ms = run.done_ms + (self.now_ms() - run.paced_ms) * run.pace / 100
+            return int(100 * done_ms / max(1.0, run.truth.duration_ms))
         return int(100 * passed / max(1.0, run.ends_ms - run.began_ms))
 
     def die(self) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -15,6 +15,8 @@
 __all__ = ["Witness"]
 
 EARLY_MS = 250
+HARM_S = 4.0
+GANG_S = 3.0
 
 
 class Witness:
@@ -42,6 +44,8 @@
         self.submitted: dict[str, object] = {}
         self.cancelled: dict[str, float] = {}
         self.starts = 0
+        self.gang_starts: dict[tuple[StepId, int], set[int]] = defaultdict(set)
+        self.slow_since_s: dict[tuple[TaskId, int], float] = {}
 
     def problem(self, text: str) -> None:
         """Note a broken promise."""
@@ -75,6 +79,9 @@
         self.check_room(target, task)
         self.check_spread(target, task, spec)
         self.live[task].add((target.target.life, run))
+        if spec.gang:
+            self.gang_starts[task.step_id, run].add(task.index)
+            self.clock.callLater(GANG_S, self.check_gang, task, run, spec.count)
         if job.team:
             self.team_used[job.team].add(spec.size)
             self.check_team(job.team, spec)
@@ -83,6 +90,13 @@
             if late > 3.0:
                 self.problem(f"{task} starts {late:.1f} s after its cancelling")
 
+    def check_gang(self, task: TaskId, run: int, count: int) -> None:
+        """Check that a member that still runs did not wait for others in vain."""
+        waits = any(number == run for _, number in self.live[task])
+        alone = len(self.gang_starts[task.step_id, run]) < count
+        if waits and alone and task.job_id not in self.cancelled:
+            self.problem(f"{task} waits for its gang")
+
     def on_noted(self, task: TaskId, run: int, how: RunEnd) -> None:
         """Check that nothing was started again after an end that counts."""
         job = self.submitted.get(task.job_id)
@@ -94,6 +108,19 @@
         if self.last_start_s.get(task, 0) > self.done_s[task, run]:
             self.problem(f"{task} was started again after its end, which counts")
 
+    def check_tails(self, life) -> None:
+        """Check that fillers don't keep a served tail latency over its bound."""
+        now = self.clock.seconds()
+        for task, run in life.running.items():
+            bound_ms = run.truth.spec.latency_target_ms
+            if not bound_ms:
+                continue
+            over = life.tail_ms(run) > bound_ms >= life.tail_ms(run, fillers=False)
+            if not over:
+                self.slow_since_s.pop((task, run.run), None)
+            elif now - self.slow_since_s.setdefault((task, run.run), now) > HARM_S:
+                self.problem(f"fillers keep {task} over its bound")
+
     def check_order(self, job, task: TaskId) -> None:
         """Check that what comes before a step is done, and that its time has come."""
         for before in job.spec.steps[task.step].after:
