Trace a job from its identifier to the deciding line; metrics on every role

Cause: nothing that the programs logged led from a job to its cause, no role showed metrics, and a reader of the logs that stood still stopped the program (223 requests answered, then none). Ruled out: a thread for the logs (its wake-ups cost processor time, and a full queue needs the same decision). Change: a line for each answered request, each step's starts in a round, each run that ends otherwise than done and each end of a job; 'mulberryledge trace' orders them over differing clocks and names the deciding one; metrics of entries and core machines on port 9464; logs go to a descriptor that is never waited for, and what is left out is counted. docs/OPERATIONS.md gives the way for three kinds of failure; a test plays each with real processes and its commands.

--- a/features/platform/support/http_targets.py
+++ b/features/platform/support/http_targets.py
@@ -51,6 +51,7 @@
         self.lives: dict[str, SimulatedTarget] = {}
         self.durations_ms: dict[str, float] = {}
         self.lasting: set[tuple[str, int]] = set()
+        self.failing: set[str] = set()
         self.address_numbers = count(100)
         self.beats: dict[str, LoopingCall] = {}
         self.ports: dict[str, object] = {}
@@ -80,11 +81,18 @@
         self.beats[host] = LoopingCall(self.beat, life, count(1))
         self.beats[host].start(BEAT_S)
 
+    def remove(self, host: str) -> None:
+        """Let the target on a host die, and its host fall silent."""
+        self.beats.pop(host).stop()
+        self.ports.pop(host).stopListening()
+        self.lives.pop(host).die()
+
     def truth_of(self, task) -> TaskTruth:
         """Return what a task really is."""
         lasting = (task.job_id, task.step) in self.lasting
         spec = StepSpec(1, Size(1_000, 512), long_running=lasting)
-        return TaskTruth(spec, self.durations_ms.get(task.job_id, 100.0))
+        fails = task.job_id in self.failing
+        return TaskTruth(spec, self.durations_ms.get(task.job_id, 100.0), fails)
 
     def watch(self, what, target, task, run, how) -> None:
         """Take note of what happens on a target."""
@@ -149,7 +157,9 @@
     async def answer(self, request) -> None:
         """Carry an order out and answer."""
         plain = json.loads(request.content.read() or b"{}")
-        life = self.fleet.lives[self.host]
+        life = self.fleet.lives.get(self.host)
+        if life is None:
+            return  # a host that has fallen silent answers nothing
         expected = request.getHeader("x-expect-instance")
         if expected not in (None, life.target.name):
             self.reply(request, 421, {})
--- a/features/platform/support/programs.py
+++ b/features/platform/support/programs.py
@@ -58,6 +58,7 @@
     ip: str
     folder: Path
     process: subprocess.Popen | None = None
+    reader: str = "file"
 
 
 @dataclass(slots=True)
@@ -68,14 +69,21 @@
     network: int
     programs: dict[str, Program] = field(default_factory=dict)
 
-    def add(self, role: str, first: bool = True) -> str:
-        """Start a program on a machine of its own; return the machine's name."""
+    def add(self, role: str, first: bool = True, reader: str = "file") -> str:
+        """
+        Start a program on a machine of its own; return the machine's name.
+
+        Parameters
+        ----------
+        reader : str
+            Where its logs go: ``"file"``, or ``"stuck"`` for a pipe that nobody reads.
+        """
         number = len(self.programs) + 1
         name = f"{role}-{number}"
         folder = self.folder / name
         folder.mkdir()
         ip = f"127.{self.network}.0.{number}"
-        self.programs[name] = Program(role, ip, folder)
+        self.programs[name] = Program(role, ip, folder, reader=reader)
         self.start(name, first)
         return name
 
@@ -95,7 +103,7 @@
                 [sys.executable, "platform/run.py", program.role],
                 cwd=ROOT,
                 env=environment,
-                stdout=log,
+                stdout=subprocess.PIPE if program.reader == "stuck" else log,
                 stderr=log,
             )
 
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/commands/__init__.py
@@ -14,6 +14,7 @@
     services,
     status,
     teams,
+    trace,
 )
 
 __all__ = ["COMMANDS"]
@@ -27,4 +28,5 @@
     *members.COMMANDS,
     *status.COMMANDS,
     *report.COMMANDS,
+    *trace.COMMANDS,
 )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -83,7 +83,9 @@
         change = SubmitJob(job_id, queue.name, owner, ask.spec)
         committed = await self.scheduler.rounds.submit(change)
         extra = {"job": job_id, "queue": queue.name, "team": team}
-        logger.info("job submitted", extra=extra | {"committed": committed})
+        extra |= {"steps": len(ask.spec.steps), "committed": committed}
+        extra |= {"version": self.state.configuration.version}
+        logger.info("job submitted", extra=extra | {"term": self.scheduler.term})
         return reply_for(committed)
 
     async def job_state(
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/logs.py
@@ -2,18 +2,26 @@
 mulberryledge_daemon.logs
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Logging as JSON lines on standard error, without secrets and with bounded repeats.
+Logging as JSON lines on standard error, without secrets and with bounded repeats, or
+on a descriptor that is never waited for.
 """
 
 import json
 import logging
+import os
 import re
 import time
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import TextIO
 
-__all__ = ["JsonFormatter", "LogPosition", "RepeatFilter", "configure_logging"]
+__all__ = [
+    "JsonFormatter",
+    "LogPosition",
+    "RepeatFilter",
+    "UnwaitingHandler",
+    "configure_logging",
+]
 
 STANDARD_FIELDS = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 KEY_TEXT = re.compile(r"\bmlk_([a-z0-9-]+)_[A-Za-z0-9]+")
@@ -91,12 +99,66 @@
         return count < self.allowed
 
 
+class UnwaitingHandler(logging.Handler):
+    """
+    Writes lines to a descriptor, and leaves out what its reader does not take.
+
+    A line that tells how many were left out follows as soon as there is room.
+
+    Attributes
+    ----------
+    rest : bytes
+        The end of a line of which only the begin could be written.
+    left_out : int
+        Lines left out since the last one that was written.
+    """
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        self.descriptor = descriptor
+        self.rest = b""
+        self.left_out = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line if there is room for it."""
+        try:
+            self.write(self.format(record).encode() + b"\n")
+        except Exception:
+            self.handleError(record)
+
+    def write(self, line: bytes) -> None:
+        """Write what was left of the last line, what was left out, and a line."""
+        self.rest = self.rest[self.taken(self.rest) :]
+        if self.left_out and not self.rest:
+            plain = {"time": round(time.time(), 3), "level": "warning"}
+            plain |= {"message": "log lines left out", "count": self.left_out}
+            notice = json.dumps(plain).encode() + b"\n"
+            self.left_out = 0
+            self.rest = notice[self.taken(notice) :]
+        taken = 0 if self.rest else self.taken(line)
+        if taken:
+            self.rest = line[taken:]
+        else:
+            self.left_out += 1
+
+    def taken(self, data: bytes) -> int:
+        """Write, and return how many bytes were taken."""
+        if not data:
+            return 0
+        try:
+            return os.write(self.descriptor, data)
+        except BlockingIOError:
+            return 0
+
+
 def configure_logging(
     daemon: str,
     level: int = logging.INFO,
     position: LogPosition = dict,
     stream: TextIO | None = None,
     repeats_allowed: int = REPEATS_ALLOWED,
+    descriptor: int | None = None,
 ) -> None:
     """
     Send all logs as JSON lines to a stream, standard error unless one is given.
@@ -107,6 +169,8 @@
         Returns the log's term and index, which each line carries.
     repeats_allowed : int
         How often a message may be written in ten seconds.
+    descriptor : int or None
+        If given, goes before the stream, and is never waited for.
     """
 
     def add_context(record: logging.LogRecord) -> bool:
@@ -115,7 +179,9 @@
             setattr(record, name, value)
         return True
 
-    handler = logging.StreamHandler(stream)
+    handler: logging.Handler = logging.StreamHandler(stream)
+    if descriptor is not None:
+        handler = UnwaitingHandler(descriptor)
     handler.setFormatter(JsonFormatter())
     handler.addFilter(RepeatFilter(allowed=repeats_allowed))
     handler.addFilter(add_context)
