Refuse at once what no host can ever run, and a flood before it takes the memory

Cause: a job with a label or a size that no host has was accepted and waited for good; a task larger than its team's limit never started, though the limit allows for one task more; nothing bounded the tasks that wait. Ruled out: refusing under load what could only be late: late is worth more to a caller than never, and late jobs yield to those that can be in time. Change: hosts of all pools and the spare one are looked at, once the cloud's list is read; a gang over its team's limit by more than one task is refused; at 200,000 open tasks (60 MB of 296) callers are refused with a wait from the drain rate, spread by half.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -31,3 +31,29 @@
     Given a day of "falaj" on which a target begins to let its work stand still
     When it is played with and without the judgement of targets
     Then every job ends where targets are judged, and not without it
+
+  Scenario Outline: <what>
+    When a job of <tasks> tasks of <cpu> cores with label "<label>" is handed in
+    Then it is <verdict>
+
+    Examples:
+      | what                                               | tasks | cpu | label | verdict  |
+      | A job that fits is accepted                        | 3     | 4   | a     | accepted |
+      | A job that no host is large enough for is refused  | 1     | 65  | a     | refused  |
+      | A job with a label that no host has is refused     | 1     | 4   | zz    | refused  |
+      | A job that has to wait for other hosts is accepted | 300   | 4   |       | accepted |
+
+  Scenario: A gang over its team's limit is refused, one task over it is not
+    Given a team with an upper limit of 10 cores
+    When a gang of 4 tasks of 5 cores with label "" is handed in
+    Then it is refused
+    When a job of 2 tasks of 12 cores with label "" is handed in
+    Then it is accepted
+    And its tasks run one after the other
+
+  Scenario: A flood is refused before it takes the leader's memory, and told when to return
+    Given a leader on which 200000 tasks are open
+    When a job of 100 tasks of 1 cores with label "" is handed in
+    Then it is accepted
+    When jobs are handed in until 1000 more tasks are open
+    Then those after the bound are refused, with 1 to 45 seconds to wait
--- /dev/null
+++ b/features/batch/steps/admission.py
@@ -0,0 +1,153 @@
+"""Steps on which jobs are accepted."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+from mulberryledge_testing.batch.demand import site_named
+from mulberryledge_testing.batch.play import HOLDER_MS, MOVE_MS, POOL_POLICY, Day
+from mulberryledge_testing.batch.target import TaskTruth
+from twisted.internet.defer import ensureDeferred
+
+from mulberryledge_core.batch.commands import PutConfiguration, RunEnd
+from mulberryledge_core.batch.requests import SubmitAsk, Verdict
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import JobSpec, StepSpec
+from mulberryledge_daemon.batch.hosts import HostTable
+from mulberryledge_daemon.batch.moves import Moves
+from mulberryledge_daemon.batch.service import JobService
+
+WARM_UP_S = 3.0
+
+
+class Desk:
+    """A calm fleet with a leader that takes jobs."""
+
+    def __init__(self, limit=0):
+        self.day = Day(site_named("falaj"), 1, None)
+        self.day.site = replace(self.day.site, kinds=())
+        leader = self.day.leader
+        state = leader.state
+        if limit:
+            old = state.configuration
+            teams = tuple(
+                replace(team, upper_limit=Size(limit * 1_000)) for team in old.teams
+            )
+            new = replace(old, version=2, teams=teams)
+            leader.after(0.5, lambda: leader.rounds.submit(PutConfiguration(new, b"")))
+        cloud = self.day.fleet.cloud
+        self.table = HostTable(state, cloud, MOVE_MS, leader.now)
+        Moves(leader, cloud, self.table, HOLDER_MS, POOL_POLICY)
+        self.service = JobService(leader, self.table.places)
+        self.number = 0
+        self.pass_time(WARM_UP_S)
+
+    def pass_time(self, seconds):
+        """Let virtual time pass."""
+        clock = self.day.clock
+        end = clock.seconds() + seconds
+        while clock.seconds() < end:
+            calls = clock.getDelayedCalls()
+            next_s = min((call.getTime() for call in calls), default=end)
+            clock.advance(max(0.0, min(next_s, end) - clock.seconds()))
+
+    def hand_in(self, step):
+        """Hand a job of one step in; return the reply."""
+        self.number += 1
+        job_id = f"{self.number:016x}"
+        self.day.truths[job_id] = (TaskTruth(step, 200.0),)
+        ask = SubmitAsk("example", f"/plan/{job_id}", "key-0", JobSpec("", (step,)))
+        replies = []
+        answered = ensureDeferred(self.service.answer(ask))
+        answered.addCallback(lambda reply: replies.append(reply.unwrap()))
+        self.pass_time(0.2)
+        return replies[0]
+
+
+@given("a team with an upper limit of {cores:d} cores")
+def limited(context, cores):
+    context.desk = Desk(cores)
+
+
+@given("a leader on which {count:d} tasks are open")
+def flooded(context, count):
+    context.desk = Desk()
+    context.desk.service.open_tasks = count
+    context.desk.service.count_open = lambda: None
+    followers = context.desk.day.leader.followers
+    followers[:] = [
+        one for one in followers if getattr(one, "__name__", "") != "count_open"
+    ]
+
+
+def step_of(tasks, cpu, label, gang=False):
+    size = Size(cpu * 1_000, 512)
+    return StepSpec(tasks, size, 200, required_label=label, gang=gang)
+
+
+@when('a job of {tasks:d} tasks of {cpu:d} cores with label "{label}" is handed in')
+@when('a job of {tasks:d} tasks of {cpu:d} cores with label "" is handed in')
+def hand_in(context, tasks, cpu, label=""):
+    if "desk" not in context:
+        context.desk = Desk()
+    context.step = step_of(tasks, cpu, label)
+    context.reply = context.desk.hand_in(context.step)
+
+
+@when('a gang of {tasks:d} tasks of {cpu:d} cores with label "" is handed in')
+def hand_gang_in(context, tasks, cpu):
+    context.reply = context.desk.hand_in(step_of(tasks, cpu, "", gang=True))
+
+
+@when("jobs are handed in until {count:d} more tasks are open")
+def hand_many_in(context, count):
+    context.replies = [
+        context.desk.hand_in(step_of(100, 1, "")) for _ in range(count // 100)
+    ]
+
+
+@then("it is accepted")
+def accepted(context):
+    assert context.reply.verdict == Verdict.OK, context.reply
+
+
+@then("it is refused")
+def refused(context):
+    assert context.reply.verdict == Verdict.REFUSED, context.reply
+    assert context.reply.retry_after_ms >= 1_000, context.reply
+    assert context.reply.reason
+
+
+@then("its tasks run one after the other")
+def one_by_one(context):
+    seen = []
+    watch = context.desk.day.witness.on_event
+    running = set()
+
+    def on_event(what, target, task, run, how):
+        if what == "start":
+            running.add(task)
+            seen.append(len(running))
+        elif what == "end":
+            running.discard(task)
+            assert how == RunEnd.DONE, how
+        return watch
+
+    for life in context.desk.day.fleet.targets.values():
+        for task, run in life.running.items():
+            running.add(task)
+            assert run.run == 1
+        life.watch = on_event
+    assert len(running) <= 1, running
+    context.desk.pass_time(2.0)
+    assert set(seen) <= {1}, seen
+    job = context.desk.day.log.machine.state.jobs[f"{context.desk.number:016x}"]
+    assert job.phase == "completed", job.phase
+
+
+@then("those after the bound are refused, with {least:d} to {most:d} seconds to wait")
+def refused_after(context, least, most):
+    verdicts = [reply.verdict for reply in context.replies]
+    assert verdicts == [Verdict.REFUSED] * len(verdicts), verdicts
+    waits = [reply.retry_after_ms / 1_000 for reply in context.replies]
+    assert all(least <= wait <= most for wait in waits), waits
+    assert len(set(waits)) > 1, waits
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from mulberryledge_core.batch.admission import beyond_limit
 from mulberryledge_core.batch.commands import StartRun
 from mulberryledge_core.batch.configuration import Queue
 from mulberryledge_core.batch.demand import Durations
@@ -236,6 +237,8 @@
     if not team or config is None:
         return True
     used, limit = view.team_tally(team), config.upper_limit
+    if not (used.cpu_millis or used.memory_mb or used.accelerators):
+        return True  # the limit allows for one task more, or it would never run
     return not (
         (limit.cpu_millis and used.cpu_millis + size.cpu_millis > limit.cpu_millis)
         or (limit.memory_mb and used.memory_mb + size.memory_mb > limit.memory_mb)
@@ -308,6 +311,9 @@
         return []
     if not within_limit(view, job.team, spec.size.times(spec.count)):
         return []
+    team = view.state.configuration.teams_by_name.get(job.team)
+    if team is not None and beyond_limit(spec, team.upper_limit):
+        return []
     for group in rack_groups(rooms, spec):
         chosen = fill_group(group, spec)
         if chosen is not None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from mulberryledge_core.batch.admission import Place
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.state import BatchState
 from mulberryledge_daemon.batch.ports import Cloud, HostsView
@@ -42,6 +43,7 @@
     pool: str
     capacity: Size
     rack: str = ""
+    labels: tuple[str, ...] = ()
     former_life: str = ""
     moved_ms: int | None = None
     blocked_ms: int = 0
@@ -74,7 +76,7 @@
         for one in view.hosts:
             if one.host not in self.hosts:
                 self.hosts[one.host] = KnownHost(
-                    one.host, one.pool, one.capacity, one.rack
+                    one.host, one.pool, one.capacity, one.rack, one.labels
                 )
         self.complete = True
         logger.info("hosts listed", extra={"hosts": len(view.hosts)})
@@ -86,13 +88,20 @@
             known = self.hosts.get(host)
             if known is None:
                 self.hosts[host] = KnownHost(
-                    host, target.pool, target.capacity, target.rack
+                    host, target.pool, target.capacity, target.rack, target.labels
                 )
             elif life != known.former_life and (
                 known.moved_ms is not None or known.pool != target.pool
             ):
                 self.hosts[host] = replace(known, pool=target.pool, moved_ms=None)
 
+    def places(self) -> list[Place]:
+        """Return what jobs could run on; nothing before the cloud's list is read."""
+        if not self.complete:
+            return []
+        shapes = {(one.capacity, frozenset(one.labels)) for one in self.hosts.values()}
+        return [Place(capacity, labels) for capacity, labels in shapes]
+
     def in_transit(self, host: str) -> bool:
         """Return whether a host is on its way to another pool."""
         known = self.hosts.get(host)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -222,6 +222,8 @@
         Whether it serves; else it moves, has its upkeep, or is down.
     target : str
         Name of the target that runs on it, empty if none does.
+    labels : tuple of str
+        Labels of the targets that run on it.
     """
 
     host: str
@@ -231,6 +233,7 @@
     rack: str
     capacity: Size
     target: str
+    labels: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -2,16 +2,24 @@
 mulberryledge_daemon.batch.service
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-What the leader answers to callers: jobs accepted, cancelled and asked for.
+What the leader answers to callers: jobs accepted, refused, cancelled and asked for.
 """
 
 import logging
 import re
+from collections import deque
 from collections.abc import Callable
 
 from result import Ok, Result
 
-from mulberryledge_core.batch.commands import CancelJob, SubmitJob
+from mulberryledge_core.batch.admission import (
+    MOST_OPEN_TASKS,
+    RETRY_MOST_MS,
+    Place,
+    hopeless,
+    retry_after_ms,
+)
+from mulberryledge_core.batch.commands import CancelJob, EndRun, RunEnd, SubmitJob
 from mulberryledge_core.batch.configuration import Queue
 from mulberryledge_core.batch.requests import (
     CallReply,
@@ -30,16 +38,38 @@
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 ELECTION_RETRY_MS = 1_000  # about the time after which there is a leader again
+COUNT_INTERVAL_MS = 500  # between two counts of what is open
+DRAIN_WINDOW_MS = 5_000  # over which ends are counted
 
 logger = logging.getLogger(__name__)
 
 
 class JobService:
-    """Answers callers from the durable state, while this daemon leads."""
-
-    def __init__(self, scheduler: Scheduler):
+    """
+    Answers callers from the durable state, while this daemon leads.
+
+    Parameters
+    ----------
+    places : callable
+        Returns what jobs could run on, nothing if that is not known.
+
+    Attributes
+    ----------
+    open_tasks : int
+        Tasks that are not done, by the last count, with those accepted since.
+    ends : deque of (int, int)
+        Times of ends that were done, and how many.
+    """
+
+    def __init__(self, scheduler: Scheduler, places: Callable[[], list[Place]]):
         self.scheduler = scheduler
         self.state = scheduler.state
+        self.places = places
+        self.open_tasks = 0
+        self.counted_ms = 0
+        self.ends: deque[tuple[int, int]] = deque()
+        scheduler.followers.append(self.count_open)
+        scheduler.watchers.append(self.count_ends)
         self.handlers: dict[type, Callable] = {
             SubmitAsk: self.submit,
             JobStateAsk: self.job_state,
@@ -76,9 +106,9 @@
             return CallReply(Verdict.NO_QUEUE, reason="no job identifier")
         if job_id in self.state.jobs:
             return CallReply(Verdict.OK, reason="known")
-        problem = spec_problem(ask.spec)
-        if problem is not None:
-            return CallReply(Verdict.INVALID, reason=problem)
+        refusal = self.refusal(ask, team)
+        if refusal is not None:
+            return refusal
         owner = "" if queue.public else team
         change = SubmitJob(job_id, queue.name, owner, ask.spec)
         committed = await self.scheduler.rounds.submit(change)
@@ -88,6 +118,54 @@
         logger.info("job submitted", extra=extra | {"term": self.scheduler.term})
         return reply_for(committed)
 
+    def refusal(self, ask: SubmitAsk, team: str) -> CallReply | None:
+        """Return the answer to a job that is not accepted, None for any other."""
+        problem = spec_problem(ask.spec)
+        if problem is not None:
+            return CallReply(Verdict.INVALID, reason=problem)
+        config = self.state.configuration.teams_by_name.get(team)
+        problem = hopeless(ask.spec, self.places(), config)
+        if problem is not None:
+            return CallReply(
+                Verdict.REFUSED, retry_after_ms=RETRY_MOST_MS, reason=problem
+            )
+        excess = self.open_tasks - MOST_OPEN_TASKS
+        if excess <= 0:
+            self.open_tasks += sum(step.count for step in ask.spec.steps)
+            return None
+        ends = sum(count for _, count in self.ends)
+        after_ms = retry_after_ms(
+            excess, 1_000 * ends / DRAIN_WINDOW_MS, self.scheduler.random
+        )
+        return CallReply(
+            Verdict.REFUSED,
+            retry_after_ms=after_ms,
+            reason=f"{self.open_tasks} tasks are open",
+        )
+
+    def count_open(self) -> None:
+        """Count the tasks that are not done."""
+        now = self.scheduler.now()
+        while self.ends and self.ends[0][0] < now - DRAIN_WINDOW_MS:
+            self.ends.popleft()
+        if now - self.counted_ms < COUNT_INTERVAL_MS:
+            return
+        self.counted_ms = now
+        self.open_tasks = sum(
+            step.left
+            for steps in self.state.open_steps.values()
+            for step in steps.values()
+        )
+
+    def count_ends(self, changes: tuple[object, ...]) -> None:
+        """Count the runs that are done."""
+        done = sum(
+            isinstance(change, EndRun) and change.how == RunEnd.DONE
+            for change in changes
+        )
+        if done:
+            self.ends.append((self.scheduler.now(), done))
+
     async def job_state(
         self, ask: JobStateAsk, queue: Queue, team: str, job_id: str
     ) -> CallReply:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -76,6 +76,7 @@
                 one.rack,
                 one.capacity,
                 self.fleet.target_name(one.host),
+                ("a", one.rack),
             )
             for one in self.hosts.values()
         )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -199,7 +199,8 @@
 
     def needs_ticket(self, job_id: str) -> bool:
         """Return whether the tasks of a job need a ticket."""
-        return self.submitted[job_id].kind.advised
+        arrival = self.submitted.get(job_id)
+        return arrival is not None and arrival.kind.advised
 
     def truth_of(self, task: TaskId) -> TaskTruth:
         """Return what a task really is."""
