--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/demand.py
@@ -23,6 +23,8 @@
 SURPRISE_MIN, SURPRISE_SPREADS = 2.5, 3.0  # three mean distances off are rare
 RATE_WINDOWS_MS = (300, 600, 1_200)  # a turn of demand lasts some seconds
 DOUBTED_ARRIVALS = 1.5  # a rate from so many arrivals counts half
+LARGEST_JOB = 2.0  # times the mean job; one larger says no more of what will arrive
+MEAN_JOBS = 20  # jobs after which the mean of a queue is new
 
 
 @dataclass(slots=True)
@@ -89,18 +91,29 @@
     """
     Work that arrives, judged over several windows so that a turn shows at once.
 
+    Large jobs come one by one. What such a job itself takes is known once it is there;
+    as a sign of what follows it counts as a job of moderate size.
+
     Attributes
     ----------
+    mean : float
+        Work of a job of the queue, in the mean over some jobs.
+    seen : int
+        Jobs in that mean, up to ``MEAN_JOBS``.
     arrivals : deque of (int, float)
         Time, and work in thousandths of a core x ms, of each job in the longest
         window.
     """
 
     arrivals: deque[tuple[int, float]] = field(default_factory=deque)
+    mean: float = 0.0
+    seen: int = 0
 
     def add(self, work: float, now_ms: int) -> None:
         """Take a job's work into account."""
         self.arrivals.append((now_ms, work))
+        self.seen = min(MEAN_JOBS, self.seen + 1)
+        self.mean += (work - self.mean) / self.seen
 
     def at(self, now_ms: int) -> float:
         """Return the thousandths of a core that would just keep up."""
@@ -114,6 +127,6 @@
         for at_ms, one in reversed(self.arrivals):
             if at_ms <= now_ms - window_ms:
                 break
-            work += one
+            work += min(one, LARGEST_JOB * self.mean)
             count += 1
         return work / window_ms * count / (count + DOUBTED_ARRIVALS)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
@@ -25,20 +25,21 @@
     Attributes
     ----------
     headroom : float
-        Capacity kept for each unit of demand; tasks don't fill hosts exactly.
+        Capacity kept for each unit of demand: tasks don't fill hosts exactly, and what
+        waits is late while a host costs little by the second.
     least : int
         Hosts that a pool with a queue keeps, so that a job finds one at once.
     surplus_ms : int
         How long hosts have to be in surplus before they leave; what a move there
         and back costs is about as much as a host in a pool for this time.
     arrival_ms : int
-        Time from the decision to move a host until it takes work.
+        Time that a host takes to move.
     """
 
-    headroom: float = 1.25
+    headroom: float = 1.6
     least: int = 1
     surplus_ms: int = 1_500
-    arrival_ms: int = 1_800
+    arrival_ms: int = 1_500
 
 
 @dataclass(frozen=True, slots=True)
