Leave a task alone that is slow on two targets

Change: runs of a task after the second are not judged by their speed. Conclusion: two targets on which a task is slow speak against the task.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -52,6 +52,11 @@
       | wave           |
       | silent advisor |
 
+  Scenario: Jobs that take far longer than they declare come to their end
+    When days with underestimated jobs are played
+    Then no promise is broken
+    And every job that can be done has ended
+
   Scenario Outline: A wave keeps its limit while the time of day jumps
     When a day of "<site>" is played with a wave and a clock jump <gap> seconds after
     Then no promise is broken
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -10,7 +10,11 @@
 WORKERS = 2
 CALM_S, TROUBLED_S, HEAVY_S, TURNS_S = 16.0, 18.0, 20.0, 34.0
 SITES = ("falaj", "yayla")
-NOT_MIXED = ("silent advisor", "clock jump")  # in scenarios of their own
+NOT_MIXED = (
+    "silent advisor",
+    "clock jump",
+    "underestimated jobs",
+)  # in scenarios of their own
 
 
 def play_all(plans) -> list[Outcome]:
@@ -46,6 +50,15 @@
     context.outcomes = play_all(Plan(site, seed, TROUBLED_S, times) for seed in (1, 2))
 
 
+@when("days with underestimated jobs are played")
+def play_underestimated(context):
+    times = (("underestimated jobs", 5.0), ("underestimated jobs", 12.0))
+    days = (("falaj", 6), ("yayla", 1), ("yayla", 3), ("yayla", 4))
+    context.outcomes = play_all(
+        Plan(site, seed, TROUBLED_S, times) for site, seed in days
+    )
+
+
 @when('a busy day of "{site}" is played without "{part}"')
 def play_busy_without(context, site, part):
     context.outcomes = [carry_out(Plan(site, 1, CALM_S, load=1.5, without=(part,)))]
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/suspicion.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/suspicion.py
@@ -36,6 +36,9 @@
         Time in which a lasting run should be at work.
     slow_jobs : int
         Jobs whose runs must be slow there before a target counts as slow.
+    slow_runs : int
+        Runs of one task that are judged by their speed; a later one that is slow too
+        tells of the task, and is left alone.
     judged_percent : int
         Progress from which on the speed of a run is judged.
     """
@@ -47,6 +50,7 @@
     stuck_factor: float = 1.2
     startup_ms: int = 3_500
     slow_jobs: int = 2
+    slow_runs: int = 2
     judged_percent: int = 5
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/watchdog.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/watchdog.py
@@ -106,6 +106,8 @@
         spec = self.state.spec_of(key[0].step_id)
         if spec.long_running or spec.gang or spec.filler:
             return None
+        if key[1] > self.policy.slow_runs:
+            return None
         seen_ms = track.percent_ms - track.accepted_ms
         whole_ms = projected_ms(seen_ms, track.percent, self.policy)
         if whole_ms is None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -7,7 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from twisted.internet.task import Clock
@@ -55,7 +55,7 @@
 SPARE = "office"
 DAEMONS = ("core-1", "core-2", "core-3")
 LATE_FACTOR = 3.0
-LASTING_WINDOW_S = 2.0
+SHORT_MS = 1_000
 POOL_POLICY = PoolPolicy()
 ADVICE = AdviceCost(decision_ms=60, per_target_ms=5, validity_ms=2_000)
 MOVE_MS, UPKEEP_MS, HOLDER_MS = 1_500, 2_000, 3_000
@@ -128,6 +128,7 @@
         self.submitted: dict[str, Arrival] = {}
         self.completed_s: dict[str, float] = {}
         self.report = Report()
+        self.stretched = 1.0
         self.build()
 
     def build(self) -> None:
@@ -218,7 +219,14 @@
 
     def submit(self, arrival: Arrival, tries: int = 20) -> None:
         """Hand a job in, again until a leader has accepted it."""
-        self.truths[arrival.job_id] = arrival.truths
+        truths = arrival.truths
+        short = arrival.kind.work_ms < SHORT_MS
+        if self.stretched > 1 and short and arrival.job_id[0] in "01234":
+            truths = tuple(
+                replace(truth, duration_ms=truth.duration_ms * self.stretched)
+                for truth in truths
+            )
+        self.truths.setdefault(arrival.job_id, truths)
         self.submitted.setdefault(arrival.job_id, arrival)
         self.witness.submitted[arrival.job_id] = SubmitJob(
             arrival.job_id, arrival.kind.queue, arrival.team, arrival.spec
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -13,6 +13,8 @@
 __all__ = ["TROUBLES", "trouble"]
 
 CUT_S = 6.0
+UNDERESTIMATED_S = 2.0
+STRETCH = 5.0
 JUMP_MS = 2_000
 WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
 
@@ -122,6 +124,12 @@
     day.at(CUT_S, setattr, day.log, "skew_ms", 0)
 
 
+def underestimate(day: Day) -> None:
+    """Let a third of the short jobs take far longer than declared, for a while."""
+    day.stretched = STRETCH
+    day.at(UNDERESTIMATED_S, setattr, day, "stretched", 1.0)
+
+
 def silence_advisor(day: Day) -> None:
     """Let the advisor answer nothing for a while."""
     day.advisor.silent = True
@@ -144,6 +152,7 @@
     "cancelled jobs": cancel_jobs,
     "silent advisor": silence_advisor,
     "clock jump": jump_clock,
+    "underestimated jobs": underestimate,
 }
 
 
