Renew a young lease until it is known to hold; keep two hosts before the first job

Change: a list is asked for at once while no renewal of the last half lease is confirmed; pools keep two hosts until a job has come.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -57,3 +57,17 @@
     Then it is accepted
     When jobs are handed in until 1000 more tasks are open
     Then those after the bound are refused, with 1 to 45 seconds to wait
+
+  Scenario: A lost renewal right after the first start costs no run
+    Given an idle fleet on which the next renewal of a lease is lost
+    When a job of 3 tasks of 4 cores with label "" is handed in
+    And 3 seconds pass on the fleet
+    Then every task of it was started once
+
+  Scenario: Pools keep two hosts until the first job has come
+    Given an idle fleet
+    When 8 seconds pass on the fleet
+    Then each pool with a queue has 2 hosts
+    When a job of 1 tasks of 4 cores with label "" is handed in
+    And 8 seconds pass on the fleet
+    Then each pool with a queue has 1 hosts
--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -1,5 +1,6 @@
 """Steps on which jobs are accepted."""
 
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -39,6 +40,7 @@
         Moves(leader, cloud, self.table, HOLDER_MS, POOL_POLICY)
         self.service = JobService(leader, self.table.places)
         self.number = 0
+        self.duration_ms = 200.0
         self.pass_time(WARM_UP_S)
 
     def pass_time(self, seconds):
@@ -54,7 +56,7 @@
         """Hand a job of one step in; return the reply."""
         self.number += 1
         job_id = f"{self.number:016x}"
-        self.day.truths[job_id] = (TaskTruth(step, 200.0),)
+        self.day.truths[job_id] = (TaskTruth(step, self.duration_ms),)
         ask = SubmitAsk("example", f"/plan/{job_id}", "key-0", JobSpec("", (step,)))
         replies = []
         answered = ensureDeferred(self.service.answer(ask))
@@ -68,6 +70,37 @@
     context.desk = Desk(cores)
 
 
+@given("an idle fleet")
+def idle(context):
+    context.desk = Desk()
+
+
+@given("an idle fleet on which the next renewal of a lease is lost")
+def losing(context):
+    context.desk = Desk()
+    context.desk.duration_ms = 2_000.0
+    context.desk.day.fleet.faults.lost_renewals = 1
+
+
+@when("{seconds:d} seconds pass on the fleet")
+def time_passes(context, seconds):
+    context.desk.pass_time(seconds)
+
+
+@then("every task of it was started once")
+def each_once(context):
+    assert context.desk.day.witness.starts == context.step.count
+    assert not context.desk.day.fleet.faults.lost_renewals
+
+
+@then("each pool with a queue has {count:d} hosts")
+def hosts_of_pools(context, count):
+    day = context.desk.day
+    sizes = Counter(host.pool for host in day.fleet.cloud.hosts.values())
+    found = {pool: sizes[pool] for pool in day.site.pools}
+    assert set(found.values()) == {count}, found
+
+
 @given("a leader on which {count:d} tasks are open")
 def flooded(context, count):
     context.desk = Desk()
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/pools.py
@@ -29,6 +29,9 @@
         waits is late while a host costs little by the second.
     least : int
         Hosts that a pool with a queue keeps, so that a job finds one at once.
+    first : int
+        The same before the first job has come: lasting jobs are handed in before
+        others, and stay where they start.
     surplus_ms : int
         How long hosts have to be in surplus before they leave; what a move there
         and back costs is about as much as a host in a pool for this time.
@@ -38,6 +41,7 @@
 
     headroom: float = 1.6
     least: int = 1
+    first: int = 2
     surplus_ms: int = 1_500
     arrival_ms: int = 1_500
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -149,6 +149,8 @@
             pool: wanted_hosts(replace(load, host=self.host_size(pool)), self.policy)
             for pool, load in loads.items()
         }
+        if not self.state.jobs:
+            wanted = dict.fromkeys(wanted, self.policy.first)
         for wish in self.scheduler.wishes:
             for pool, more in wish().items():
                 have = len(owned.get(pool, ()))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -160,6 +160,8 @@
         What became of the work that the target had.
     missed : int
         Calls in a row that got no answer.
+    renewed_ms : int or None
+        When the last call that renewed the lease and was answered was sent.
     look_ms : int or None
         How long a list may wait for an end at most, if less than usual.
     paced : bool
@@ -183,6 +185,7 @@
         self.listed: dict[RunKey, ListedRun] = {}
         self.health = Health()
         self.missed = 0
+        self.renewed_ms: int | None = None
         self.look_ms: int | None = None
         self.paced = False
         self.tracks: dict[RunKey, Track] = {}
@@ -257,6 +260,8 @@
             return
         if isinstance(answer, TargetView):
             self.acked = max(self.acked, order.last_seen)
+            if order.deadline_ms is not None:
+                self.renewed_ms = sent_ms
             await self.on_view(answer, sent_ms)
             self.calling = False
             self.wake()
@@ -278,12 +283,20 @@
         if not busy:
             return HoldOrder(fence, seen)
         wait_ms = 0 if self.stops_due() else self.timing.wait_ms
+        if not self.holds_firmly(now):
+            wait_ms = 0  # a lost call has to be noticed while the lease still runs
         if self.look_ms is not None:
             wait_ms = min(wait_ms, self.look_ms)
         deadline_ms = self.clock.estimate(now) + self.timing.lease_ms
         self.lapse_ms = max(self.lapse_ms, self.clock.surely_past(deadline_ms))
         return HoldOrder(fence, seen, deadline_ms, wait_ms)
 
+    def holds_firmly(self, now: int) -> bool:
+        """Return whether the lease is known to run for about half of its time yet."""
+        if self.renewed_ms is None:
+            return False
+        return now - self.renewed_ms < self.timing.lease_ms / 2
+
     async def on_view(self, view: TargetView, sent_ms: int) -> None:
         """Take the lists of a target."""
         now = self.leader.now()
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -46,10 +46,13 @@
         Hosts that nothing reaches and that reach nothing; their targets run on.
     late_share : float
         Share of the orders that get no answer and are carried out seconds later.
+    lost_renewals : int
+        So many of the next calls that renew a lease are lost.
     """
 
     cut: set[str]
     late_share: float = 0.0
+    lost_renewals: int = 0
 
 
 class Fleet:
@@ -159,7 +162,12 @@
 
     async def hold(self, target: Target, order: HoldOrder) -> TargetView | OrderAnswer:
         """Renew the lease; the answer may wait for an end."""
-        answer = await self.call(target, lambda life: life.view(order))
+        timeout_s = order.wait_ms / 1_000 + HOLD_MARGIN_S
+        if order.deadline_ms is not None and self.faults.lost_renewals:
+            self.faults.lost_renewals -= 1
+            await deferLater(self.clock, timeout_s)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        answer = await self.call(target, lambda life: life.view(order), timeout_s)
         if not isinstance(answer, TargetView):
             return answer
         life = self.targets.get(target.host)
@@ -180,16 +188,18 @@
         if timer.active():
             timer.cancel()
 
-    async def call(self, target: Target, action: Callable) -> object:
+    async def call(
+        self, target: Target, action: Callable, timeout_s: float = ORDER_TIMEOUT_S
+    ) -> object:
         """Carry an order to a target and its answer back."""
         await deferLater(self.clock, LATENCY_S)
         if target.host in self.faults.cut:
-            await deferLater(self.clock, ORDER_TIMEOUT_S)
+            await deferLater(self.clock, timeout_s)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         if self.random.random() < self.faults.late_share:
             delay_s = self.random.uniform(2, 12)
             self.clock.callLater(delay_s, self.carry_out, target, action)
-            await deferLater(self.clock, ORDER_TIMEOUT_S)
+            await deferLater(self.clock, timeout_s)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         life = self.targets.get(target.host)
         if life is None:
