--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -57,3 +57,11 @@
     Then its readiness turns to 503 within 1 second
     And every request that it had read is answered whole
     And it ends by itself with exit code 0 within 6 seconds
+
+  Scenario: An entry that reaches no core machine leaves the rotation and refuses at once
+    When the operator sends a manifest with version 3
+    And every core machine stands still
+    Then the readiness of every entry turns to 503 within 2 seconds
+    And a job is refused with 503 within 1 second
+    When the core machines go on
+    Then every entry is ready again within 6 seconds
--- a/features/platform/steps/path.py
+++ b/features/platform/steps/path.py
@@ -391,6 +391,46 @@
     assert running_tasks(context) == 0
 
 
+def readiness_of(context, entry):
+    """Return the status of an entry's readiness."""
+    ip = context.deployment.programs[entry].ip
+    return call(f"http://{ip}:{PROBE_PORT}/readiness")[0]
+
+
+@when("every core machine stands still")
+def freeze_core(context):
+    for name in machines(context, "core"):
+        context.deployment.signal(name, signal.SIGSTOP)
+
+
+@when("the core machines go on")
+def thaw_core(context):
+    for name in machines(context, "core"):
+        context.deployment.signal(name, signal.SIGCONT)
+
+
+@then("the readiness of every entry turns to {status:d} within {seconds:d} seconds")
+def all_readiness(context, status, seconds):
+    def all_so():
+        entries = machines(context, "entry")
+        return all(readiness_of(context, one) == status for one in entries)
+
+    within(seconds, all_so, f"readiness {status}")
+
+
+@then("every entry is ready again within {seconds:d} seconds")
+def all_ready(context, seconds):
+    all_readiness(context, 200, seconds)
+
+
+@then("a job is refused with {status:d} within {seconds:d} second")
+def refused_soon(context, status, seconds):
+    began = time.monotonic()
+    expect(context, PREFIX + "0" * 16, "POST", {"steps": [STEP]}, KEY, status)
+    took = time.monotonic() - began
+    assert took < seconds * len(machines(context, "entry")), took
+
+
 @when("an entry is told to stop while callers keep asking through it")
 def stop_entry(context):
     context.stopped = machines(context, "entry")[0]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -124,11 +124,11 @@
         return self.directory.leader in self.network.links
 
     def is_ready(self) -> bool:
-        """Return whether callers should come here."""
+        """Return whether callers should come here: others may reach what we don't."""
         now = self.reactor.seconds()
         if self.reaches_leader():
             self.led_s = now
-        return now - self.led_s < FORGET_LEADER_S
+        return bool(self.network.links) and now - self.led_s < FORGET_LEADER_S
 
     async def ask(self, message: object, timeout_s: float) -> CallReply:
         """
