Let a wave end though a host is lost during its upkeep

Cause: a host that ran a target counted as back with its next life only; one that is lost during its upkeep (crash for good, taken away) kept its wave open for good. Change: a host that has not announced itself 4 s after the agreed time is lost.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -57,6 +57,12 @@
     Then no promise is broken
     And every job that can be done has ended
 
+  Scenario: A wave comes to its end though a host is lost during its upkeep
+    When a day of each site with a wave and a host lost in upkeep is played
+    Then no promise is broken
+    And every job that can be done has ended
+    And no wave had more hosts down than allowed, and each is complete
+
   Scenario Outline: A wave keeps its limit while the time of day jumps
     When a day of "<site>" is played with a wave and a clock jump <gap> seconds after
     Then no promise is broken
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -14,6 +14,7 @@
     "silent advisor",
     "clock jump",
     "underestimated jobs",
+    "host lost in upkeep",
 )  # in scenarios of their own
 
 
@@ -59,6 +60,14 @@
     )
 
 
+@when("a day of each site with a wave and a host lost in upkeep is played")
+def play_lost(context):
+    times = (("wave", 4.0), ("host lost in upkeep", 4.1))
+    context.outcomes = play_all(
+        Plan(site, seed, TROUBLED_S, times) for site in SITES for seed in (1, 2)
+    )
+
+
 @when('a busy day of "{site}" is played without "{part}"')
 def play_busy_without(context, site, part):
     context.outcomes = [carry_out(Plan(site, 1, CALM_S, load=1.5, without=(part,)))]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -32,6 +32,7 @@
 RETRY_S = 0.5  # between two orders for one host, if the first was not carried out
 AT_WORK_PERCENT = 100
 RETURN_MARGIN_MS = 1_000  # beyond the time that the upkeep of a host takes
+LOST_MARGIN_MS = 4_000  # the same, for a host that should have announced itself
 
 logger = logging.getLogger(__name__)
 
@@ -102,8 +103,10 @@
             life = self.state.lives_by_host.get(host, "")
             if life and life != upkeep.life:
                 back = away_ms >= self.upkeep_ms  # else a report from before it
+            elif not upkeep.life:
+                back = away_ms > self.upkeep_ms + RETURN_MARGIN_MS
             else:
-                back = not upkeep.life and away_ms > self.upkeep_ms + RETURN_MARGIN_MS
+                back = away_ms > self.upkeep_ms + LOST_MARGIN_MS
             if back:
                 self.mark(wave, host, UpkeepPhase.DONE)
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -145,6 +145,8 @@
             one.state = "up"
             if wave:
                 self.down[wave] -= 1
+            if one.host not in self.hosts:
+                return
             self.fleet.start_target(one.host)
 
         self.clock.callLater(seconds, back)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -130,6 +130,17 @@
     day.at(UNDERESTIMATED_S, setattr, day, "stretched", 1.0)
 
 
+def lose_in_upkeep(day: Day) -> None:
+    """Lose a host for good, as soon as one that ran a target is in its upkeep."""
+    cloud = day.fleet.cloud
+    down = [one for one in cloud.hosts.values() if one.state == "upkeep"]
+    serving = [one for one in down if one.pool != day.fleet.spare]
+    if serving:
+        del cloud.hosts[serving[0].host]
+    else:
+        day.at(0.1, lose_in_upkeep, day)
+
+
 def silence_advisor(day: Day) -> None:
     """Let the advisor answer nothing for a while."""
     day.advisor.silent = True
@@ -152,6 +163,7 @@
     "cancelled jobs": cancel_jobs,
     "silent advisor": silence_advisor,
     "clock jump": jump_clock,
+    "host lost in upkeep": lose_in_upkeep,
     "underestimated jobs": underestimate,
 }
 
