--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 
 demo: setup
 	$(BIN)/python -m mulberryledge_testing.demo falaj yayla
+	$(BIN)/behave --no-capture --no-timings features/platform \
+	  -n "A job is accepted, run" -n "A job fails"
 
 test: check $(addprefix suite-,$(SUITES))
 	$(BIN)/python tools/summary.py build
--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -85,3 +85,18 @@
 
   Scenario: Names of tasks go there and back
     Then 200 names of tasks are read back as they were written
+
+  Scenario Outline: An answer of the advisor that <what>
+    When the advisor answers <status> with <body>
+    Then the tickets are <tickets>
+
+    Examples:
+      | what                      | status | body                                    | tickets  |
+      | grants some               | 200    | {"good": [["i-1", "t1"], ["i-2", "t2"]]} | i-1 i-2 |
+      | grants none               | 200    | {"good": []}                            | none     |
+      | names one not asked about | 200    | {"good": [["i-9", "t9"], ["i-2", "t2"]]} | i-2     |
+      | is a refusal              | 429    | {}                                      | unknown  |
+      | cannot be read            | 200    | {"good": [["i-1"                        | unknown  |
+      | lacks its rows            | 200    | {"validity_ms": 3000}                   | unknown  |
+      | has rows of another form  | 200    | {"good": [7]}                           | unknown  |
+      | does not come             | 0      | nothing                                 | unknown  |
--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -9,12 +9,16 @@
 from hypothesis import settings, strategies
 from result import Err, Ok
 from support.programs import SETTINGS
+from twisted.internet.defer import ensureDeferred, succeed
 
-from mulberryledge_core.batch.specs import TaskId, spec_problem
+from mulberryledge_core.batch.configuration import AdviceCost
+from mulberryledge_core.batch.specs import StepId, TaskId, spec_problem
+from mulberryledge_platform.advisor import HttpAdvisor
 from mulberryledge_platform.announcements import decode_announcement
+from mulberryledge_platform.http_client import HttpAnswer, NoAnswer
 from mulberryledge_platform.jobs import decode_job, decode_task, encode_task
 from mulberryledge_platform.manifest import decode_manifest
-from mulberryledge_platform.settings import decode_settings
+from mulberryledge_platform.settings import Address, decode_settings
 
 ROUTE = {
     "name": "plans",
@@ -203,3 +207,35 @@
         assert decode_task(encode_task(task)) == task
 
     check()
+
+
+class OneAnswer:
+    """A client that gives one answer, and keeps what it was asked."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.request_sent = None
+
+    def request(self, address, request):
+        self.request_sent = request
+        return succeed(self.answer)
+
+
+@when("the advisor answers {status:d} with {body}")
+def advisor_answers(context, status, body):
+    answer = HttpAnswer(status, body.encode()) if status else NoAnswer(True, body)
+    client = OneAnswer(answer)
+    advisor = HttpAdvisor(client, Address("10.0.0.1", 80))
+    step = StepId("5c0e7a21d94b36f8", 0, 1)
+    asked = advisor.advise(step, ("i-1", "i-2"), AdviceCost(60, 5, 2_000))
+    context.grants = []
+    ensureDeferred(asked).addCallback(context.grants.append)
+    sent = json.loads(client.request_sent.body)
+    assert sent == {"step": "5c0e7a21d94b36f8.0.1", "workers": ["i-1", "i-2"]}, sent
+
+
+@then("the tickets are {tickets}")
+def tickets_are(context, tickets):
+    (found,) = context.grants
+    names = "unknown" if found is None else " ".join(one.target for one in found)
+    assert (names or "none") == tickets, found
