--- a/features/capacity/environment.py
+++ b/features/capacity/environment.py
@@ -16,7 +16,7 @@
 from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, GiveKey
 from mulberryledge_core.keys import KEY_BYTES, make_key
 from mulberryledge_core.model.hosts import Resources
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import open_daemon
 from mulberryledge_daemon.settings import DaemonSection, Settings
 
 DOCUMENT = """
--- a/features/docs/steps/commands.py
+++ b/features/docs/steps/commands.py
@@ -19,7 +19,7 @@
 from mulberryledge_cli.commands import COMMANDS
 from mulberryledge_core.keys import split_key
 from mulberryledge_core.model.services import ServiceDocument
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import open_daemon
 from mulberryledge_daemon.http.health import health_routes
 from mulberryledge_daemon.http.routing import STATUS
 from mulberryledge_daemon.settings import DaemonSection, OperatorSection, Settings
--- a/features/maintenance/steps/end_to_end.py
+++ b/features/maintenance/steps/end_to_end.py
@@ -24,7 +24,7 @@
 from mulberryledge_core.commands.fleet import AddHost, CreatePool
 from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, GiveKey
 from mulberryledge_core.keys import KEY_BYTES, digest_secret, make_key
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import open_daemon
 from mulberryledge_daemon.settings import (
     DaemonSection,
     OperatorSection,
--- a/features/operations/environment.py
+++ b/features/operations/environment.py
@@ -13,7 +13,7 @@
 
 from mulberryledge_core.keys import digest_secret
 from mulberryledge_core.state import ClusterState
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import open_daemon
 from mulberryledge_daemon.settings import DaemonSection, OperatorSection, Settings
 
 sys.path.insert(0, str(Path(__file__).parent))
--- a/features/operations/steps/tls.py
+++ b/features/operations/steps/tls.py
@@ -14,7 +14,7 @@
 from twisted.internet import reactor
 
 from mulberryledge_core.keys import digest_secret
-from mulberryledge_daemon import open_daemon
+from mulberryledge_daemon.daemon import open_daemon
 from mulberryledge_daemon.settings import (
     DaemonSection,
     OperatorSection,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/__init__.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/__init__.py
@@ -2,10 +2,7 @@
 mulberryledge_daemon
 ~~~~~~~~~~~~~~~~~~~~
 
-The daemon: tasks that own their state, and adapters around the core.
+The daemon: tasks that own their state, and adapters around the core. It is opened by
+:func:`mulberryledge_daemon.daemon.open_daemon`; nothing is imported here, as the
+platform's programs need a part of it only, and start often.
 """
-
-from mulberryledge_daemon.daemon import open_daemon
-from mulberryledge_daemon.settings import load_settings
-
-__all__ = ["load_settings", "open_daemon"]
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/path/servers.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/path/servers.py
@@ -142,7 +142,7 @@
     from twisted.internet import reactor
     from twisted.internet.defer import Deferred
 
-    from mulberryledge_daemon import open_daemon
+    from mulberryledge_daemon.daemon import open_daemon
     from mulberryledge_daemon.settings import DaemonSection, Settings, TimingSection
     from mulberryledge_testing.views import set_up_service
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/demo.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/demo.py
@@ -23,9 +23,8 @@
 
 from mulberryledge_cli.main import make_application
 from mulberryledge_core.keys import split_key
-from mulberryledge_daemon import load_settings, open_daemon
-from mulberryledge_daemon.daemon import Daemon
-from mulberryledge_daemon.settings import PlatformSection, Settings
+from mulberryledge_daemon.daemon import Daemon, open_daemon
+from mulberryledge_daemon.settings import PlatformSection, Settings, load_settings
 from mulberryledge_testing.callers import Caller
 from mulberryledge_testing.platform import StandInPlatform
 from mulberryledge_testing.targets import StandInTarget
