--- a/features/platform/steps/operations.py
+++ b/features/platform/steps/operations.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from behave import given, then, when
-from path import (
+from support.calls import (
     HOST,
     KEY,
     PREFIX,
@@ -19,9 +19,9 @@
     entry_url,
     leader_of,
     machines,
-    put_manifest,
     running_tasks,
-    shown,
+    send_manifest,
+    state_through,
     submit,
     within,
 )
@@ -40,7 +40,7 @@
 
 @given("the operator has sent a manifest with version {version:d}")
 def manifest_sent(context, version):
-    put_manifest(context, version)
+    within(READY_S, lambda: send_manifest(context, version), f"version {version}")
 
 
 @when("all core machines but the leader are killed")
@@ -87,7 +87,11 @@
 
 @when('the job is shown as "{state}" through every entry within {seconds:d} seconds')
 def job_shown(context, state, seconds):
-    shown(context, state, seconds)
+    def everywhere():
+        entries = machines(context, "entry")
+        return all(state_through(context, entry) == state for entry in entries)
+
+    within(seconds, everywhere, f"the job is {state}")
 
 
 def commands():
--- /dev/null
+++ b/features/platform/support/calls.py
@@ -0,0 +1,172 @@
+"""What callers and operators of a deployment do, and what they see."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+
+from support.programs import CALLERS_PORT, CONTROL_PORT, PROBE_PORT
+
+HOST = "rounds.example"
+PREFIX = "/plans/"
+KEY = "key-of-dispatch"
+POOLS = {"plans-pool": 3, "other-pool": 1}
+READY_S = 12.0
+POLL_S = 0.05
+TIMEOUT_S = 3.0
+STEP = {"count": 3, "cpu": 1000, "memory_limit_mb": 512, "estimated_ms": 100}
+
+
+def call(url, method="GET", body=None, headers=()):
+    """Return status and body; status 0 without a whole answer."""
+    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    request = urllib.request.Request(url, data, dict(headers), method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def within(seconds, check, what):
+    """Wait until a check holds."""
+    until = time.monotonic() + seconds
+    while True:
+        found = check()
+        if found:
+            return found
+        assert time.monotonic() < until, f"{what}: not within {seconds} s"
+        time.sleep(POLL_S)
+
+
+def manifest(version):
+    """Return a manifest with two queues."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "plans",
+                "host": HOST,
+                "path_prefix": PREFIX,
+                "kind": "unsafe",
+                "timeout_ms": 3000,
+                "target_latency_ms": 600,
+                "priority": 0,
+                "service": "plans-pool",
+                "max_attempts": 3,
+                "stretch": 1.6,
+                "public": False,
+            }
+        ],
+        "services": [
+            {"name": name, "health_path": "/health", "spare": False} for name in POOLS
+        ],
+        "limits": {},
+        "tenants": [
+            {
+                "name": "dispatch",
+                "api_keys": [KEY],
+                "weight": 3,
+                "upper_limit": {"cpu": 0, "memory_limit_mb": 0, "gpu": 0},
+            }
+        ],
+    }
+
+
+def machines(context, role):
+    """Return the names of the running machines of a role."""
+    return [
+        name
+        for name, program in context.deployment.programs.items()
+        if program.role == role and program.process.poll() is None
+    ]
+
+
+def control_url(context, name):
+    """Return where a core machine serves targets and operators."""
+    return f"http://{context.deployment.programs[name].ip}:{CONTROL_PORT}"
+
+
+def entry_url(context, name):
+    """Return where an entry serves callers."""
+    return f"http://{context.deployment.programs[name].ip}:{CALLERS_PORT}"
+
+
+def send_manifest(context, version):
+    """Send a manifest to each core machine in turn; return whether one took it."""
+    for name in machines(context, "core"):
+        url = control_url(context, name) + "/Configuration.Put"
+        if call(url, "POST", manifest(version))[0] == 200:
+            return True
+    return False
+
+
+def leader_of(context):
+    """Return the core machine that leads: it alone answers by itself."""
+
+    def find():
+        for name in machines(context, "core"):
+            address = context.deployment.programs[name].ip
+            request = urllib.request.Request(
+                f"http://{address}:{CONTROL_PORT}/wave-get/0"
+            )
+            opener = urllib.request.build_opener(NoRedirects())
+            try:
+                opener.open(request, timeout=1)
+            except urllib.error.HTTPError as error:
+                if error.code == 404:
+                    return name
+            except OSError:
+                continue
+        return None
+
+    return within(READY_S, find, "a leader")
+
+
+class NoRedirects(urllib.request.HTTPRedirectHandler):
+    """Shows redirects instead of following them."""
+
+    def redirect_request(self, *arguments):
+        return None
+
+
+def submit(context, steps, duration_ms=100.0, lasting=False):
+    """Hand a job in, again until it is accepted."""
+    context.jobs += 1
+    context.job = f"{context.jobs:016x}"
+    context.steps = steps
+    context.targets.durations_ms[context.job] = duration_ms
+    if lasting:
+        context.targets.lasting.add((context.job, 0))
+    body = {"task_spec": "text", "steps": steps}
+
+    def accepted():
+        for name in machines(context, "entry"):
+            url = entry_url(context, name) + PREFIX + context.job
+            headers = (("Host", HOST), ("X-Key", KEY), ("X-Deadline-Ms", "2000"))
+            if call(url, "POST", body, headers)[0] == 200:
+                return True
+        return False
+
+    within(READY_S, accepted, "the job is accepted")
+
+
+def state_through(context, entry):
+    """Return the state of the job as an entry shows it."""
+    url = entry_url(context, entry) + PREFIX + context.job
+    status, body = call(url, headers=(("Host", HOST), ("X-Key", KEY)))
+    return json.loads(body)["state"] if status == 200 else f"status {status}"
+
+
+def running_tasks(context):
+    """Return how many tasks of the job run."""
+    lives = context.targets.lives.values()
+    return sum(task.job_id == context.job for life in lives for task in life.running)
+
+
+def readiness_of(context, entry):
+    """Return the status of an entry's readiness."""
+    ip = context.deployment.programs[entry].ip
+    return call(f"http://{ip}:{PROBE_PORT}/readiness")[0]
