Tell of runs that are lost with the life of their target

Cause: a target that starts again ends its runs without an end that anybody lists; the trace of their job showed a second start and no reason, and the leader kept a note of each for good. Change: the life of each run is looked at when lives end; one line each, 'lost'. Figures: scenario of policies.feature; none of the notes is left afterwards.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -71,3 +71,10 @@
     When a job of 1 tasks of 4 cores with label "" is handed in
     And 8 seconds pass on the fleet
     Then each pool with a queue has 1 hosts
+
+  Scenario: A run that is lost with its target's life is told of
+    Given an idle fleet whose tasks take 3 seconds
+    When a job of 3 tasks of 4 cores with label "" is handed in
+    And the target of one of its tasks starts again
+    And 6 seconds pass on the fleet
+    Then the log tells of a run that ended "lost", and of the end of the job
--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -1,5 +1,6 @@
 """Steps on which jobs are accepted."""
 
+import logging
 from collections import Counter
 from dataclasses import replace
 
@@ -13,7 +14,9 @@
 from mulberryledge_core.batch.requests import SubmitAsk, Verdict
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
+from mulberryledge_daemon.batch.history import JobHistory
 from mulberryledge_daemon.batch.hosts import HostTable
+from mulberryledge_daemon.batch.metrics import BatchMetrics
 from mulberryledge_daemon.batch.moves import Moves
 from mulberryledge_daemon.batch.service import JobService
 
@@ -39,6 +42,8 @@
         self.table = HostTable(state, cloud, MOVE_MS, leader.now)
         Moves(leader, cloud, self.table, HOLDER_MS, POOL_POLICY)
         self.service = JobService(leader, self.table.places)
+        self.metrics = BatchMetrics(dict)
+        self.history = JobHistory(leader, self.metrics)
         self.number = 0
         self.duration_ms = 200.0
         self.pass_time(WARM_UP_S)
@@ -82,6 +87,36 @@
     context.desk.day.fleet.faults.lost_renewals = 1
 
 
+@given("an idle fleet whose tasks take {seconds:d} seconds")
+def slow_tasks(context, seconds):
+    context.desk = Desk()
+    context.desk.duration_ms = 1_000.0 * seconds
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = context.lines.append
+    logger = logging.getLogger(JobHistory.__module__)
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    context.add_cleanup(logger.removeHandler, handler)
+
+
+@when("the target of one of its tasks starts again")
+def starts_again(context):
+    fleet = context.desk.day.fleet
+    host = next(host for host, life in fleet.targets.items() if life.running)
+    fleet.crash(host, 0.05)
+
+
+@then('the log tells of a run that ended "{how}", and of the end of the job')
+def told(context, how):
+    ends = [line for line in context.lines if line.getMessage() == "run ended"]
+    assert ends and {line.how for line in ends} == {how}, ends
+    assert not context.desk.history.places, context.desk.history.places
+    last = context.lines[-1]
+    assert last.getMessage() == "job ended", last
+    assert last.phase == "completed" and last.lost_runs == len(ends), last
+
+
 @when("{seconds:d} seconds pass on the fleet")
 def time_passes(context, seconds):
     context.desk.pass_time(seconds)
--- a/features/platform/steps/operations.py
+++ b/features/platform/steps/operations.py
@@ -21,7 +21,7 @@
     machines,
     running_tasks,
     send_manifest,
-    state_through,
+    shown_everywhere,
     submit,
     within,
 )
@@ -87,11 +87,7 @@
 
 @when('the job is shown as "{state}" through every entry within {seconds:d} seconds')
 def job_shown(context, state, seconds):
-    def everywhere():
-        entries = machines(context, "entry")
-        return all(state_through(context, entry) == state for entry in entries)
-
-    within(seconds, everywhere, f"the job is {state}")
+    shown_everywhere(context, state, seconds)
 
 
 def commands():
--- a/features/platform/steps/path.py
+++ b/features/platform/steps/path.py
@@ -24,7 +24,7 @@
     readiness_of,
     running_tasks,
     send_manifest,
-    state_through,
+    shown_everywhere,
     submit,
     within,
 )
@@ -81,11 +81,7 @@
 
 @then('the job is shown as "{state}" through every entry within {seconds:d} seconds')
 def shown(context, state, seconds):
-    def everywhere():
-        entries = machines(context, "entry")
-        return all(state_through(context, entry) == state for entry in entries)
-
-    within(seconds, everywhere, f"the job is {state}")
+    shown_everywhere(context, state, seconds)
 
 
 def events_of_job(context):
--- a/features/platform/support/calls.py
+++ b/features/platform/support/calls.py
@@ -160,6 +160,16 @@
     return json.loads(body)["state"] if status == 200 else f"status {status}"
 
 
+def shown_everywhere(context, state, seconds):
+    """Wait until every entry shows the job in a state."""
+
+    def so():
+        entries = machines(context, "entry")
+        return all(state_through(context, entry) == state for entry in entries)
+
+    within(seconds, so, f"the job is {state}")
+
+
 def running_tasks(context):
     """Return how many tasks of the job run."""
     lives = context.targets.lives.values()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
@@ -11,7 +11,14 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
-from mulberryledge_core.batch.commands import CancelJob, EndRun, RunEnd, StartRun
+from mulberryledge_core.batch.commands import (
+    CancelJob,
+    EndLife,
+    EndRun,
+    NoteTarget,
+    RunEnd,
+    StartRun,
+)
 from mulberryledge_core.batch.ordering import OrderPolicy, times_of
 from mulberryledge_core.batch.records import JobPhase, JobRecord
 from mulberryledge_core.batch.specs import StepId, TaskId
@@ -21,6 +28,7 @@
 __all__ = ["JobHistory"]
 
 MOST_TARGETS = 8  # named in one line
+LOST = "lost"  # with the life of its target; no target lists such an end
 MOST_JOBS = 20_000  # of which something is kept; the oldest is forgotten
 
 logger = logging.getLogger(__name__)
@@ -54,7 +62,14 @@
 
 
 class JobHistory:
-    """Owns what is told of jobs while this daemon leads."""
+    """
+    Owns what is told of jobs while this daemon leads.
+
+    Attributes
+    ----------
+    places : dict of (TaskId, int) to str
+        Lives of the targets of the runs that this leader has started.
+    """
 
     def __init__(self, scheduler: Scheduler, metrics: BatchMetrics):
         self.scheduler = scheduler
@@ -75,10 +90,20 @@
                 self.on_end(change)
         for step_id, starts in started.items():
             self.on_starts(step_id, starts)
+        if any(isinstance(change, EndLife | NoteTarget) for change in changes):
+            self.on_lives_over()
         for change in changes:
             if isinstance(change, EndRun | CancelJob):
                 self.check_ended(change.job_id)
 
+    def on_lives_over(self) -> None:
+        """Tell of the runs whose targets' lives are over."""
+        targets = self.state.targets
+        lost = [key for key, life in self.places.items() if life not in targets]
+        for task, run in lost:
+            life = self.places.pop((task, run))
+            self.on_loss(task, run, LOST, life)
+
     def notes_of(self, job_id: str) -> JobNotes:
         """Return the notes on a job."""
         notes = self.notes.get(job_id)
@@ -131,15 +156,20 @@
         notes, now = self.notes_of(change.job_id), self.scheduler.now()
         if change.how == RunEnd.DONE:
             notes.event_ms = now
-            return
-        job = self.state.jobs.get(change.job_id)
+        else:
+            self.on_loss(task, change.run, change.how, life)
+
+    def on_loss(self, task: TaskId, run: int, how: str, life: str) -> None:
+        """Tell of a run that has ended without being done."""
+        notes, now = self.notes_of(task.job_id), self.scheduler.now()
+        job = self.state.jobs.get(task.job_id)
         if job is None or (job.ended and notes.ended):
             return
         notes.lost_runs += 1
-        notes.failed_runs += change.how == RunEnd.FAILED
-        notes.last_loss = f"run {change.run} of task {task[1:]} {change.how}"
-        extra = {"job": change.job_id, "task": task[1:], "run": change.run}
-        extra |= {"how": change.how, "target": life, "term": self.scheduler.term}
+        notes.failed_runs += how == RunEnd.FAILED
+        notes.last_loss = f"run {run} of task {task[1:]} {how}"
+        extra = {"job": task.job_id, "task": task[1:], "run": run, "how": how}
+        extra |= {"target": life, "term": self.scheduler.term}
         logger.info("run ended", extra=extra | {"after_ms": now - notes.event_ms})
         notes.event_ms = now
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -82,8 +82,8 @@
         )
         return HostsView(tuple(rows))
 
-    async def move(self, host: str, pool: str, fence: int) -> CloudOutcome:
-        """Move a host."""
+    async def take_order(self, host: str, fence: int) -> SimulatedHost | CloudOutcome:
+        """Return the host that an order is for, or why it is not carried out."""
         await deferLater(self.clock, CALL_S)
         if self.silent:
             return CloudOutcome.UNKNOWN
@@ -93,6 +93,13 @@
         if fence < one.fence:
             return CloudOutcome.FENCED
         one.fence = fence
+        return one
+
+    async def move(self, host: str, pool: str, fence: int) -> CloudOutcome:
+        """Move a host."""
+        one = await self.take_order(host, fence)
+        if isinstance(one, CloudOutcome):
+            return one
         if one.pool == pool and one.state in ("up", "moving"):
             return CloudOutcome.DONE
         if one.state != "up" or self.fleet.is_leaving(host):
@@ -104,15 +111,9 @@
 
     async def upkeep(self, host: str, wave: int, fence: int) -> CloudOutcome:
         """Take a host down for its upkeep."""
-        await deferLater(self.clock, CALL_S)
-        if self.silent:
-            return CloudOutcome.UNKNOWN
-        one = self.hosts.get(host)
-        if one is None:
-            return CloudOutcome.INVALID
-        if fence < one.fence:
-            return CloudOutcome.FENCED
-        one.fence = fence
+        one = await self.take_order(host, fence)
+        if isinstance(one, CloudOutcome):
+            return one
         if host not in self.waves.get(wave, ()):
             return CloudOutcome.NOT_OF_WAVE
         if one.upkeeps is None:
