Plan no start on a target whose life ends in the same round

Cause: a plan is worked out from the committed state, and the end of a life may wait for the same round; the starts planned there were void. Ruled out: cordons (the host is released as soon as its move is confirmed), the machine (it rightly ignores starts on lives that are over). Change: the plan leaves out the lives that end with the changes of its round.

--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -45,7 +45,7 @@
 from mulberryledge_core.outcomes import Applied, ApplyResult, Code, Refusal
 from mulberryledge_core.state.tables import Context
 
-__all__ = ["BatchMachine"]
+__all__ = ["BatchMachine", "earlier_lives"]
 
 logger = logging.getLogger(__name__)
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/rounds.py
@@ -40,7 +40,8 @@
     Parameters
     ----------
     plan : callable
-        Returns further changes, worked out from the committed state.
+        Takes the changes that the round begins with, and returns further ones, worked
+        out from the committed state.
     committed : callable
         Takes the changes of a round once they are durable.
     """
@@ -49,7 +50,7 @@
         self,
         clock: IReactorTime,
         propose: Callable,
-        plan: Callable[[], list[object]],
+        plan: Callable[[tuple[object, ...]], list[object]],
         committed: Callable[[tuple[object, ...]], None],
     ):
         self.clock = clock
@@ -113,9 +114,9 @@
 
     async def run_round(self, term: int) -> None:
         """Propose what waits and what is planned, and report the outcome."""
-        planned = self.planned()
         waiting, self.waiting = self.waiting, []
-        changes = tuple(change for change, _ in waiting) + planned
+        changes = tuple(change for change, _ in waiting)
+        changes += self.planned(changes)
         if not changes:
             self.set_idle()
             return
@@ -138,10 +139,10 @@
             done.callback(verdict)
         self.wake()
 
-    def planned(self) -> tuple[object, ...]:
+    def planned(self, changes: tuple[object, ...]) -> tuple[object, ...]:
         """Return what is planned; a failure of the plan holds nothing else up."""
         try:
-            return tuple(self.plan())
+            return tuple(self.plan(changes))
         except Exception:
             logger.critical("no plan for this round", exc_info=True)
             return ()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -15,6 +15,7 @@
 
 from mulberryledge_core.batch.commands import (
     CancelJob,
+    EndLife,
     EndRun,
     ForgetJobs,
     NoteTarget,
@@ -22,6 +23,7 @@
     StartRun,
 )
 from mulberryledge_core.batch.demand import Durations
+from mulberryledge_core.batch.machine import earlier_lives
 from mulberryledge_core.batch.placing import PlacingView, plan_starts
 from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.state import BatchState, RunKey
@@ -254,20 +256,36 @@
 
     # Rounds.
 
-    def plan(self) -> list[object]:
-        """Return the changes that the committed state calls for."""
+    def plan(self, waiting: tuple[object, ...]) -> list[object]:
+        """
+        Return the changes that the committed state calls for.
+
+        Parameters
+        ----------
+        waiting : tuple
+            Changes that are made before, in the same round.
+        """
         changes: list[object] = self.due_occurrences()
-        changes += plan_starts(self.view())
+        changes += plan_starts(self.view(self.ending_lives(waiting)))
         changes += self.forgettable()
         return changes
 
-    def view(self) -> PlacingView:
-        """Return what starts are planned from."""
+    def ending_lives(self, changes: tuple[object, ...]) -> set[str]:
+        """Return the lives that are over with some changes: nothing starts there."""
+        ending = {change.life for change in changes if isinstance(change, EndLife)}
+        for change in changes:
+            if isinstance(change, NoteTarget):
+                ending.update(earlier_lives(self.state, change.target))
+        return ending
+
+    def view(self, without: frozenset[str] | set[str] = frozenset()) -> PlacingView:
+        """Return what starts are planned from, without some lives of targets."""
         usable = [
             one.target
             for one in self.sessions.values()
             if one.usable()
             and one.life in self.state.targets
+            and one.life not in without
             and not self.is_cordoned(one.target.host)
         ]
         trials = frozenset(
