--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -7,6 +7,7 @@
   Scenario Outline: A calm day breaks no promise
     When a calm day of "<site>" is played with seeds 1 to 2
     Then no promise is broken
+    And nothing is started where a target is about to leave
     And every job that can be done has ended
 
     Examples:
@@ -75,6 +76,17 @@
       | yayla | 1.0 |
       | yayla | 3.0 |
 
+  Scenario Outline: A leader that leads again goes on with what it had begun
+    When days of "<site>" are played on which the lead changes four times
+    Then no promise is broken
+    And every job that can be done has ended
+    And the leader knows the pool of each host
+
+    Examples:
+      | site   |
+      | shared |
+      | falaj  |
+
   Scenario: The witness finds fillers that nobody slows down
     When a busy day of "shared" is played without "pacing"
     Then a promise is broken
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -68,6 +68,27 @@
     )
 
 
+@when('days of "{site}" are played on which the lead changes four times')
+def play_changing(context, site):
+    times = [("silent advisor", 4.0)]
+    times += [("new leader", at_s) for at_s in (4.6, 7.5, 10.5, 13.0)]
+    context.outcomes = play_all(
+        Plan(site, seed, TROUBLED_S, tuple(times)) for seed in (1, 7)
+    )
+
+
+@then("nothing is started where a target is about to leave")
+def none_void(context):
+    found = [one.void_starts for one in context.outcomes]
+    assert not any(found), found
+
+
+@then("the leader knows the pool of each host")
+def well_placed(context):
+    found = [(one.plan, one.misplaced) for one in context.outcomes if one.misplaced]
+    assert not found, found
+
+
 @when('a busy day of "{site}" is played without "{part}"')
 def play_busy_without(context, site, part):
     context.outcomes = [carry_out(Plan(site, 1, CALM_S, load=1.5, without=(part,)))]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/advice.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/advice.py
@@ -46,6 +46,7 @@
         self.state = scheduler.state
         self.advisor = advisor
         self.asking = False
+        self.term: int | None = None
         self.kept_ms = 0
         scheduler.needs_tickets = True
         scheduler.followers.append(self.tick)
@@ -55,6 +56,9 @@
     def tick(self) -> None:
         """Ask about the first step that waits for an answer."""
         now = self.scheduler.now()
+        if self.term != self.scheduler.term:
+            self.term = self.scheduler.term
+            self.asking = False  # what an earlier lead has asked is void
         if now - self.kept_ms > KEEP_INTERVAL_MS:
             self.kept_ms = now
             self.scheduler.tickets.keep_only(
@@ -122,7 +126,6 @@
         names = {self.state.targets[life].name: life for life in lives}
         grants = await self.advisor.advise(step_id, tuple(names), cost)
         if scheduler.term != term:
-            self.asking = False
             return
         if grants is None:
             logger.warning("no advice", extra={"job": step_id.job_id})
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
@@ -77,10 +77,15 @@
         self.metrics = metrics
         self.notes: OrderedDict[str, JobNotes] = OrderedDict()
         self.places: dict[tuple[TaskId, int], str] = {}
+        self.term: int | None = None
         scheduler.watchers.append(self.on_changes)
 
     def on_changes(self, changes: tuple[object, ...]) -> None:
         """Tell what a committed round has changed."""
+        if self.term != self.scheduler.term:
+            self.term = self.scheduler.term
+            self.notes.clear()
+            self.places.clear()
         started: dict[StepId, list[StartRun]] = {}
         for change in changes:
             if isinstance(change, StartRun):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
@@ -67,6 +67,11 @@
         self.hosts: dict[str, KnownHost] = {}
         self.complete = False
 
+    def forget(self) -> None:
+        """Begin anew: another leader may have moved hosts since."""
+        self.hosts.clear()
+        self.complete = False
+
     async def read_list(self) -> None:
         """Read the cloud's list."""
         view = await self.cloud.list_hosts()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -87,7 +87,7 @@
             self.term = self.scheduler.term
             self.calling.clear()
             self.recent.clear()
-            self.table.complete = False
+            self.table.forget()
         if now - self.looked_ms < INTERVAL_MS:
             return
         if not self.scheduler.may_order_cloud(self.holder_ms):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/pacer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/pacer.py
@@ -59,11 +59,15 @@
         self.state = scheduler.state
         self.policy = policy
         self.paces: dict[str, Pace] = {}
+        self.term: int | None = None
         scheduler.followers.append(self.tick)
         scheduler.wishes.append(self.lacking)
 
     def tick(self) -> None:
         """Set the pace on each target that runs fillers."""
+        if self.term != self.scheduler.term:
+            self.term = self.scheduler.term
+            self.paces.clear()  # another leader may have set others since
         for life in [one for one in self.paces if one not in self.scheduler.sessions]:
             del self.paces[life]
         for life, session in self.scheduler.sessions.items():
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
@@ -11,7 +11,7 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from mulberryledge_core.batch.commands import Round
+from mulberryledge_core.batch.commands import Round, StartRun
 from mulberryledge_core.batch.machine import BatchMachine
 from mulberryledge_core.outcomes import Code, Refusal
 from mulberryledge_core.state.tables import Context
@@ -30,6 +30,8 @@
     ----------
     leader : str
         Name of the daemon that leads, empty for none.
+    void_starts : int
+        Starts on lives that were over when they were applied.
     skew_ms : int
         By how much the time of day is wrong.
     """
@@ -41,6 +43,7 @@
         self.term = 1
         self.leader = ""
         self.skew_ms = 0
+        self.void_starts = 0
         self.frozen: set[str] = set()
         self.rounds: list[Round] = []
 
@@ -63,7 +66,14 @@
         data = self.machine.encode(command)
         context = Context(self.index, self.wall_ms(), self.term)
         self.rounds.append(command)
-        return self.machine.apply(self.machine.decode(data), context)
+        outcome = self.machine.apply(self.machine.decode(data), context)
+        if command.term == self.term:
+            self.void_starts += sum(
+                isinstance(change, StartRun)
+                and change.life not in self.machine.state.targets
+                for change in command.changes
+            )
+        return outcome
 
 
 class SimulatedReplica:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -58,6 +58,10 @@
         Share of the jobs that ended in time.
     problems, unfinished, waves : tuple of str
         Broken promises, jobs that never ended, and waves that went wrong.
+    misplaced : tuple of str
+        Hosts that the leader takes for those of another pool at the end.
+    void_starts : int
+        Starts that were planned on lives that were over by then.
     """
 
     plan: Plan
@@ -68,6 +72,8 @@
     problems: tuple[str, ...]
     unfinished: tuple[str, ...]
     waves: tuple[str, ...] = ()
+    misplaced: tuple[str, ...] = ()
+    void_starts: int = 0
 
 
 def first_in_first_out(view, queue, step_id) -> tuple:
@@ -132,4 +138,6 @@
         tuple(report.problems),
         tuple(unfinished),
         tuple(waves),
+        tuple(day.misplaced()),
+        day.log.void_starts,
     )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -123,6 +123,7 @@
         self.advisor = SimulatedAdvisor(self.clock, self.random, self.needs_ticket)
         self.fleet.ticket_valid = self.advisor.valid
         self.schedulers: dict[str, Scheduler] = {}
+        self.tables: dict[str, HostTable] = {}
         self.pool_policy = pool_policy
         self.limit_factor = limit_factor
         self.submitted: dict[str, Arrival] = {}
@@ -160,6 +161,7 @@
         table = HostTable(
             self.log.machine.state, self.fleet.cloud, MOVE_MS, replica.now
         )
+        self.tables[name] = table
         cloud = self.fleet.cloud
         Questions(scheduler, self.advisor)
         Pacer(scheduler, PacePolicy())
@@ -321,6 +323,15 @@
         self.report.problems = self.witness.problems
         return self.report
 
+    def misplaced(self) -> list[str]:
+        """Return the hosts that the leader takes for those of another pool."""
+        known = self.tables[self.log.leader].hosts
+        return [
+            one.host
+            for one in self.fleet.cloud.hosts.values()
+            if one.host in known and known[one.host].pool != one.pool
+        ]
+
     def took_ms(self, job_id: str, arrival: Arrival) -> float | None:
         """Return how long a job took, None if it is not complete."""
         job = self.log.machine.state.jobs.get(job_id)
