Let the simulated members of a gang wait for one another

A member now works once all of its run are there, ends alone after 3 s, and takes the others with it, as the users' pages have it; the witness looks for members that wait in vain (in place of a check of starts, which did not see ends).

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -8,6 +8,7 @@
     When a calm day of "<site>" is played with seeds 1 to 2
     Then no promise is broken
     And nothing is started where a target is about to leave
+    And no member of a gang waits for others in vain
     And every job that can be done has ended
 
     Examples:
@@ -81,6 +82,7 @@
     Then no promise is broken
     And every job that can be done has ended
     And the leader knows the pool of each host
+    And nothing is started where a target is about to leave
 
     Examples:
       | site   |
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -83,6 +83,12 @@
     assert not any(found), found
 
 
+@then("no member of a gang waits for others in vain")
+def none_alone(context):
+    found = [one.alone[:3] for one in context.outcomes if one.alone]
+    assert not found, found
+
+
 @then("the leader knows the pool of each host")
 def well_placed(context):
     found = [(one.plan, one.misplaced) for one in context.outcomes if one.misplaced]
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -25,6 +25,7 @@
     TargetView,
 )
 from mulberryledge_testing.batch.cloud import SimulatedCloud, SimulatedHost
+from mulberryledge_testing.batch.gangs import Gangs
 from mulberryledge_testing.batch.target import SimulatedTarget
 
 __all__ = ["Fleet", "NetworkFaults"]
@@ -76,6 +77,7 @@
         self.numbers = count(1)
         self.announce: Callable | None = None
         self.ticket_valid: Callable | None = None
+        self.gangs = Gangs(clock)
         self.spare = ""
 
     def add_host(self, pool: str, rack: str, capacity: Size) -> str:
@@ -103,7 +105,13 @@
         )
         rate = self.random.uniform(0.985, 1.015)
         life = SimulatedTarget(
-            target, self.clock, self.truth_of, self.watch, rate, self.ticket_valid
+            target,
+            self.clock,
+            self.truth_of,
+            self.watch,
+            rate,
+            self.gangs,
+            self.ticket_valid,
         )
         self.targets[host] = life
         self.clock.callLater(self.random.uniform(0, 0.1), self.beat, life)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -62,6 +62,8 @@
         Hosts that the leader takes for those of another pool at the end.
     void_starts : int
         Starts that were planned on lives that were over by then.
+    alone : tuple of str
+        Members of gangs that waited for others in vain.
     """
 
     plan: Plan
@@ -74,6 +76,7 @@
     waves: tuple[str, ...] = ()
     misplaced: tuple[str, ...] = ()
     void_starts: int = 0
+    alone: tuple[str, ...] = ()
 
 
 def first_in_first_out(view, queue, step_id) -> tuple:
@@ -140,4 +143,5 @@
         tuple(waves),
         tuple(day.misplaced()),
         day.log.void_starts,
+        tuple(day.witness.alone),
     )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -24,11 +24,11 @@
     StopOrder,
     TargetView,
 )
+from mulberryledge_testing.batch.gangs import Gangs
 
 __all__ = ["Behaviour", "SimulatedTarget", "TaskTruth"]
 
 STOP_MS = 100
-GANG_TIMEOUT_MS = 3_000
 MAX_LEASE_MS = 6_000
 STARTUP_MS = 700  # until a lasting task is at work
 TAIL_ALONE, TAIL_FILLER = 0.6, 0.1  # share of the bound: alone, and for each filler
@@ -105,6 +105,8 @@
         Number of the last end when the lease last ran out.
     truth_of : callable
         Returns what a task really is.
+    gangs : Gangs or None
+        Members of gangs on all targets; None lets each work by itself.
     ticket_valid : callable or None
         Tells whether a ticket lets a task start here.
     watch : callable
@@ -117,6 +119,7 @@
     truth_of: Callable[[TaskId], TaskTruth]
     watch: Callable[..., None]
     rate: float = 1.0
+    gangs: Gangs | None = None
     ticket_valid: Callable[["SimulatedTarget", StartOrder], bool] | None = None
     behaviour: Behaviour = field(default_factory=Behaviour)
     alive: bool = True
@@ -163,6 +166,8 @@
         ends_ms, how = None, RunEnd.DONE
         if self.behaviour.fails or truth.fails:
             ends_ms, how = now + 50, RunEnd.FAILED
+        elif self.in_gang(truth):
+            pass  # it works once all members are there
         elif not (self.behaviour.hangs or truth.spec.long_running):
             ends_ms = now + truth.duration_ms * self.behaviour.slow
         run = Running(order.run, truth, now, ends_ms, paced_ms=now)
@@ -172,6 +177,22 @@
             run.timer = self.clock.callLater(
                 (ends_ms - now) / 1_000, self.end, order.task, order.run, how
             )
+        elif self.in_gang(truth):
+            self.gangs.join(self, order.task, order.run, truth.spec.count)
+
+    def in_gang(self, truth: TaskTruth) -> bool:
+        """Return whether a task works only together with others."""
+        return truth.spec.gang and self.gangs is not None
+
+    def work(self, task: TaskId, number: int) -> None:
+        """Let a member of a gang work, now that all are there."""
+        run = self.running[task]
+        if self.behaviour.hangs:
+            return
+        run.began_ms = self.now_ms()
+        run.ends_ms = run.began_ms + run.truth.duration_ms * self.behaviour.slow
+        delay_s = (run.ends_ms - run.began_ms) / 1_000
+        run.timer = self.clock.callLater(delay_s, self.end, task, number, RunEnd.DONE)
 
     def end(self, task: TaskId, number: int, how: RunEnd) -> None:
         """End a run and list it."""
@@ -186,6 +207,8 @@
         self.ended.append(ListedEnd(self.number, task, number, how, ""))
         self.watch("end", self, task, number, how)
         self.wake()
+        if run.truth.spec.gang and self.gangs is not None:
+            self.gangs.leave(task, number, how)
 
     def wake(self) -> None:
         """Answer those who wait for an end."""
@@ -309,5 +332,9 @@
             if run.timer is not None and run.timer.active():
                 run.timer.cancel()
             self.watch("end", self, task, run.run, RunEnd.LAPSED)
+        gangs = [(task, run.run) for task, run in self.running.items()]
         self.running.clear()
         self.wake()
+        for task, number in gangs:
+            if self.gangs is not None:
+                self.gangs.leave(task, number, RunEnd.LAPSED)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -16,7 +16,6 @@
 
 EARLY_MS = 250
 HARM_S = 4.0
-GANG_S = 3.0
 
 
 class Witness:
@@ -27,6 +26,8 @@
     ----------
     problems : list of str
         Promises that were broken, each with its time.
+    alone : list of str
+        Members of gangs that waited for others in vain; a trouble near may excuse it.
     """
 
     def __init__(self, clock, state: BatchState, wall_ms):
@@ -44,7 +45,7 @@
         self.submitted: dict[str, object] = {}
         self.cancelled: dict[str, float] = {}
         self.starts = 0
-        self.gang_starts: dict[tuple[StepId, int], set[int]] = defaultdict(set)
+        self.alone: list[str] = []
         self.slow_since_s: dict[tuple[TaskId, int], float] = {}
 
     def problem(self, text: str) -> None:
@@ -79,9 +80,6 @@
         self.check_room(target, task)
         self.check_spread(target, task, spec)
         self.live[task].add((target.target.life, run))
-        if spec.gang:
-            self.gang_starts[task.step_id, run].add(task.index)
-            self.clock.callLater(GANG_S, self.check_gang, task, run, spec.count)
         if job.team:
             self.team_used[job.team].add(spec.size)
             self.check_team(job.team, spec)
@@ -90,13 +88,6 @@
             if late > 3.0:
                 self.problem(f"{task} starts {late:.1f} s after its cancelling")
 
-    def check_gang(self, task: TaskId, run: int, count: int) -> None:
-        """Check that a member that still runs did not wait for others in vain."""
-        waits = any(number == run for _, number in self.live[task])
-        alone = len(self.gang_starts[task.step_id, run]) < count
-        if waits and alone and task.job_id not in self.cancelled:
-            self.problem(f"{task} waits for its gang")
-
     def on_noted(self, task: TaskId, run: int, how: RunEnd) -> None:
         """Check that nothing was started again after an end that counts."""
         job = self.submitted.get(task.job_id)
@@ -174,5 +165,7 @@
         if how == RunEnd.DONE:
             self.done.add(task)
             self.done_s[task, run] = self.clock.seconds()
+        if how == RunEnd.ALONE and task.job_id not in self.cancelled:
+            self.alone.append(f"{self.clock.seconds():.3f} s: {task} waited alone")
         if how == RunEnd.FAILED:
             self.failures[task] += 1
