Refuse calls that wait as soon as their key is withdrawn

The waiting call learned of its key only with a slot; when that came, 1.5 s later, too little of its 3 s was left by the queue's own estimate, by a margin of 30 ms. Ruled out: a wrong outcome (both say, truly, that the call has not run). Change: a withdrawn key refuses what waits under it at once, as a longer wait gains nothing; the scenario checks that the call that runs is still running then.

--- a/features/path/repeatable.feature
+++ b/features/path/repeatable.feature
@@ -114,6 +114,7 @@
     And request "r2" is begun through "entry-1"
     And the service's key is withdrawn
     Then the begun request is refused with 401 "bad-key" and outcome "not-run"
+    And it did not wait for the one that runs
     And the target has run 1 requests
 
   Scenario: A key is withdrawn between submit and take
--- a/features/path/steps/checks.py
+++ b/features/path/steps/checks.py
@@ -59,6 +59,11 @@
     assert (response.status, response.body.decode()) == (200, body), response
 
 
+@then("it did not wait for the one that runs")
+def step_not_waited(context):
+    assert not context.begun[0].called
+
+
 @then('the begun request is refused with {status:d} "{code}" and outcome "{outcome}"')
 def step_begun_refused(context, status, code, outcome):
     async def run():
--- a/packages/mulberryledge-core/src/mulberryledge_core/decisions/fair_queue.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/decisions/fair_queue.py
@@ -70,6 +70,10 @@
         self._shrink(team)
         return item
 
+    def items(self) -> list[T]:
+        """Return all items that wait."""
+        return [item for queue in self.waiting.values() for item in queue]
+
     def remove(self, team: str, item: T) -> bool:
         """Drop an item; return False if it no longer waits."""
         queue = self.waiting.get(team)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/calls.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/calls.py
@@ -215,7 +215,12 @@
         self.budgets[call.service] = earn(budget)
         while True:
             acquired = await self.queues.acquire(
-                call.service, key.team, progress.deadline_s, progress.tried, call.gone
+                call.service,
+                key.team,
+                progress.deadline_s,
+                progress.tried,
+                call.gone,
+                lambda: still_valid(self.log, key),
             )
             if isinstance(acquired, Err):
                 return Err(CallFailure(progress.run, acquired.err_value))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/queues.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/entry/queues.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from mulberryledge_core.commands.teams import WithdrawKey
 from mulberryledge_core.decisions.fair_queue import FairQueue
 from mulberryledge_core.decisions.queue_time import (
     QueueTime,
@@ -30,12 +31,20 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter:
-    """A call that waits for a slot and a permit."""
+    """
+    A call that waits for a slot and a permit.
+
+    Attributes
+    ----------
+    void : callable
+        Returns why the call may not run any more, or None.
+    """
 
     service: str
     team: str
     deadline_s: float
     tried: tuple[LentTarget, ...]
+    void: Callable[[], Refusal | None]
     done: Deferred = field(default_factory=Deferred)
     timer: object = None
 
@@ -79,6 +88,7 @@
         deadline_s: float,
         tried: tuple[LentTarget, ...],
         gone: Deferred | None,
+        void: Callable[[], Refusal | None],
     ) -> Result[Claim, Refusal]:
         """
         Wait for a slot of the service and a permit of the team.
@@ -91,6 +101,9 @@
             Targets that failed the call.
         gone : Deferred or None
             Fires when the caller goes away.
+        void : callable
+            Returns why the call may not run any more, or None; asked when a key is
+            withdrawn, as nothing is gained by a longer wait.
         """
         queue = self.queue_of(service)
         if not queue.waiting.size:
@@ -98,7 +111,7 @@
             claim = self.loans.claim(service, team, tried)
             if claim is not None:
                 return Ok(claim)
-        waiter = Waiter(service, team, deadline_s, tried)
+        waiter = Waiter(service, team, deadline_s, tried, void)
         refusal = self.enqueue(queue, waiter)
         if refusal is not None:
             return Err(refusal)
@@ -152,10 +165,20 @@
         queue.times = after_run(queue.times, seconds)
 
     def on_applied(self, event: AppliedEvent) -> None:
-        """Serve those who wait after each change of state."""
+        """Serve those who wait after each change of state; refuse the void ones."""
+        if isinstance(event.command, WithdrawKey):
+            self.refuse_void()
         if self.loans.stale and self.any_waiting():
             self.clock.callLater(0, self.serve)
 
+    def refuse_void(self) -> None:
+        """Refuse the calls that may not run any more."""
+        for queue in self.queues.values():
+            for waiter in queue.waiting.items():
+                refusal = waiter.void()
+                if refusal is not None and queue.waiting.remove(waiter.team, waiter):
+                    self.settle(waiter, Err(refusal))
+
     def any_waiting(self) -> bool:
         """Return whether any call waits."""
         return any(queue.waiting.size for queue in self.queues.values())
