Begin each lead in one place, and drop what the diff said twice

Change: the scheduler tells its tasks when a lead begins; Tickets or None; properties and functions used by both sides; the host table keeps each host's place; the pacer looks at targets that run fillers. A move planned under an earlier lead is dropped.

--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from mulberryledge_testing.batch.demand import site_named
-from mulberryledge_testing.batch.play import HOLDER_MS, MOVE_MS, POOL_POLICY, Day
+from mulberryledge_testing.batch.play import Day
 from mulberryledge_testing.batch.target import TaskTruth
 from twisted.internet.defer import ensureDeferred
 
@@ -15,9 +15,7 @@
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
 from mulberryledge_daemon.batch.history import JobHistory
-from mulberryledge_daemon.batch.hosts import HostTable
 from mulberryledge_daemon.batch.metrics import BatchMetrics
-from mulberryledge_daemon.batch.moves import Moves
 from mulberryledge_daemon.batch.service import JobService
 
 WARM_UP_S = 3.0
@@ -27,7 +25,7 @@
     """A calm fleet with a leader that takes jobs."""
 
     def __init__(self, limit=0):
-        self.day = Day(site_named("falaj"), 1, None)
+        self.day = Day(site_named("falaj"), 1)
         self.day.site = replace(self.day.site, kinds=())
         leader = self.day.leader
         state = leader.state
@@ -38,24 +36,13 @@
             )
             new = replace(old, version=2, teams=teams)
             leader.after(0.5, lambda: leader.rounds.submit(PutConfiguration(new, b"")))
-        cloud = self.day.fleet.cloud
-        self.table = HostTable(state, cloud, MOVE_MS, leader.now)
-        Moves(leader, cloud, self.table, HOLDER_MS, POOL_POLICY)
-        self.service = JobService(leader, self.table.places)
+        table = self.day.tables[self.day.log.leader]
+        self.service = JobService(leader, table.places)
         self.metrics = BatchMetrics(dict)
         self.history = JobHistory(leader, self.metrics)
         self.number = 0
         self.duration_ms = 200.0
-        self.pass_time(WARM_UP_S)
-
-    def pass_time(self, seconds):
-        """Let virtual time pass."""
-        clock = self.day.clock
-        end = clock.seconds() + seconds
-        while clock.seconds() < end:
-            calls = clock.getDelayedCalls()
-            next_s = min((call.getTime() for call in calls), default=end)
-            clock.advance(max(0.0, min(next_s, end) - clock.seconds()))
+        self.day.pass_time(WARM_UP_S)
 
     def hand_in(self, step):
         """Hand a job of one step in; return the reply."""
@@ -66,7 +53,7 @@
         replies = []
         answered = ensureDeferred(self.service.answer(ask))
         answered.addCallback(lambda reply: replies.append(reply.unwrap()))
-        self.pass_time(0.2)
+        self.day.pass_time(0.2)
         return replies[0]
 
 
@@ -119,7 +106,7 @@
 
 @when("{seconds:d} seconds pass on the fleet")
 def time_passes(context, seconds):
-    context.desk.pass_time(seconds)
+    context.desk.day.pass_time(seconds)
 
 
 @then("every task of it was started once")
@@ -206,7 +193,7 @@
             assert run.run == 1
         life.watch = on_event
     assert len(running) <= 1, running
-    context.desk.pass_time(2.0)
+    context.desk.day.pass_time(2.0)
     assert set(seen) <= {1}, seen
     job = context.desk.day.log.machine.state.jobs[f"{context.desk.number:016x}"]
     assert job.phase == "completed", job.phase
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -153,8 +153,7 @@
         state.team_used[job.team].add(spec.size, -1)
     state.unwanted_runs.pop((task_id, run), None)
     if not state.runs[life] and life not in state.targets:
-        del state.runs[life], state.used[life]
-        state.filling.pop(life, None)
+        forget_life(state, life)
 
 
 def put_configuration(state: BatchState, change: PutConfiguration) -> None:
@@ -428,8 +427,13 @@
                 del index[key]
     for task_id, run in list(state.live_runs(life)):
         end_run(state, EndRun(*task_id, run, RunEnd.LAPSED))
-    state.runs.pop(life, None)
-    state.used.pop(life, None)
+    forget_life(state, life)
+
+
+def forget_life(state: BatchState, life: str) -> None:
+    """Drop the sums over the runs of a life that is over."""
+    for sums in (state.runs, state.used, state.filling):
+        sums.pop(life, None)
 
 
 def begin_wave(state: BatchState, change: BeginWave) -> None:
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
@@ -180,6 +180,11 @@
         """Whether the host may be down for its upkeep."""
         return self.phase in (UpkeepPhase.ORDERED, UpkeepPhase.BEGUN)
 
+    @property
+    def over(self) -> bool:
+        """Whether the host has had its upkeep, or is gone."""
+        return self.phase in (UpkeepPhase.DONE, UpkeepPhase.GONE)
+
 
 @dataclass(slots=True)
 class WaveRecord:
@@ -205,5 +210,4 @@
     @property
     def completed(self) -> bool:
         """Whether every host that stays has had its upkeep."""
-        ended = (UpkeepPhase.DONE, UpkeepPhase.GONE)
-        return all(host.phase in ended for host in self.hosts.values())
+        return all(host.over for host in self.hosts.values())
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/upkeep.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/upkeep.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from mulberryledge_core.batch.records import UpkeepPhase, WaveRecord
+from mulberryledge_core.batch.records import WaveRecord
 
 __all__ = ["HostLoad", "UpkeepTiming", "choose_hosts", "hosts_at_once"]
 
@@ -59,8 +59,7 @@
 
 def hosts_at_once(wave: WaveRecord, now_ms: int, timing: UpkeepTiming) -> int:
     """Return how many hosts should be out or being emptied, to end in time."""
-    ended = (UpkeepPhase.DONE, UpkeepPhase.GONE)
-    left = sum(host.phase not in ended for host in wave.hosts.values())
+    left = sum(not host.over for host in wave.hosts.values())
     end_ms = wave.began_ms + wave.duration_ms * timing.time_share
     time_ms = max(1.0, end_ms - now_ms)
     needed = -(-left * timing.cycle_ms // int(time_ms)) if time_ms > 1 else left
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/advice.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/advice.py
@@ -18,7 +18,7 @@
     rooms_with_space,
 )
 from mulberryledge_core.batch.specs import StepId
-from mulberryledge_core.batch.tickets import VALID_SHARE
+from mulberryledge_core.batch.tickets import VALID_SHARE, Tickets
 from mulberryledge_daemon.batch.ports import Advisor
 from mulberryledge_daemon.batch.scheduler import Scheduler
 
@@ -46,19 +46,20 @@
         self.state = scheduler.state
         self.advisor = advisor
         self.asking = False
-        self.term: int | None = None
         self.kept_ms = 0
-        scheduler.needs_tickets = True
+        scheduler.beginnings.append(self.begin)
         scheduler.followers.append(self.tick)
         scheduler.wishes.append(self.lacking)
         scheduler.watchers.append(lambda changes: self.tick())
 
+    def begin(self) -> None:
+        """Ask anew: an earlier lead's question is void, and its tickets may be old."""
+        self.asking = False
+        self.scheduler.tickets = Tickets()
+
     def tick(self) -> None:
         """Ask about the first step that waits for an answer."""
         now = self.scheduler.now()
-        if self.term != self.scheduler.term:
-            self.term = self.scheduler.term
-            self.asking = False  # what an earlier lead has asked is void
         if now - self.kept_ms > KEEP_INTERVAL_MS:
             self.kept_ms = now
             self.scheduler.tickets.keep_only(
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/history.py
@@ -77,15 +77,16 @@
         self.metrics = metrics
         self.notes: OrderedDict[str, JobNotes] = OrderedDict()
         self.places: dict[tuple[TaskId, int], str] = {}
-        self.term: int | None = None
+        scheduler.beginnings.append(self.begin)
         scheduler.watchers.append(self.on_changes)
 
+    def begin(self) -> None:
+        """Forget what ended under other leaders."""
+        self.notes.clear()
+        self.places.clear()
+
     def on_changes(self, changes: tuple[object, ...]) -> None:
         """Tell what a committed round has changed."""
-        if self.term != self.scheduler.term:
-            self.term = self.scheduler.term
-            self.notes.clear()
-            self.places.clear()
         started: dict[StepId, list[StartRun]] = {}
         for change in changes:
             if isinstance(change, StartRun):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, replace
 
 from mulberryledge_core.batch.admission import Place
-from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.state import BatchState
 from mulberryledge_daemon.batch.ports import Cloud, HostsView
 
@@ -31,6 +30,8 @@
     ----------
     pool : str
         Pool that it belongs to, or is on its way to.
+    place : Place
+        What could run on it.
     former_life : str
         Life of the target before the latest move.
     moved_ms : int or None
@@ -41,9 +42,8 @@
 
     host: str
     pool: str
-    capacity: Size
+    place: Place
     rack: str = ""
-    labels: tuple[str, ...] = ()
     former_life: str = ""
     moved_ms: int | None = None
     blocked_ms: int = 0
@@ -80,9 +80,8 @@
             return
         for one in view.hosts:
             if one.host not in self.hosts:
-                self.hosts[one.host] = KnownHost(
-                    one.host, one.pool, one.capacity, one.rack, one.labels
-                )
+                place = Place(one.capacity, frozenset(one.labels))
+                self.hosts[one.host] = KnownHost(one.host, one.pool, place, one.rack)
         self.complete = True
         logger.info("hosts listed", extra={"hosts": len(view.hosts)})
 
@@ -92,9 +91,8 @@
             target = self.state.targets[life]
             known = self.hosts.get(host)
             if known is None:
-                self.hosts[host] = KnownHost(
-                    host, target.pool, target.capacity, target.rack, target.labels
-                )
+                place = Place(target.capacity, frozenset(target.labels))
+                self.hosts[host] = KnownHost(host, target.pool, place, target.rack)
             elif life != known.former_life and (
                 known.moved_ms is not None or known.pool != target.pool
             ):
@@ -102,10 +100,7 @@
 
     def places(self) -> list[Place]:
         """Return what jobs could run on; nothing before the cloud's list is read."""
-        if not self.complete:
-            return []
-        shapes = {(one.capacity, frozenset(one.labels)) for one in self.hosts.values()}
-        return [Place(capacity, labels) for capacity, labels in shapes]
+        return [one.place for one in self.hosts.values()] if self.complete else []
 
     def in_transit(self, host: str) -> bool:
         """Return whether a host is on its way to another pool."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -63,9 +63,9 @@
         self.rates: dict[str, ArrivalRate] = defaultdict(ArrivalRate)
         self.calling: set[str] = set()
         self.recent: dict[str, deque[tuple[int, int]]] = defaultdict(deque)
-        self.term: int | None = None
         self.looked_ms = self.listed_ms = 0
         self.emptying = scheduler.cordon()
+        scheduler.beginnings.append(self.begin)
         scheduler.followers.append(self.tick)
         scheduler.watchers.append(self.on_changes)
 
@@ -80,14 +80,15 @@
 
     # What is decided.
 
+    def begin(self) -> None:
+        """Forget what other leaders may have changed."""
+        self.calling.clear()
+        self.recent.clear()
+        self.table.forget()
+
     def tick(self) -> None:
         """Move what should be elsewhere."""
         now = self.scheduler.now()
-        if self.term != self.scheduler.term:
-            self.term = self.scheduler.term
-            self.calling.clear()
-            self.recent.clear()
-            self.table.forget()
         if now - self.looked_ms < INTERVAL_MS:
             return
         if not self.scheduler.may_order_cloud(self.holder_ms):
@@ -159,8 +160,10 @@
 
     def host_size(self, pool: str) -> Size:
         """Return what a host of a pool holds, or any host if it has none."""
-        sizes = [one.capacity for one in self.table.hosts.values() if one.pool == pool]
-        sizes = sizes or [one.capacity for one in self.table.hosts.values()]
+        sizes = [
+            one.place.capacity for one in self.table.hosts.values() if one.pool == pool
+        ]
+        sizes = sizes or [one.place.capacity for one in self.table.hosts.values()]
         return sizes[0] if sizes else NOTHING
 
     def owned(self, now: int) -> dict[str, list[KnownHost]]:
@@ -295,10 +298,11 @@
 
     async def order(self, host: str, pool: str) -> None:
         """Move a host, and take note of where it is."""
+        term = self.scheduler.term
         await self.scheduler.rounds.settled()
-        term, life = self.term, self.table.life_of(host)
-        if host not in self.table.hosts:
+        if term != self.scheduler.term or host not in self.table.hosts:
             return
+        life = self.table.life_of(host)
         if not self.scheduler.may_order() or self.state.live_runs(life):
             self.release(host)
             return
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/pacer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/pacer.py
@@ -59,19 +59,17 @@
         self.state = scheduler.state
         self.policy = policy
         self.paces: dict[str, Pace] = {}
-        self.term: int | None = None
+        scheduler.beginnings.append(self.paces.clear)  # others may have set them since
         scheduler.followers.append(self.tick)
         scheduler.wishes.append(self.lacking)
 
     def tick(self) -> None:
         """Set the pace on each target that runs fillers."""
-        if self.term != self.scheduler.term:
-            self.term = self.scheduler.term
-            self.paces.clear()  # another leader may have set others since
         for life in [one for one in self.paces if one not in self.scheduler.sessions]:
             del self.paces[life]
         for life, session in self.scheduler.sessions.items():
-            if session.silent_ms is None and session.listed:
+            fills = life in self.paces or self.state.filling[life]
+            if fills and session.silent_ms is None and session.listed:
                 self.look_at(life, session)
 
     def look_at(self, life: str, session: TargetSession) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -54,6 +54,8 @@
         Term in which this daemon leads, None while it does not.
     fence : int
         Fencing token of the orders; it is the term.
+    beginnings : list of callable
+        Called when this daemon takes the lead over: what was known before is stale.
     followers : list of callable
         Called on each tick while this daemon leads.
     cordons : list of set of str
@@ -67,10 +69,8 @@
         How long tasks take, learned from the runs that end.
     failed_on : dict of str to set of str
         By job: lives of targets on which runs of it have failed.
-    tickets : Tickets
-        Answers of the placement advisor.
-    needs_tickets : bool
-        Whether there is an advisor to ask.
+    tickets : Tickets or None
+        Answers of the placement advisor, None if there is none to ask.
     """
 
     def __init__(
@@ -100,14 +100,14 @@
         self.fenced_term = 0
         self.forgot_ms = 0
         self.reported_ms = 0
+        self.beginnings: list[Callable[[], None]] = []
         self.followers: list[Callable[[], None]] = []
         self.cordons: list[set[str]] = []
         self.wishes: list[Callable[[], Counter[str]]] = []
         self.watchers: list[Callable[[tuple[object, ...]], None]] = []
         self.durations = Durations()
         self.failed_on: dict[str, set[str]] = defaultdict(set)
-        self.tickets = Tickets()
-        self.needs_tickets = False
+        self.tickets: Tickets | None = None
         self.loop = LoopingCall(self.tick)
         self.loop.clock = reactor
 
@@ -194,6 +194,8 @@
             self.open_session(target, lapse_ms)
         extra = {"term": self.term, "targets": len(self.sessions)}
         logger.info("scheduling begins", extra=extra)
+        for begin in self.beginnings:
+            begin()
         self.rounds.begin(self.term)
 
     def stand_down(self) -> None:
@@ -206,7 +208,6 @@
             session.close()
         self.sessions.clear()
         self.failed_on.clear()
-        self.tickets = Tickets()
         for cordon in self.cordons:
             cordon.clear()
         self.rounds.end()
@@ -297,7 +298,7 @@
             self.wall_ms(),
             self.durations,
             trials=trials,
-            tickets=self.tickets if self.needs_tickets else None,
+            tickets=self.tickets,
             log_ms=self.now(),
             paced=frozenset(one.life for one in self.sessions.values() if one.paced),
         )
@@ -374,7 +375,9 @@
         if session is None or task is None or change.run not in task.live:
             return
         job = self.state.jobs[change.job_id]
-        ticket = self.tickets.text(task_id.step_id, change.life, self.now())
+        ticket = ""
+        if self.tickets is not None:
+            ticket = self.tickets.text(task_id.step_id, change.life, self.now())
         session.start(task_id, change.run, job.spec.body, task.checkpoint, ticket)
 
     def stop_unwanted(self) -> None:
@@ -386,7 +389,8 @@
 
     def ticket_refused(self, session: TargetSession, task_id: TaskId) -> None:
         """Forget a ticket that a target has refused."""
-        self.tickets.drop(task_id.step_id, session.life)
+        if self.tickets is not None:
+            self.tickets.drop(task_id.step_id, session.life)
 
     def run_done(self, key: RunKey, real_ms: int) -> None:
         """Learn how long the tasks of a queue run."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -277,10 +277,7 @@
     def hold_order(self, now: int) -> HoldOrder:
         """Return the next order; an unanswered target's lease is not renewed."""
         fence, seen = self.leader.fence, self.last_seen
-        busy = bool(self.live())
-        if not self.clock.known or self.missed:
-            return HoldOrder(fence, seen)
-        if not busy:
+        if not self.clock.known or self.missed or not self.live():
             return HoldOrder(fence, seen)
         wait_ms = 0 if self.stops_due() else self.timing.wait_ms
         if not self.holds_firmly(now):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -69,15 +69,16 @@
         self.calling: set[str] = set()
         self.away_since: dict[tuple[int, str], int] = {}
         self.emptying = scheduler.cordon()
-        self.term: int | None = None
+        scheduler.beginnings.append(self.begin)
         scheduler.followers.append(self.tick)
 
+    def begin(self) -> None:
+        """Forget the calls and the times of an earlier lead."""
+        self.calling.clear()
+        self.away_since.clear()
+
     def tick(self) -> None:
         """Do what is due in each wave."""
-        if self.term != self.scheduler.term:
-            self.term = self.scheduler.term
-            self.calling.clear()
-            self.away_since.clear()
         open_waves = [wave for wave in self.state.waves.values() if not wave.completed]
         waiting = {
             host
@@ -178,7 +179,7 @@
 
     async def order(self, wave: WaveRecord, host: str, upkeep: HostUpkeep) -> None:
         """Order the upkeep of a host, with the intent made durable before."""
-        rounds, term = self.scheduler.rounds, self.term
+        rounds, term = self.scheduler.rounds, self.scheduler.term
         life = upkeep.life or self.state.lives_by_host.get(host, "")
         if upkeep.phase == UpkeepPhase.WAITING:
             intent = MarkUpkeep(wave.wave, host, UpkeepPhase.ORDERED, life)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/watchdog.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/watchdog.py
@@ -65,18 +65,14 @@
         for key in session.listed:
             track = session.tracks.get(key)
             known = key in live and key not in self.state.unwanted_runs
-            if session.paced and known and self.fills(key):
-                continue
             if not known or track is None or track.accepted_ms is None:
                 continue
+            if session.paced and self.state.spec_of(key[0].step_id).filler:
+                continue  # it works as fast as others let it
             if track.percent >= 0 and not session.stopping(key):
                 found.append((key, track))
         return found
 
-    def fills(self, key: RunKey) -> bool:
-        """Return whether a run is a filler, which works as fast as others let it."""
-        return self.state.spec_of(key[0].step_id).filler
-
     def expected_ms(self, key: RunKey, session: TargetSession) -> float:
         """Return how long a run should take on its target."""
         spec = self.state.spec_of(key[0].step_id)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -271,12 +271,16 @@
         for arrival in arrivals(self.site, self.random, duration_s, load):
             self.at(arrival.at_s, self.submit, arrival)
         self.clock.callLater(LOOK_S, self.look)
-        end_s = duration_s + tail_s
+        self.pass_time(duration_s + tail_s)
+        return self.finish(duration_s)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let virtual time pass, from one due call to the next."""
+        end_s = self.clock.seconds() + seconds
         while self.clock.seconds() < end_s:
             calls = self.clock.getDelayedCalls()
             next_s = min((call.getTime() for call in calls), default=end_s)
             self.clock.advance(max(0.0, min(next_s, end_s) - self.clock.seconds()))
-        return self.finish(duration_s)
 
     def look(self) -> None:
         """Take note of what has ended, and of what the fleet costs."""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/runs.py
@@ -5,7 +5,7 @@
 Seeded runs: faults at random moments, then calm, in which the cluster must work.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from itertools import combinations
 
@@ -344,6 +344,13 @@
     if focus is not None:
         faults = ((propose, 2), (heal, 1), (focus.fault, 3))
         world.slow_disk, world.slow, world.slowest_ms = focus.slow_disk, focus.slow, 600
+    return play_out(world, faults, seed)
+
+
+def play_out(
+    world: World, faults: Sequence[tuple[Callable, int]], seed: int
+) -> RunReport:
+    """Let faults of these kinds and weights come, then end them, and report."""
     world.run(world.random.choice((0, 1_600)))
     actions = [action for action, _ in faults]
     weights = [weight for _, weight in faults]
@@ -381,22 +388,8 @@
     """
     world = World(seed, standby=STANDBY)
     keep_on(world)
-    world.run(world.random.choice((0, 1_600)))
-    faults = (*KEPT_FAULTS, (wipe, 4))
-    actions = [action for action, _ in faults]
-    weights = [weight for _, weight in faults]
-    for _ in range(STEPS):
-        world.random.choices(actions, weights)[0](world)
-        world.run(world.random.uniform(0, STEP_MAX_MS))
-    calm(world)
+    report = play_out(world, (*KEPT_FAULTS, (wipe, 4)), seed)
     members = world.leader().node.log.members
     assert len(members.voters()) == len(VOTERS), f"{len(members.voters())} voters"
     assert not lost_voters(world), f"voters without their disk: {lost_voters(world)}"
-    witness = world.witness
-    return RunReport(
-        seed,
-        len(witness.leaders),
-        len(witness.committed),
-        len(witness.copies),
-        witness.in_force,
-    )
+    return report
