Dial every peer when a daemon begins

A daemon that began again waited to be dialled; a leader elected meanwhile by the vote of the one that stopped had no quorum without it. The proposal was not lost: it waited for the quorum (trace of 40 stops with what the proposer sent and whom it was connected to).

Ruled out: a lost first message (each send of the trace reached the leader), a leader without lease, a successor that is not named (mended before).

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/joining.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/joining.py
@@ -26,7 +26,7 @@
 
 __all__ = ["Joining"]
 
-LONELY_MS = 3_000
+LONELY_MS = 3_000  # the longest wait of a peer before it dials again
 MEMORY_FOLDER = "memory"
 
 logger = logging.getLogger(__name__)
@@ -41,7 +41,8 @@
     cluster : str
         Identity of the cluster; empty as long as the daemon belongs to none.
     lonely : bool
-        Whether no leader was heard from for so long that every peer is dialled.
+        Whether every peer is dialled, also those that dial this daemon: it has just
+        begun, or no leader was heard from for long.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         self.generation = storage.identity.generation if storage is not None else 1
         self.formation = Formation(settings, node.folder)
         self.members: Configuration | None = None
-        self.lonely = False
+        self.lonely = True
 
     def start(self, network: Network) -> None:
         """Listen and dial, or begin a cluster alone if there are no peers."""
@@ -175,10 +176,16 @@
             self.follow_members()
 
     def notice_loneliness(self) -> None:
-        """Dial every peer once no leader was heard from for long."""
+        """
+        Dial every peer at the beginning, and once no leader was heard from for long.
+
+        Peers that noticed the end of an earlier process wait between two attempts; a
+        leader elected meanwhile would have no quorum without this daemon.
+        """
         now = self.now()
         heard_ms = self.node.contact_ms or self.node.started_ms
         quiet = now - heard_ms >= LONELY_MS and not is_fresh(self.node, now)
+        quiet = quiet or now - self.node.started_ms < LONELY_MS
         if quiet != self.lonely:
             self.lonely = quiet
             self.follow_members()
