Let every core machine run and vote; keep the last commit on disk

Now all core machines run the role, and all that can vote do, in an odd number (consensus/repair.py): a majority of the machines is then a majority of the voters.

The index up to which entries are committed is now written beside them, and a daemon applies as far before it dials or stands for election. The tests of both failed before the change.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,11 @@
 
 setup: $(VENV)/.done
 
-$(VENV)/.done: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
+$(VENV)/.done: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --no-build-isolation -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q --no-build-isolation -c constraints.txt \
-	  $(foreach package,$(wildcard packages/*) platform,-e $(package)) \
+	  $(foreach package,$(wildcard packages/*) platform platform/testing,-e $(package)) \
 	  behave hypothesis ruff
 	touch $@
 
--- a/features/log/disk.feature
+++ b/features/log/disk.feature
@@ -17,6 +17,11 @@
       | 9     | missing |
       | 5     | zeroed  |
 
+  Scenario: A daemon that begins applies what it knew to be committed
+    Given 3 records are written, each with the one before committed
+    When a daemon begins with the folder, and reaches no other
+    Then it has applied 2 entries
+
   Scenario: Damage in the middle stops the voter
     Given 3 records are written
     When a byte of the second record changes
--- a/features/log/steps/disk.py
+++ b/features/log/steps/disk.py
@@ -11,19 +11,30 @@
 import cbor2
 from behave import given, then, when
 from result import Err
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, maybeDeferred
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from mulberryledge_core.commands.fleet import CreatePool
 from mulberryledge_core.consensus import steps
-from mulberryledge_core.consensus.entries import Entry, HardState, Snapshot
+from mulberryledge_core.consensus.entries import (
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+)
 from mulberryledge_daemon.log import guard
 from mulberryledge_daemon.log.disk import Disk
 from mulberryledge_daemon.log.frames import Batch, pack
 from mulberryledge_daemon.log.replicated import ReplicatedLog
 from mulberryledge_daemon.log.storage import StorageFault, open_storage
 from mulberryledge_daemon.peers.messages import Propose
-from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
+from mulberryledge_daemon.settings import (
+    DaemonSection,
+    ListenSection,
+    PeerSection,
+    Settings,
+)
 
 STEP_S = 0.05
 WAIT_STEPS = 300
@@ -89,6 +100,37 @@
             storage.write(Batch(HardState(1, "v1"), (entry(index),)))
 
 
+@given("{count:d} records are written, each with the one before committed")
+def step_write_committed(context, count):
+    with open_storage(context.folder, "v1") as storage:
+        for index in range(1, count + 1):
+            one = Entry(index, 1, index * 10, EntryKind.NOTHING)
+            storage.write(Batch(HardState(1, "v1"), (one,), commit=index - 1))
+
+
+@when("a daemon begins with the folder, and reaches no other")
+def step_begin_alone(context):
+    step_open(context)
+    peers = (PeerSection("v2", "127.0.0.1", 1, voter=True),)
+    settings = Settings(
+        DaemonSection("v1", data_folder="data"),
+        ListenSection(peers_port=0),
+        peers=peers,
+    )
+    reactor = MemoryReactorClock()
+    context.log = ReplicatedLog(
+        reactor, settings, context.storage, Random(1), maybeDeferred
+    )
+    started = ensureDeferred(context.log.start())
+    assert started.called, "it starts without waiting"
+
+
+@then("it has applied {count:d} entries")
+def step_applied(context, count):
+    found = context.log.state.applied_index
+    assert found == count, found
+
+
 @given("a snapshot is written")
 def step_snapshot(context):
     with open_storage(context.folder, "v1") as storage:
--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -8,7 +8,6 @@
 from hypothesis import given as given_any
 from hypothesis import settings, strategies
 from result import Err, Ok
-from support.programs import SETTINGS
 from twisted.internet.defer import ensureDeferred, succeed
 
 from mulberryledge_core.batch.configuration import AdviceCost
@@ -19,6 +18,7 @@
 from mulberryledge_platform.jobs import decode_job, decode_task, encode_task
 from mulberryledge_platform.manifest import decode_manifest
 from mulberryledge_platform.settings import Address, decode_settings
+from mulberryledge_platform_testing.programs import SETTINGS
 
 ROUTE = {
     "name": "plans",
--- a/features/platform/steps/path.py
+++ b/features/platform/steps/path.py
@@ -28,12 +28,16 @@
     submit,
     within,
 )
-from support.http_targets import HttpTargets
-from support.programs import CONTROL_PORT, PROBE_PORT, running_deployment
 from twisted.internet import reactor
 from twisted.internet.threads import blockingCallFromThread
 
 from mulberryledge_platform.settings import Address
+from mulberryledge_platform_testing.http_targets import HttpTargets
+from mulberryledge_platform_testing.programs import (
+    CONTROL_PORT,
+    PROBE_PORT,
+    running_deployment,
+)
 
 
 @given("three core machines, two entries and targets of two pools")
--- a/features/platform/support/__init__.py
+++ b/features/platform/support/__init__.py
@@ -1,1 +1,1 @@
-"""A small stand-in of the users' platform on loopback, by its published pages."""
+"""What the steps of several features share."""
--- a/features/platform/support/calls.py
+++ b/features/platform/support/calls.py
@@ -5,7 +5,11 @@
 import urllib.error
 import urllib.request
 
-from support.programs import CALLERS_PORT, CONTROL_PORT, PROBE_PORT
+from mulberryledge_platform_testing.programs import (
+    CALLERS_PORT,
+    CONTROL_PORT,
+    PROBE_PORT,
+)
 
 HOST = "rounds.example"
 PREFIX = "/plans/"
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/effects.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/effects.py
@@ -24,10 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Persist:
-    """Write entries, the first of which replaces all from its index on."""
+    """
+    Write entries, the first of which replaces all from its index on.
+
+    Attributes
+    ----------
+    commit : int
+        Index up to which entries are known to be committed: a node that begins again
+        need not wait for a leader to apply these.
+    """
 
     hard_state: HardState
     entries: tuple[Entry, ...] = ()
+    commit: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -166,7 +166,7 @@
 
     def persist(self, entries: tuple[Entry, ...] = ()) -> None:
         """Ask for term, vote and entries to be written."""
-        self.effects.append(Persist(self.hard_state, entries))
+        self.effects.append(Persist(self.hard_state, entries, self.commit))
 
     def set_term(self, term: int, voted_for: str = "") -> None:
         """Enter a term, or vote in it."""
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/repair.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/repair.py
@@ -8,6 +8,9 @@
 A voter is only ever replaced by a learner that holds the log, and the learner is
 promoted first, so that no moment has fewer voters than before. A leader without a
 quorum can't commit any of it, so the smaller side of a partition removes nobody.
+
+Every member with a data folder votes, but for one where their number is even: a
+majority of all of them is then a majority of the voters too, whichever it is.
 """
 
 from collections import Counter
@@ -25,7 +28,7 @@
 from mulberryledge_core.consensus.members import Member
 from mulberryledge_core.consensus.node import Node, Progress, Role
 
-__all__ = ["SILENT_MS", "Applicant", "next_change"]
+__all__ = ["SILENT_MS", "Applicant", "next_change", "voters_wanted"]
 
 SILENT_MS = 2_500  # well above an election timeout, below the time a repair may take
 FORGET_MS = 30_000  # silence after which a learner is taken off the list
@@ -43,21 +46,22 @@
 
 
 def next_change(
-    node: Node, applicants: Iterable[Applicant], wanted: int, now: int
+    node: Node, applicants: Iterable[Applicant], fewest: int, now: int
 ) -> object | None:
     """
     Return the next change of members that the leader should make, or None.
 
     Parameters
     ----------
-    wanted : int
-        How many voters there should be.
+    fewest : int
+        How many voters there should be at least.
     now : int
         Milliseconds of the node's clock.
     """
     settled = node.commit >= max(node.term_start, node.log.members_index)
     if node.role != Role.LEADER or not settled:
         return None
+    wanted = voters_wanted(node, fewest)
     return (
         _join(node, applicants)
         or _replace_folder(node)
@@ -67,6 +71,15 @@
     )
 
 
+def voters_wanted(node: Node, fewest: int) -> int:
+    """Return how many voters there should be: all that can, in an odd number."""
+    able = 0
+    for member in node.log.members.members:
+        progress = node.progress.get(member.name)
+        able += member.voter or (progress is not None and progress.folder != "")
+    return max(fewest, able if able % 2 else able - 1)
+
+
 def _join(node: Node, applicants: Iterable[Applicant]) -> AddMember | None:
     for one in applicants:
         known = node.log.members.find(one.name)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
@@ -29,6 +29,7 @@
 from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
+    "begin",
     "begin_cluster",
     "compact",
     "propose",
@@ -76,6 +77,12 @@
         election.campaign(node, now)
 
 
+def begin(node: Node, now: int) -> None:
+    """Stand for election a little later if applying the log has taken long."""
+    soon = now + int(node.draw() * node.timing.heartbeat_ms)
+    node.deadline_ms = max(node.deadline_ms, soon)
+
+
 def begin_cluster(node: Node, now: int) -> None:
     """Allow an election at once: this node has never followed a leader."""
     assert node.term == 0 and node.contact_ms is None
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/frames.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/frames.py
@@ -20,10 +20,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Entries of one write, the first of which replaces all from its index on."""
+    """
+    Entries of one write, the first of which replaces all from its index on.
+
+    Attributes
+    ----------
+    commit : int
+        Index up to which entries were known to be committed then.
+    """
 
     hard_state: HardState
     entries: tuple[Entry, ...] = ()
+    commit: int = 0
 
 
 RECORDS = MessageTable((Batch, Snapshot))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/keeper.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/keeper.py
@@ -36,12 +36,12 @@
     def __init__(
         self,
         node: Node,
-        wanted: int,
+        fewest: int,
         propose: Callable[[object], Awaitable[ApplyResult]],
         now: Callable[[], int],
     ):
         self.node = node
-        self.wanted = wanted
+        self.fewest = fewest
         self.propose = propose
         self.now = now
         self.applicants: dict[str, Applicant] = {}
@@ -69,7 +69,7 @@
         if self.busy or now - self.looked_ms < INTERVAL_MS:
             return
         self.looked_ms = now
-        change = next_change(self.node, self.applicants.values(), self.wanted, now)
+        change = next_change(self.node, self.applicants.values(), self.fewest, now)
         if change is not None:
             self.busy = True
             ensureDeferred(self.make(change))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/options.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/options.py
@@ -27,7 +27,7 @@
     founding : Founding or None
         How the cluster begins, if not with the voters that the settings name.
     voters : int
-        How many voters the leader keeps by itself; 0 if operators do.
+        How many voters the leader keeps by itself at least; 0 if operators do.
     link_timing : LinkTiming
         How fast a silent connection to a peer is noticed.
     timing : Timing
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -31,7 +31,6 @@
     is_leading,
 )
 from mulberryledge_core.consensus.memory import EntryLog
-from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_core.consensus.timing import Timing
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
@@ -173,7 +172,7 @@
             entries = self.storage.entries
             hard_state = self.storage.hard_state
         self.replica.restore(snapshot.data)
-        return Node(
+        node = Node(
             name=self.name,
             folder=folder,
             log=EntryLog(snapshot, entries),
@@ -182,6 +181,9 @@
             hard_state=hard_state,
             timing=timing,
         )
+        if self.storage is not None:
+            node.advance_commit(self.storage.commit)
+        return node
 
     def now(self) -> int:
         """Return milliseconds of a clock that runs while the host sleeps."""
@@ -189,8 +191,15 @@
         return self.clock_base_ms + nanoseconds // 1_000_000
 
     async def start(self) -> None:
-        """Join the cluster, or begin one alone if there are no peers."""
+        """
+        Join the cluster, or begin one alone if there are no peers.
+
+        What the disk holds is applied before: it takes a while, in which a leader
+        would be taken for a lost one.
+        """
         self.started = True
+        self.carry_out()
+        steps.begin(self.node, self.now())
         self.joining.start(self.network)
         self.loop.start(self.tick_s)
 
@@ -296,8 +305,9 @@
 
     def step(self, sender: str, message: object) -> None:
         """Hand a message of the log to the node."""
+        removed_before = self.node.removed
         steps.step(self.node, sender, message, self.now())
-        if isinstance(message, NotMember):
+        if self.node.removed and not removed_before:
             logger.critical("this daemon was removed", extra={"by": sender})
         self.carry_out()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
@@ -70,6 +70,8 @@
     damage : str
         What is damaged; empty if nothing is. A daemon with a damaged folder does
         not vote.
+    commit : int
+        Index up to which the entries are known to be committed.
     size : int
         Size of the log file up to the last synced record, in bytes.
     """
@@ -81,6 +83,7 @@
         self.hard_state = HardState()
         self.snapshot = Snapshot()
         self.entries: list[Entry] = []
+        self.commit = 0
         self.damage = ""
         self.size = 0
         self.descriptor = -1
@@ -126,6 +129,7 @@
     def replay(self, batch: Batch) -> None:
         """Take one record of the log file."""
         self.hard_state = batch.hard_state
+        self.commit = max(self.commit, batch.commit)
         for entry in batch.entries:
             while self.entries and self.entries[-1].index >= entry.index:
                 self.entries.pop()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
@@ -170,7 +170,8 @@
     if batch:
         hard_state: HardState = batch[-1].hard_state
         entries = tuple(entry for one in batch for entry in one.entries)
-        storage.write(Batch(hard_state, entries))
+        commit = max(one.commit for one in batch)
+        storage.write(Batch(hard_state, entries, commit))
 
 
 def last_entry(batch) -> tuple[int, int] | None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
@@ -47,10 +47,13 @@
     hard_state: HardState = HardState()
     snapshot: Snapshot = Snapshot()
     entries: dict[int, Entry] = field(default_factory=dict)
+    commit: int = 0
 
     def write(self, effect: Persist | Rewrite) -> None:
         """Take one write."""
         self.hard_state = effect.hard_state
+        if isinstance(effect, Persist):
+            self.commit = max(self.commit, effect.commit)
         if isinstance(effect, Rewrite):
             self.snapshot = effect.snapshot
             self.entries = {}
@@ -190,6 +193,8 @@
             started_ms=self.now(member),
             hard_state=disk.hard_state if disk is not None else HardState(),
         )
+        if disk is not None:
+            member.node.advance_commit(disk.commit)
         if member.full:
             steps.storage_failed(member.node, self.now(member))
         self.tick(member, member.life)
