Give silent handshakes up, and load no TLS where there is none

A connection that was accepted, and on which the handshake was never answered, belonged to nobody, so nobody gave it up, and its peer counted as being dialled for good. Every connection is watched from its first moment now; features/log/joining.feature failed before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -21,3 +21,8 @@
     And 3.1 seconds pass under a leader
     And 3.1 seconds pass without a leader
     Then it dials "v1 v2 v4"
+
+  Scenario: A peer that takes a connection and then says nothing is dialled again
+    When a connection to a peer opens, and the peer never says a word
+    Then the connection is given up within 2 seconds
+    And the peer is dialled again within 4 seconds
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -3,15 +3,23 @@
 from random import Random
 
 from behave import given, then, when
+from twisted.internet.testing import (
+    MemoryReactorClock,
+    StringTransportWithDisconnection,
+)
 
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.memory import EntryLog
 from mulberryledge_core.consensus.node import Node
 from mulberryledge_daemon.log.joining import Joining
+from mulberryledge_daemon.peers.link import LinkTiming
+from mulberryledge_daemon.peers.messages import Hello
+from mulberryledge_daemon.peers.network import Handlers, Network, PeerAddress
 from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
 
 ADDRESS, PORT = "10.0.0.1", 7_000
+TIMING = LinkTiming(ping_s=0.5, silence_s=1.5, watch_s=0.25)
 
 
 class DialledPeers:
@@ -65,3 +73,46 @@
 @then('it dials "{names}"')
 def step_dials(context, names):
     assert context.network.names == set(names.split()), context.network.names
+
+
+class QuietTransport(StringTransportWithDisconnection):
+    """A connection on which nothing arrives."""
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+
+@when("a connection to a peer opens, and the peer never says a word")
+def step_silent_peer(context):
+    context.reactor = MemoryReactorClock()
+    hello = Hello("v3", "cluster", 1, "", "session", ADDRESS, PORT, "")
+    handlers = Handlers(lambda: hello, lambda _: "", lambda *_: None, lambda _: None)
+    network = Network(context.reactor, "v3", handlers, Random(1), timing=TIMING)
+    network.start_watch()
+    network.set_peers((PeerAddress("v4", ADDRESS, PORT),))
+    factory = context.reactor.tcpClients[0][2]
+    protocol = factory.buildProtocol(None)
+    context.transport = QuietTransport()
+    context.transport.protocol = protocol
+    protocol.makeConnection(context.transport)
+
+
+def pass_time(context, seconds, check):
+    """Let time pass until a check holds; return whether it does."""
+    for _ in range(int(seconds / TIMING.watch_s)):
+        context.reactor.advance(TIMING.watch_s)
+        if check():
+            return True
+    return False
+
+
+@then("the connection is given up within {seconds:d} seconds")
+def step_given_up(context, seconds):
+    transport = context.transport
+    assert pass_time(context, seconds, lambda: not transport.connected)
+
+
+@then("the peer is dialled again within {seconds:d} seconds")
+def step_dialled_again(context, seconds):
+    clients = context.reactor.tcpClients
+    assert pass_time(context, seconds, lambda: len(clients) > 1)
--- /dev/null
+++ b/features/soak/steps/soak.py
@@ -0,0 +1,54 @@
+"""Steps on the fault soak, which runs in a process of its own."""
+
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import then, when
+
+CALM_S = 60  # the calm after the faults and the start, at most
+
+
+@when("the soak runs seed {seed:d} for {seconds:d} seconds")
+def step_run(context, seed, seconds):
+    run_soak(context, seed, seconds)
+
+
+@when('the soak runs seed {seed:d} for {seconds:d} seconds with the defect "{defect}"')
+def step_run_defect(context, seed, seconds, defect):
+    run_soak(context, seed, seconds, "--defect", defect)
+
+
+def run_soak(context, seed, seconds, *options):
+    scratch = tempfile.TemporaryDirectory()
+    context.add_cleanup(scratch.cleanup)
+    command = [sys.executable, "-m", "mulberryledge_platform_testing.soak"]
+    command += [str(Path(scratch.name) / "soak"), "--first", str(seed)]
+    command += ["--seconds", str(seconds), *options]
+    done = subprocess.run(
+        command, capture_output=True, text=True, timeout=seconds + 2 * CALM_S
+    )
+    context.code, context.text = done.returncode, done.stdout + done.stderr
+    report = Path(scratch.name) / "soak" / f"seed-{seed}" / "report.txt"
+    context.report = report.read_text() if report.exists() else context.text
+
+
+@then("every promise was kept")
+def step_kept(context):
+    assert context.code == 0, context.text
+
+
+@then("jobs were accepted, tasks started and manifests acknowledged")
+def step_busy(context):
+    for count in ("POST 200", "starts", "manifests"):
+        found = re.search(rf"^{count}: (\d+)$", context.report, re.MULTILINE)
+        assert found and int(found[1]) >= 5, f"{count}: {context.report}"
+
+
+@then('a promise was broken: "{promise}"')
+def step_broken(context, promise):
+    assert context.code == 1, context.text
+    broken = [line for line in context.text.splitlines() if "BROKEN" in line]
+    assert any(promise in line for line in broken), context.text
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/daemon.py
@@ -28,7 +28,7 @@
 from mulberryledge_daemon.http.server import make_site
 from mulberryledge_daemon.journal import Journal
 from mulberryledge_daemon.leader.tasks import LeaderTasks
-from mulberryledge_daemon.log import open_log
+from mulberryledge_daemon.log.opening import open_log
 from mulberryledge_daemon.peers.tls import PeerContext
 from mulberryledge_daemon.periodic import run_periodically
 from mulberryledge_daemon.platform import HttpPlatform
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -57,8 +57,7 @@
     Propose,
     ProposeReply,
 )
-from mulberryledge_daemon.peers.network import Handlers, Network
-from mulberryledge_daemon.peers.tls import PeerContext
+from mulberryledge_daemon.peers.network import Handlers, Network, TlsIdentity
 from mulberryledge_daemon.ports import AppliedEvent, InForce
 from mulberryledge_daemon.settings import Settings
 
@@ -88,6 +87,8 @@
         Runs a blocking function and returns a Deferred of its result.
     options : LogOptions
         State machine, membership and timing of connections.
+    tls : TlsIdentity or None
+        This daemon's certificate; None for connections without TLS.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         random: Random,
         run: Callable,
         options: LogOptions = DEFAULT_OPTIONS,
+        tls: TlsIdentity | None = None,
     ):
         self.reactor = reactor
         self.settings = settings
@@ -132,7 +134,6 @@
         handlers = Handlers(
             self.joining.hello, self.joining.greet, self.on_message, self.on_closed
         )
-        tls = PeerContext(settings.tls) if settings.tls.certificate else None
         self.network = Network(
             reactor, self.name, handlers, random, tls, options.link_timing
         )
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/link.py
@@ -65,6 +65,7 @@
         websocket: ClientProtocol | ServerProtocol,
         clock,
         traffic: Traffic,
+        on_made: Callable[["Link"], None],
         on_open: Callable[["Link"], None],
         on_message: Callable[["Link", bytes], None],
         on_close: Callable[["Link"], None],
@@ -72,6 +73,7 @@
         self.websocket = websocket
         self.clock = clock
         self.traffic = traffic
+        self.on_made = on_made
         self.on_open = on_open
         self.on_message = on_message
         self.on_close = on_close
@@ -89,6 +91,7 @@
         self.heard_s = self.sent_s = self.clock.seconds()
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        self.on_made(self)
         if isinstance(self.websocket, ClientProtocol):
             self.websocket.send_request(self.websocket.connect())
             self.pump()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from twisted.internet.endpoints import (
     SSL4ClientEndpoint,
@@ -26,9 +27,8 @@
     dial_link,
 )
 from mulberryledge_daemon.peers.messages import TABLE, Hello
-from mulberryledge_daemon.peers.tls import PeerContext, certificate_names
 
-__all__ = ["Handlers", "Network", "PeerAddress"]
+__all__ = ["Handlers", "Network", "PeerAddress", "TlsIdentity"]
 
 CONNECT_TIMEOUT_S = 1.0
 REDIAL_MIN_S = 0.1
@@ -69,6 +69,16 @@
     closed: Callable[[str], None]
 
 
+class TlsIdentity(Protocol):
+    """What TLS between daemons does, if there is any."""
+
+    def names_shown(self, transport) -> tuple[str, ...]:
+        """Return the names in the certificate that a peer has shown."""
+
+    def getContext(self) -> object:
+        """Return the context of a connection."""
+
+
 class Network:
     """Owns the connections to the other daemons, one a pair."""
 
@@ -78,7 +88,7 @@
         name: str,
         handlers: Handlers,
         random: Random,
-        tls: PeerContext | None = None,
+        tls: TlsIdentity | None = None,
         timing: LinkTiming | None = None,
     ):
         self.timing = timing or LinkTiming()
@@ -119,6 +129,7 @@
     def wires(self) -> dict[str, Callable]:
         """Return the handlers of a link."""
         return {
+            "on_made": self.opening.add,
             "on_open": self.on_open,
             "on_message": self.on_message,
             "on_close": self.on_close,
@@ -164,7 +175,6 @@
 
     def on_open(self, link: Link) -> None:
         """Greet the peer."""
-        self.opening.add(link)
         link.send(TABLE.encode(self.handlers.hello()))
 
     def on_message(self, link: Link, data: bytes) -> None:
@@ -187,7 +197,7 @@
         if expected not in ("", hello.name):
             problem = f"{expected!r} answered as {hello.name!r}"
         if self.tls is not None:
-            names = certificate_names(link.transport)
+            names = self.tls.names_shown(link.transport)
             if hello.name not in names:
                 problem = f"its certificate is for {', '.join(names) or 'nobody'}"
         if problem:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/tls.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/tls.py
@@ -15,7 +15,7 @@
 
 from mulberryledge_daemon.settings import TlsSection
 
-__all__ = ["PeerContext", "certificate_names"]
+__all__ = ["PeerContext"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +36,10 @@
         self.stamps = self.read_stamps()
         self.context = make_context(section)
 
+    def names_shown(self, transport) -> tuple[str, ...]:
+        """Return the names in the certificate that a peer has shown."""
+        return certificate_names(transport)
+
     def getContext(self) -> SSL.Context:
         """Return a context with the present files."""
         try:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/log/embedded.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/log/embedded.py
@@ -15,7 +15,7 @@
 
 from mulberryledge_core.commands import Command
 from mulberryledge_core.commands.fleet import CreatePool
-from mulberryledge_daemon.log import open_log
+from mulberryledge_daemon.log.opening import open_log
 from mulberryledge_daemon.log.replicated import ReplicatedLog
 from mulberryledge_daemon.settings import load_settings
 from mulberryledge_testing.processes import DaemonProcess, wait_until
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
@@ -195,6 +195,8 @@
         )
         if disk is not None:
             member.node.advance_commit(disk.commit)
+            for effect in member.node.take_effects():
+                self.carry_out_one(member, effect)
         if member.full:
             steps.storage_failed(member.node, self.now(member))
         self.tick(member, member.life)
