--- a/features/path/steps/entries.py
+++ b/features/path/steps/entries.py
@@ -14,8 +14,8 @@
 from twisted.internet.task import deferLater
 from twisted.web.client import ResponseFailed
 
-from mulberryledge_core.commands import COMMANDS
 from mulberryledge_core.commands.fleet import AnnounceTarget
+from mulberryledge_core.commands.table import COMMANDS
 from mulberryledge_core.commands.teams import GiveKey, WithdrawKey
 from mulberryledge_core.commands.work import CloseSession, ForgetAnswers
 from mulberryledge_core.keys import split_key
--- a/features/state/steps/replay.py
+++ b/features/state/steps/replay.py
@@ -17,8 +17,8 @@
 )
 from result import Ok
 
-from mulberryledge_core.codec import decode_command, encode_command
-from mulberryledge_core.commands import COMMANDS, fleet, teams
+from mulberryledge_core.commands import fleet, teams
+from mulberryledge_core.commands.table import COMMANDS, decode_command, encode_command
 from mulberryledge_core.model.jobs import JobPhase
 from mulberryledge_core.state import ClusterState, Context, apply, restore, snapshot
 
--- a/packages/mulberryledge-core/src/mulberryledge_core/codec.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/codec.py
@@ -12,15 +12,12 @@
 from cattrs.preconf.cbor2 import make_converter as make_cbor_converter
 from result import Err, Ok, Result
 
-from mulberryledge_core.commands import Command, get_command_by_name
 from mulberryledge_core.conversion import PLAIN, conversion_faults, summary_of
 from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
     "decode",
-    "decode_command",
     "encode",
-    "encode_command",
     "from_plain",
     "to_plain",
 ]
@@ -47,27 +44,6 @@
     return CBOR.structure(cbor2.loads(data), kind)
 
 
-def encode_command(command: Command) -> bytes:
-    """Encode a command with its name."""
-    return cbor2.dumps([type(command).__name__, CBOR.unstructure(command)])
-
-
-def decode_command(data: bytes) -> Command:
-    """
-    Decode a command that :func:`encode_command` wrote.
-
-    Raises
-    ------
-    ValueError
-        If the command is unknown to this release.
-    """
-    name, fields = cbor2.loads(data)
-    kind = get_command_by_name(name)
-    if kind is None:
-        raise ValueError(f"unknown command {name!r}: upgrade this daemon first")
-    return CBOR.structure(fields, kind)
-
-
 def to_plain(value: object) -> Any:
     """Convert frozen data to values that JSON can hold."""
     return PLAIN.unstructure(value)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -7,8 +7,8 @@
 
 from result import Err, Ok, Result
 
-from mulberryledge_core.codec import encode_command
 from mulberryledge_core.commands.members import PromoteMember, ReplaceFolder
+from mulberryledge_core.commands.table import encode_command
 from mulberryledge_core.consensus.entries import Entry, EntryKind, Origin
 from mulberryledge_core.consensus.leases import (
     confirmed_ms,
--- a/packages/mulberryledge-core/src/mulberryledge_core/state/__init__.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/state/__init__.py
@@ -10,8 +10,9 @@
 
 from result import Err
 
-from mulberryledge_core.codec import decode, decode_command, encode, encode_command
+from mulberryledge_core.codec import decode, encode
 from mulberryledge_core.commands import Command
+from mulberryledge_core.commands.table import decode_command, encode_command
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
 from mulberryledge_core.state.appliers import get_applier_by_command
 from mulberryledge_core.state.invariants import assert_after
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/metrics.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/metrics.py
@@ -10,7 +10,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import GaugeMetricFamily, Metric
 
-from mulberryledge_daemon.metrics import LATENCY_BUCKETS_S, BoundedNames
+from mulberryledge_daemon.labels import LATENCY_BUCKETS_S, BoundedNames
 
 __all__ = ["BatchMetrics", "Gauges"]
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -28,6 +28,7 @@
 from mulberryledge_core.state import ClusterState
 from mulberryledge_daemon.entry.admission import KeyCache, admit
 from mulberryledge_daemon.entry.calls import Call, CallResult, Calls, refused_run
+from mulberryledge_daemon.http.headers import Header
 from mulberryledge_daemon.http.routing import (
     Reply,
     Route,
@@ -38,7 +39,7 @@
     refusal_reply,
 )
 from mulberryledge_daemon.observations import CallObservation, Observe, ignore
-from mulberryledge_daemon.ports import Header, ReplicatedLog
+from mulberryledge_daemon.ports import ReplicatedLog
 
 __all__ = ["CallerInterface", "caller_routes"]
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
@@ -20,7 +20,7 @@
 
 from mulberryledge_core.codec import to_plain
 from mulberryledge_core.outcomes import Code, Refusal, RunOutcome
-from mulberryledge_daemon.ports import Header
+from mulberryledge_daemon.http.headers import Header
 
 __all__ = [
     "Reply",
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
@@ -12,8 +12,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from mulberryledge_core.codec import encode_command
 from mulberryledge_core.commands import Command
+from mulberryledge_core.commands.table import encode_command
 from mulberryledge_core.consensus.entries import Origin
 from mulberryledge_core.consensus.steps import MEMBER_COMMANDS
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/recovery.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/recovery.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from mulberryledge_core.codec import encode_command
 from mulberryledge_core.commands.members import Nothing
+from mulberryledge_core.commands.table import encode_command
 from mulberryledge_core.consensus.entries import Entry, EntryKind, HardState
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.memory import EntryLog
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replica.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replica.py
@@ -12,8 +12,9 @@
 
 from result import Err
 
-from mulberryledge_core.codec import decode, decode_command, encode
+from mulberryledge_core.codec import decode, encode
 from mulberryledge_core.commands.members import Nothing
+from mulberryledge_core.commands.table import decode_command
 from mulberryledge_core.consensus.entries import Entry, EntryKind, Origin
 from mulberryledge_core.consensus.proposals import AppliedProposals, ProposerRecord
 from mulberryledge_core.outcomes import ApplyResult, Code, Refusal
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -14,8 +14,8 @@
 from result import Err, Result
 from twisted.internet.task import LoopingCall, deferLater
 
-from mulberryledge_core.codec import decode_command
 from mulberryledge_core.commands import Command
+from mulberryledge_core.commands.table import decode_command
 from mulberryledge_core.consensus import steps
 from mulberryledge_core.consensus.effects import (
     Apply,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/metrics.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/metrics.py
@@ -12,34 +12,13 @@
 
 from mulberryledge_core.outcomes import Code, RunOutcome
 from mulberryledge_core.state import ClusterState
+from mulberryledge_daemon.labels import LATENCY_BUCKETS_S, OTHER, BoundedNames
 from mulberryledge_daemon.observations import CallObservation
 from mulberryledge_daemon.ports import ReplicatedLog
 
 __all__ = ["Metrics"]
 
-MAX_NAMES = 512
-OTHER = "(other)"
 CODES = frozenset((*Code, "ok"))
-LATENCY_BUCKETS_S = (
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 120,
-)  # fmt: skip
-
-
-class BoundedNames:
-    """Keeps the first names of a table that it sees, and gives the rest one name."""
-
-    def __init__(self, limit: int = MAX_NAMES):
-        self.limit = limit
-        self.names: set[str] = set()
-
-    def label(self, name: str, table: dict[str, object]) -> str:
-        """Return the name if it is in the table and there is room for it."""
-        if name in self.names:
-            return name
-        if name not in table or len(self.names) >= self.limit:
-            return OTHER
-        self.names.add(name)
-        return name
 
 
 class Metrics:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/ports.py
@@ -17,13 +17,13 @@
 from mulberryledge_core.model.targets import Target
 from mulberryledge_core.outcomes import ApplyResult, Refusal, RunOutcome
 from mulberryledge_core.state import ClusterState
+from mulberryledge_daemon.http.headers import Header
 
 __all__ = [
     "AnswerSink",
     "AppliedEvent",
     "CallOutcome",
     "CallRequest",
-    "Header",
     "InForce",
     "LeaderChannel",
     "Platform",
@@ -123,14 +123,6 @@
         """Register the handler that answers a kind of request while leading."""
 
 
-@dataclass(frozen=True, slots=True)
-class Header:
-    """One HTTP header field."""
-
-    name: str
-    value: str
-
-
 class AnswerSink(Protocol):
     """
     Where an answer goes that is too large to be held whole.
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/bench/groups/operations.py
@@ -15,8 +15,9 @@
 from statistics import median
 from tempfile import TemporaryDirectory
 
-from mulberryledge_core.codec import decode_command, encode, encode_command
+from mulberryledge_core.codec import encode
 from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget
+from mulberryledge_core.commands.table import decode_command, encode_command
 from mulberryledge_core.commands.work import EndJob, StartJob, SubmitJob
 from mulberryledge_core.messages import TargetsSeen, TargetUsage, UsageReport
 from mulberryledge_core.model.hosts import Resources
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/views.py
@@ -13,9 +13,9 @@
 
 from result import Err, Ok, Result
 
-from mulberryledge_core.codec import encode_command
 from mulberryledge_core.commands import Command
 from mulberryledge_core.commands.fleet import AddHost, AnnounceTarget, CreatePool
+from mulberryledge_core.commands.table import encode_command
 from mulberryledge_core.commands.teams import ApplyDocument, CreateTeam, GiveKey
 from mulberryledge_core.documents import parse_document
 from mulberryledge_core.keys import KEY_BYTES, make_key
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/virtual.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/virtual.py
@@ -26,9 +26,10 @@
 from mulberryledge_daemon.entry.queues import Queues
 from mulberryledge_daemon.entry.reservations import Reservations
 from mulberryledge_daemon.entry.sessions import EntrySession
+from mulberryledge_daemon.http.headers import Header
 from mulberryledge_daemon.leader.lender import Lender
 from mulberryledge_daemon.leader.sessions import SessionLeases
-from mulberryledge_daemon.ports import CallOutcome, CallRequest, Header
+from mulberryledge_daemon.ports import CallOutcome, CallRequest
 from mulberryledge_testing.views import LogView, SharedLog
 
 __all__ = ["SlowView", "VirtualEntry", "VirtualFleet", "VirtualTargets"]
