Keep what the soak prints under a name that behave does not use

Cause: behave sets context.text anew at each step, so the three scenarios with planted defects failed without having looked at the soak's output; the soak itself had found each defect by hand before. The checks are as they were.

--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -30,14 +30,14 @@
     done = subprocess.run(
         command, capture_output=True, text=True, timeout=seconds + 2 * CALM_S
     )
-    context.code, context.text = done.returncode, done.stdout + done.stderr
+    context.code, context.printed = done.returncode, done.stdout + done.stderr
     report = Path(scratch.name) / "soak" / f"seed-{seed}" / "report.txt"
-    context.report = report.read_text() if report.exists() else context.text
+    context.report = report.read_text() if report.exists() else context.printed
 
 
 @then("every promise was kept")
 def step_kept(context):
-    assert context.code == 0, context.text
+    assert context.code == 0, context.printed
 
 
 @then("jobs were accepted, tasks started and manifests acknowledged")
@@ -49,6 +49,6 @@
 
 @then('a promise was broken: "{promise}"')
 def step_broken(context, promise):
-    assert context.code == 1, context.text
-    broken = [line for line in context.text.splitlines() if "BROKEN" in line]
-    assert any(promise in line for line in broken), context.text
+    assert context.code == 1, context.printed
+    broken = [line for line in context.printed.splitlines() if "BROKEN" in line]
+    assert any(promise in line for line in broken), context.printed
