Find each planted defect by the one kind of fault that shows it

The soak can play one kind of fault only; the three scenarios play the kind that shows their defect, again and again.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -5,12 +5,14 @@
     Then every promise was kept
     And jobs were accepted, tasks started and manifests acknowledged
 
-  Scenario Outline: A run finds a defect that is planted in the programs
-    When the soak runs seed <seed> for <seconds> seconds with the defect "<defect>"
+  # Which faults a seed plays depends on the time that answers take. The one kind of
+  # fault that shows a defect is played again and again, so that it has to be found.
+  Scenario Outline: A run finds a program that <defect>
+    When the soak plays only "<fault>" for 12 seconds with the defect "<defect>"
     Then a promise was broken: "<promise>"
 
     Examples:
-      | defect               | seed | seconds | promise                       |
-      | takes any key        | 1    | 12      | a key of nobody got status    |
-      | forgets leases       | 1    | 12      | runs twice                    |
-      | cuts off at its stop | 1    | 12      | the planned stop of           |
+      | defect               | fault          | promise                    |
+      | takes any key        | reset          | is withdrawn since         |
+      | forgets leases       | isolate_target | runs twice or started again |
+      | cuts off at its stop | stop           | the planned stop of        |
--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -16,9 +16,11 @@
     run_soak(context, seed, seconds)
 
 
-@when('the soak runs seed {seed:d} for {seconds:d} seconds with the defect "{defect}"')
-def step_run_defect(context, seed, seconds, defect):
-    run_soak(context, seed, seconds, "--defect", defect)
+@when(
+    'the soak plays only "{fault}" for {seconds:d} seconds with the defect "{defect}"'
+)
+def step_run_defect(context, fault, seconds, defect):
+    run_soak(context, 1, seconds, "--defect", defect, "--only", fault)
 
 
 def run_soak(context, seed, seconds, *options):
@@ -51,4 +53,5 @@
 def step_broken(context, promise):
     assert context.code == 1, context.printed
     broken = [line for line in context.printed.splitlines() if "BROKEN" in line]
-    assert any(promise in line for line in broken), context.printed
+    texts = promise.split(" or ")
+    assert any(one in line for line in broken for one in texts), context.printed
