--- a/tools/summary.py
+++ b/tools/summary.py
@@ -36,7 +36,9 @@
     except (OSError, ValueError):
         return broken
     found = [
-        Scenario(f"{suite}: {element['name']}", element.get("status", "untested"))
+        Scenario(
+            f"{suite}: {element['name'].strip()}", element.get("status", "untested")
+        )
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] != "background"
