--- a/features/platform/support/calls.py
+++ b/features/platform/support/calls.py
@@ -5,14 +5,13 @@
 import urllib.error
 import urllib.request
 
+from mulberryledge_platform_testing.manifests import HOST, PREFIX, manifest
 from mulberryledge_platform_testing.programs import (
     CALLERS_PORT,
     CONTROL_PORT,
     PROBE_PORT,
 )
 
-HOST = "rounds.example"
-PREFIX = "/plans/"
 KEY = "key-of-dispatch"
 POOLS = {"plans-pool": 3, "other-pool": 1}
 READY_S = 12.0
@@ -45,40 +44,6 @@
         time.sleep(POLL_S)
 
 
-def manifest(version):
-    """Return a manifest with two queues."""
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": "plans",
-                "host": HOST,
-                "path_prefix": PREFIX,
-                "kind": "unsafe",
-                "timeout_ms": 3000,
-                "target_latency_ms": 600,
-                "priority": 0,
-                "service": "plans-pool",
-                "max_attempts": 3,
-                "stretch": 1.6,
-                "public": False,
-            }
-        ],
-        "services": [
-            {"name": name, "health_path": "/health", "spare": False} for name in POOLS
-        ],
-        "limits": {},
-        "tenants": [
-            {
-                "name": "dispatch",
-                "api_keys": [KEY],
-                "weight": 3,
-                "upper_limit": {"cpu": 0, "memory_limit_mb": 0, "gpu": 0},
-            }
-        ],
-    }
-
-
 def machines(context, role):
     """Return the names of the running machines of a role."""
     return [
@@ -102,7 +67,7 @@
     """Send a manifest to each core machine in turn; return whether one took it."""
     for name in machines(context, "core"):
         url = control_url(context, name) + "/Configuration.Put"
-        if call(url, "POST", manifest(version))[0] == 200:
+        if call(url, "POST", manifest(version, tuple(POOLS), (KEY,)))[0] == 200:
             return True
     return False
 
