--- a/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
@@ -191,9 +191,10 @@
                 lambda: all(one.is_ready() for one in daemons), "ready", timeout_s
             )
         except TimeoutError as error:
-            for one in daemons:
-                error.add_note(f"{one.name}: {one.log_path.read_text()[-LOG_CHARS:]}")
-            raise
+            logs = [
+                f"{one.name}: {one.log_path.read_text()[-LOG_CHARS:]}" for one in daemons
+            ]
+            raise TimeoutError("\n".join((str(error), *logs))) from error
 
     def leader(self, timeout_s: float = READY_TIMEOUT_S) -> str:
         """Return the name of the daemon that leads; wait for one."""
