--- a/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/processes.py
@@ -192,7 +192,8 @@
             )
         except TimeoutError as error:
             logs = [
-                f"{one.name}: {one.log_path.read_text()[-LOG_CHARS:]}" for one in daemons
+                f"{one.name}: {one.log_path.read_text()[-LOG_CHARS:]}"
+                for one in daemons
             ]
             raise TimeoutError("\n".join((str(error), *logs))) from error
 
