Soak: play a planted defect until it is found; tell why a scenario failed

The soak isolates a host drawn from all, mostly idle ones, three or four times in 12 s; where the host has no long task, the defect cannot show. That was chance, not a defect that is missed. The summary prints what a failed step said. Ruled out: a longer fixed time, which is as much chance.

--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -17,7 +17,8 @@
 
 
 @when(
-    'the soak plays only "{fault}" for {seconds:d} seconds with the defect "{defect}"'
+    'the soak plays only "{fault}" for at most {seconds:d} seconds'
+    ' with the defect "{defect}"'
 )
 def step_run_defect(context, fault, seconds, defect):
     run_soak(context, 1, seconds, "--defect", defect, "--only", fault)
--- a/tools/summary.py
+++ b/tools/summary.py
@@ -17,14 +17,23 @@
 KNOWN_RED = Path("KNOWN-RED.txt")
 FEATURES = Path("features")
 CASE_PREFIX = "case: "
+REASON_CHARACTERS = 3_000  # of a failed scenario; a verdict with its list fits in
 
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """Name and status of one scenario."""
+    """
+    Name and status of one scenario.
+
+    Attributes
+    ----------
+    why : str
+        What the step said that failed.
+    """
 
     name: str
     status: str
+    why: str = ""
 
 
 def read_suite(suite: str, folder: Path) -> list[Scenario]:
@@ -37,7 +46,9 @@
         return broken
     found = [
         Scenario(
-            f"{suite}: {element['name'].strip()}", element.get("status", "untested")
+            f"{suite}: {element['name'].strip()}",
+            element.get("status", "untested"),
+            reason_of(element),
         )
         for feature in features
         for element in feature.get("elements", [])
@@ -46,6 +57,18 @@
     return found or broken
 
 
+def reason_of(element: dict) -> str:
+    """Return what the failed steps of a scenario said."""
+    results = [step.get("result", {}) for step in element.get("steps", [])]
+    lines = [line for one in results for line in as_lines(one.get("error_message"))]
+    return "\n".join(lines)[-REASON_CHARACTERS:]
+
+
+def as_lines(message: str | list[str] | None) -> list[str]:
+    """Return a message, which behave gives as a text or as lines."""
+    return message.splitlines() if isinstance(message, str) else message or []
+
+
 def known_red() -> frozenset[str]:
     """Return the cases that KNOWN-RED.txt lists."""
     if not KNOWN_RED.exists():
@@ -65,6 +88,8 @@
     for one in red:
         label = "KNOWN RED" if one.name in known else "FAILED"
         print(f"{label}  {one.name} ({one.status})")
+        if one.why:
+            print(one.why)
     failed = [one for one in red if one.name not in known]
     for suite in sorted({one.name.partition(":")[0] for one in failed}):
         log = folder / f"{suite}.txt"
