Hosts that the cloud lists as down end the runs there, in place of their lease

What ran there counted until its lease of 4 s was over, as a target that is cut off runs on. Change: while a target with work does not answer, the leader reads the cloud's list. A host that is down, runs another target, or is missing in two lists ends the life of the target, and its runs start elsewhere. Hosts that are up keep their lease.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -78,3 +78,26 @@
     And the target of one of its tasks starts again
     And 6 seconds pass on the fleet
     Then the log tells of a run that ended "lost", and of the end of the job
+
+  Scenario Outline: What a target ran that <what> starts elsewhere <when>
+    Given an idle fleet whose tasks take 4 seconds
+    When a job of 3 tasks of 4 cores with label "" is handed in
+    And the host of one of its tasks <what>
+    Then its tasks are started again <least> to <most> seconds after
+
+    Examples:
+      | what         | when                                     | least | most |
+      | goes down    | as soon as the cloud lists its host so   | 0.0   | 1.6  |
+      | is lost      | as soon as two lists do not name it      | 0.0   | 2.0  |
+      | is cut off   | after its lease, as it runs on until then | 3.0   | 5.5  |
+
+  Scenario Outline: A lost rack costs callers of <site> little
+    Given a day of "<site>" with <trouble>
+    When it is played with and without the cloud's word on lost hosts
+    Then at least 2 of 100 jobs more end in time where the cloud is asked
+    And lasting tasks are at work for longer
+
+    Examples:
+      | site  | trouble   |
+      | falaj | lost rack |
+      | yayla | lost rack |
--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -10,7 +10,7 @@
 from mulberryledge_testing.batch.target import TaskTruth
 from twisted.internet.defer import ensureDeferred
 
-from mulberryledge_core.batch.commands import PutConfiguration, RunEnd
+from mulberryledge_core.batch.commands import PutConfiguration, RunEnd, SubmitJob
 from mulberryledge_core.batch.requests import SubmitAsk, Verdict
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
@@ -19,6 +19,7 @@
 from mulberryledge_daemon.batch.service import JobService
 
 WARM_UP_S = 3.0
+DARK_S = 6.0
 
 
 class Desk:
@@ -49,6 +50,8 @@
         self.number += 1
         job_id = f"{self.number:016x}"
         self.day.truths[job_id] = (TaskTruth(step, self.duration_ms),)
+        submitted = SubmitJob(job_id, "plan", "team-0", JobSpec("", (step,)))
+        self.day.witness.submitted[job_id] = submitted
         ask = SubmitAsk("example", f"/plan/{job_id}", "key-0", JobSpec("", (step,)))
         replies = []
         answered = ensureDeferred(self.service.answer(ask))
@@ -94,6 +97,43 @@
     fleet.crash(host, 0.05)
 
 
+@when("the host of one of its tasks {what}")
+def host_hurt(context, what):
+    day = context.desk.day
+    fleet = day.fleet
+    host = next(host for host, life in fleet.targets.items() if life.running)
+    context.hurt_s = day.clock.seconds()
+    context.restarts_s = {}
+    lost = {task: run.run for task, run in fleet.targets[host].running.items()}
+    watch = day.witness.on_event
+
+    def on_event(event, target, task, run, how):
+        if event == "start" and run > lost.get(task, run):
+            context.restarts_s[task] = day.clock.seconds() - context.hurt_s
+        watch(event, target, task, run, how)
+
+    fleet.watch = on_event
+    for life in fleet.targets.values():
+        life.watch = on_event
+    context.lost = lost
+    hurt = {
+        "goes down": lambda: fleet.crash(host, DARK_S),
+        "is lost": lambda: fleet.lose(host),
+        "is cut off": lambda: fleet.faults.cut.add(host),
+    }
+    hurt[what]()
+
+
+@then("its tasks are started again {least:f} to {most:f} seconds after")
+def started_again(context, least, most):
+    day = context.desk.day
+    day.pass_time(most)
+    assert context.restarts_s.keys() == context.lost.keys(), context.restarts_s
+    early = [one for one in context.restarts_s.values() if not least <= one <= most]
+    assert not early, context.restarts_s
+    assert not day.witness.problems, day.witness.problems
+
+
 @then('the log tells of a run that ended "{how}", and of the end of the job')
 def told(context, how):
     ends = [line for line in context.lines if line.getMessage() == "run ended"]
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -185,6 +185,12 @@
     context.plans = [Plan(site, seed, TROUBLED_S, times) for seed in (2, 6, 8)]
 
 
+@given('a day of "{site}" with {name}')
+def named_day(context, site, name):
+    times = ((name, 6.0), (name, 13.0))
+    context.plans = [Plan(site, seed, TROUBLED_S, times) for seed in (1, 2, 3, 4)]
+
+
 def play_both(context, **changes):
     others = [replace(plan, **changes) for plan in context.plans]
     outcomes = play_all([*context.plans, *others])
@@ -202,6 +208,11 @@
     play_both(context, moves=False)
 
 
+@when("it is played with and without the cloud's word on lost hosts")
+def play_losses(context):
+    play_both(context, without=("losses",))
+
+
 @when("it is played with and without the judgement of targets")
 def play_judgement(context):
     play_both(context, without=("judgement", "watchdog"))
@@ -229,6 +240,19 @@
     assert ours <= others, (ours, others)
 
 
+@then("at least {percent:d} of 100 jobs more end in time where the cloud is asked")
+def more_where_asked(context, percent):
+    ours, others = in_time(context.ours), in_time(context.others)
+    assert ours >= others + percent / 100, (ours, others)
+
+
+@then("lasting tasks are at work for longer")
+def lasting_longer(context):
+    ours = mean(one.lasting for one in context.ours)
+    others = mean(one.lasting for one in context.others)
+    assert ours > others, (ours, others)
+
+
 @then("callers get as many jobs in time, give or take {percent:d} of 100")
 def as_many(context, percent):
     ours, others = in_time(context.ours), in_time(context.others)
--- /dev/null
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/losses.py
@@ -0,0 +1,96 @@
+"""
+mulberryledge_daemon.batch.losses
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The leader's task that asks the cloud about the hosts of targets that do not answer.
+What ran on a host that the cloud lists as down is over, and starts elsewhere without
+waiting for the end of its lease. A target that is cut off runs on: its host is up, and
+its lease counts.
+"""
+
+import logging
+
+from twisted.internet.defer import ensureDeferred
+
+from mulberryledge_daemon.batch.ports import Cloud, HostState, HostsView, HostView
+from mulberryledge_daemon.batch.scheduler import Scheduler
+from mulberryledge_daemon.batch.sessions import TargetSession
+
+__all__ = ["Losses"]
+
+ASK_INTERVAL_MS = 300  # a tenth of the time that a lease still runs after a loss
+
+logger = logging.getLogger(__name__)
+
+
+class Losses:
+    """
+    Owns the looks at the cloud's list while this daemon leads.
+
+    Attributes
+    ----------
+    unlisted : set of str
+        Lives whose hosts the latest list did not name. A list comes in pages, between
+        which a host may be passed over, so that two lists have to agree.
+    """
+
+    def __init__(self, scheduler: Scheduler, cloud: Cloud):
+        self.scheduler = scheduler
+        self.cloud = cloud
+        self.unlisted: set[str] = set()
+        self.asked_ms = 0
+        self.asking = False
+        scheduler.beginnings.append(self.begin)
+        scheduler.followers.append(self.tick)
+
+    def begin(self) -> None:
+        """Forget what was learned in an earlier lead."""
+        self.unlisted.clear()
+        self.asking = False
+
+    def tick(self) -> None:
+        """Ask for the list while a target with work does not answer."""
+        now = self.scheduler.now()
+        if self.asking or now - self.asked_ms < ASK_INTERVAL_MS:
+            return
+        if self.silent():
+            self.asking, self.asked_ms = True, now
+            ensureDeferred(self.ask(now)).addErrback(self.broken)
+
+    def silent(self) -> list[TargetSession]:
+        """Return the sessions of targets with work that have missed a call."""
+        sessions = self.scheduler.sessions.values()
+        return [one for one in sessions if one.missed and one.live()]
+
+    async def ask(self, sent_ms: int) -> None:
+        """Read the list once, and end the lives that are over by it."""
+        term = self.scheduler.term
+        view = await self.cloud.list_hosts()
+        if term != self.scheduler.term:
+            return
+        self.asking = False
+        if not isinstance(view, HostsView):
+            logger.warning("hosts not listed", extra={"outcome": view})
+            return
+        rows = {row.host: row for row in view.hosts}
+        silent = [one for one in self.silent() if one.heard_ms < sent_ms]
+        for session in silent:
+            self.judge(session, rows.get(session.target.host))
+        absent = {one.life for one in silent if one.target.host not in rows}
+        self.unlisted = absent
+
+    def judge(self, session: TargetSession, row: HostView | None) -> None:
+        """End a life that the list shows to be over."""
+        if row is None:
+            if session.life in self.unlisted:
+                session.end_life("the cloud does not list its host")
+        elif row.state == HostState.DOWN:
+            session.end_life("the cloud lists its host as down")
+        elif row.target not in ("", session.target.name):
+            session.end_life("the cloud lists another target on its host")
+
+    def broken(self, failure) -> None:
+        """Log a failure of the program."""
+        self.asking = False
+        extra = {"failure": failure.getTraceback()}
+        logger.critical("look at losses failed", extra=extra)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -22,6 +22,7 @@
     "Cloud",
     "CloudOutcome",
     "HoldOrder",
+    "HostState",
     "HostView",
     "HostsView",
     "ListedEnd",
@@ -211,6 +212,15 @@
     UNKNOWN = "unknown"
 
 
+class HostState(StrEnum):
+    """What the cloud says of a host."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
 @dataclass(frozen=True, slots=True)
 class HostView:
     """
@@ -218,8 +228,8 @@
 
     Attributes
     ----------
-    up : bool
-        Whether it serves; else it moves, has its upkeep, or is down.
+    state : HostState
+        Whether it serves, moves, has its upkeep, or is down.
     target : str
         Name of the target that runs on it, empty if none does.
     labels : tuple of str
@@ -228,7 +238,7 @@
 
     host: str
     pool: str
-    up: bool
+    state: HostState
     availability_zone: str
     rack: str
     capacity: Size
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/cloud.py
@@ -10,7 +10,12 @@
 from twisted.internet.task import deferLater
 
 from mulberryledge_core.batch.sizes import Size
-from mulberryledge_daemon.batch.ports import CloudOutcome, HostsView, HostView
+from mulberryledge_daemon.batch.ports import (
+    CloudOutcome,
+    HostState,
+    HostsView,
+    HostView,
+)
 
 __all__ = ["SimulatedCloud", "SimulatedHost"]
 
@@ -26,8 +31,6 @@
 
     Attributes
     ----------
-    state : str
-        ``up``, ``moving`` or ``upkeep``.
     upkeeps : set of int
         Waves whose upkeep it has had.
     """
@@ -36,7 +39,7 @@
     pool: str
     rack: str
     capacity: Size
-    state: str = "up"
+    state: HostState = HostState.UP
     fence: int = 0
     upkeeps: set[int] | None = None
 
@@ -71,7 +74,7 @@
             HostView(
                 one.host,
                 one.pool,
-                one.state == "up",
+                one.state,
                 "",
                 one.rack,
                 one.capacity,
@@ -100,13 +103,13 @@
         one = await self.take_order(host, fence)
         if isinstance(one, CloudOutcome):
             return one
-        if one.pool == pool and one.state in ("up", "moving"):
+        if one.pool == pool and one.state in (HostState.UP, HostState.MOVING):
             return CloudOutcome.DONE
-        if one.state != "up" or self.fleet.is_leaving(host):
+        if one.state != HostState.UP or self.fleet.is_leaving(host):
             return CloudOutcome.BUSY
         self.moves += 1
         one.pool = pool
-        self.take_down(one, "moving", MOVE_S)
+        self.take_down(one, HostState.MOVING, MOVE_S)
         return self.reported()
 
     async def upkeep(self, host: str, wave: int, fence: int) -> CloudOutcome:
@@ -120,12 +123,12 @@
             one.upkeeps = set()
         if wave in one.upkeeps:
             return CloudOutcome.DONE
-        if one.state != "up" or self.fleet.is_leaving(host):
+        if one.state != HostState.UP or self.fleet.is_leaving(host):
             return CloudOutcome.BUSY
         one.upkeeps.add(wave)
         self.down[wave] = self.down.get(wave, 0) + 1
         self.most_down[wave] = max(self.most_down.get(wave, 0), self.down[wave])
-        self.take_down(one, "upkeep", UPKEEP_S, wave)
+        self.take_down(one, HostState.UPKEEP, UPKEEP_S, wave)
         return self.reported()
 
     def reported(self) -> CloudOutcome:
@@ -136,14 +139,14 @@
         return CloudOutcome.DONE
 
     def take_down(
-        self, one: SimulatedHost, state: str, seconds: float, wave: int = 0
+        self, one: SimulatedHost, state: HostState, seconds: float, wave: int = 0
     ) -> None:
         """End what runs on a host, and bring it back after a while."""
         one.state = state
         self.fleet.end_target(one.host)
 
         def back() -> None:
-            one.state = "up"
+            one.state = HostState.UP
             if wave:
                 self.down[wave] -= 1
             if one.host not in self.hosts:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -17,6 +17,7 @@
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.ports import (
     HoldOrder,
+    HostState,
     OrderAnswer,
     OrderOutcome,
     PaceOrder,
@@ -90,7 +91,7 @@
     def start_target(self, host: str) -> None:
         """Start a new life on a host."""
         one = self.cloud.hosts.get(host)
-        if one is None or one.pool == self.spare or one.state != "up":
+        if one is None or one.pool == self.spare or one.state != HostState.UP:
             return
         target = Target(
             name=f"i-{next(self.numbers)}",
@@ -131,9 +132,28 @@
             life.die()
 
     def crash(self, host: str, seconds: float) -> None:
-        """Crash the target on a host; a new life begins after a while."""
+        """Crash a host with its target; a new life begins after a while."""
         self.end_target(host)
-        self.clock.callLater(seconds, self.start_target, host)
+        one = self.cloud.hosts[host]
+        if one.state != HostState.UP:
+            return
+        one.state = HostState.DOWN
+        self.clock.callLater(seconds, self.come_back, one)
+
+    def come_back(self, one: SimulatedHost) -> None:
+        """Bring a host up again."""
+        one.state = HostState.UP
+        self.start_target(one.host)
+
+    def lose(self, host: str) -> None:
+        """Lose a host for good."""
+        self.end_target(host)
+        del self.cloud.hosts[host]
+
+    def is_down(self, host: str) -> bool:
+        """Return whether a host has crashed, or is gone."""
+        one = self.cloud.hosts.get(host)
+        return one is None or one.state == HostState.DOWN
 
     def drain(self, host: str, seconds: float) -> None:
         """Let a target announce that it leaves, and then end it for good."""
@@ -201,7 +221,7 @@
     ) -> object:
         """Carry an order to a target and its answer back."""
         await deferLater(self.clock, LATENCY_S)
-        if target.host in self.faults.cut:
+        if target.host in self.faults.cut or self.is_down(target.host):
             await deferLater(self.clock, timeout_s)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         if self.random.random() < self.faults.late_share:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -13,7 +13,7 @@
 
 from mulberryledge_core.batch import placing, suspicion, tickets
 from mulberryledge_core.batch.sizes import Tally
-from mulberryledge_daemon.batch import pacer, sessions, watchdog
+from mulberryledge_daemon.batch import losses, pacer, sessions, watchdog
 from mulberryledge_testing.batch.demand import site_named
 from mulberryledge_testing.batch.play import POOL_POLICY, Day
 from mulberryledge_testing.batch.troubles import trouble
@@ -59,6 +59,8 @@
     ----------
     in_time : float
         Share of the jobs that ended in time.
+    lasting : float
+        Share of the lasting tasks that were at work, in the mean over the day.
     problems, unfinished, waves : tuple of str
         Broken promises, jobs that never ended, and waves that went wrong.
     misplaced : tuple of str
@@ -71,6 +73,7 @@
 
     plan: Plan
     in_time: float
+    lasting: float
     given_up: int
     host_seconds: float
     failed_runs: int
@@ -109,6 +112,7 @@
     "tickets": lambda: patch.object(
         tickets.Tickets, "text", lambda self, *arguments: "none"
     ),
+    "losses": lambda: patch.object(losses.Losses, "tick", lambda self: None),
     "watchdog": lambda: patch.object(watchdog.Watchdog, "tick", lambda self: None),
 }  # fmt: skip
 
@@ -139,6 +143,7 @@
     return Outcome(
         plan,
         report.share_in_time(),
+        sum(report.lasting) / max(1, len(report.lasting)),
         sum(report.given_up.values()),
         report.host_seconds,
         sum(day.witness.failures.values()),
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -35,6 +35,7 @@
 from mulberryledge_core.batch.upkeep import UpkeepTiming
 from mulberryledge_daemon.batch.advice import Questions
 from mulberryledge_daemon.batch.hosts import HostTable
+from mulberryledge_daemon.batch.losses import Losses
 from mulberryledge_daemon.batch.moves import Moves
 from mulberryledge_daemon.batch.pacer import Pacer
 from mulberryledge_daemon.batch.scheduler import Scheduler
@@ -164,6 +165,7 @@
         self.tables[name] = table
         cloud = self.fleet.cloud
         Questions(scheduler, self.advisor)
+        Losses(scheduler, cloud)
         Pacer(scheduler, PacePolicy())
         Watchdog(scheduler, SuspicionPolicy())
         Upkeep(scheduler, cloud, table, UPKEEP_MS, HOLDER_MS, UpkeepTiming())
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 
+from mulberryledge_daemon.batch.ports import HostState
 from mulberryledge_testing.batch.play import DAEMONS, Day
 
 __all__ = ["TROUBLES", "trouble"]
@@ -133,7 +134,7 @@
 def lose_in_upkeep(day: Day) -> None:
     """Lose a host for good, as soon as one that ran a target is in its upkeep."""
     cloud = day.fleet.cloud
-    down = [one for one in cloud.hosts.values() if one.state == "upkeep"]
+    down = [one for one in cloud.hosts.values() if one.state == HostState.UPKEEP]
     serving = [one for one in down if one.pool != day.fleet.spare]
     if serving:
         del cloud.hosts[serving[0].host]
