--- /dev/null
+++ b/features/platform/steps/stopping.py
@@ -0,0 +1,79 @@
+"""Steps on a service that stops."""
+
+import socket
+
+from behave import given, then, when
+from mulberryledge_testing.ports import free_ports
+from mulberryledge_testing.reactor_thread import run_coroutine
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+
+from mulberryledge_platform.http_server import HttpService, WebReply
+from mulberryledge_platform.settings import Address
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: example\r\n\r\n"
+WAIT_S = 5.0
+POLL_S = 0.01
+
+
+async def answer(request):
+    return WebReply(200, {"state": "running"})
+
+
+@given("a service with an open connection")
+def step_service(context):
+    context.address = ("127.0.0.1", free_ports(1)[0])
+
+    async def listen():
+        service = HttpService(reactor, Address(*context.address), answer)
+        service.listen()
+        return service
+
+    context.service = run_coroutine(listen)
+    context.caller = connect(context)
+
+    async def accepted():
+        while not context.service.site.open:
+            await deferLater(reactor, POLL_S)
+
+    run_coroutine(accepted, WAIT_S)
+
+
+def connect(context):
+    caller = socket.create_connection(context.address, WAIT_S)
+    context.scene.callback(caller.close)
+    return caller
+
+
+@when("a request arrives while the process is held up, and idle connections are closed")
+def step_held_up(context):
+    async def hold_up():
+        context.caller.sendall(REQUEST)  # the reactor can't read before this returns
+        await context.service.close_idle()
+
+    run_coroutine(hold_up, WAIT_S)
+
+
+@when(
+    "a new connection brings a request while the process is held up,"
+    " and it stops listening"
+)
+def step_connects(context):
+    async def hold_up():
+        context.caller = connect(context)
+        context.caller.sendall(REQUEST)
+        await context.service.stop_listening()
+        await context.service.close_idle()
+
+    run_coroutine(hold_up, WAIT_S)
+
+
+@then("the request is answered")
+def step_answered(context):
+    assert b"200 OK" in context.caller.recv(1_000)
+
+
+@then("nobody can connect any more")
+def step_closed(context):
+    with socket.socket() as other:
+        assert other.connect_ex(context.address) != 0
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/ports.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/ports.py
@@ -2,7 +2,8 @@
 mulberryledge_testing.ports
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-TCP ports for daemons that must know them before they listen.
+TCP ports for daemons that must know them before they listen, and other numbers that
+tests which run side by side must not share.
 """
 
 import fcntl
@@ -10,17 +11,37 @@
 import socket
 import tempfile
 from collections.abc import Iterator
+from dataclasses import dataclass
 from functools import cache
 from itertools import cycle, islice
 from pathlib import Path
 
-__all__ = ["claim_block", "free_ports"]
+__all__ = ["Claim", "claim", "free_ports"]
 
 ADDRESS = "127.0.0.1"
 FIRST_PORT = 10_000  # below the range that the kernel gives to outgoing connections
 BLOCK_PORTS = 100
 BLOCKS = 220
-LOCK_FOLDER = "mulberryledge-ports"  # in the folder for temporary files
+LOCK_FOLDER = "mulberryledge-claims"  # in the folder for temporary files
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """
+    A number that this process alone has.
+
+    Attributes
+    ----------
+    lock : int
+        Descriptor of the locked file.
+    """
+
+    number: int
+    lock: int
+
+    def release(self) -> None:
+        """Let others have the number."""
+        os.close(self.lock)
 
 
 def free_ports(count: int) -> tuple[int, ...]:
@@ -43,36 +64,45 @@
 @cache
 def candidates() -> Iterator[int]:
     """Return the ports of this process, over and over."""
-    return cycle(claim_block(os.getpid() % BLOCKS))
+    return cycle(block_of(claim("ports", os.getpid(), BLOCKS)))
+
+
+def block_of(claimed: Claim) -> range:
+    """Return the ports of a block."""
+    first = FIRST_PORT + claimed.number * BLOCK_PORTS
+    return range(first, first + BLOCK_PORTS)
 
 
-def claim_block(wanted: int) -> range:
+def claim(kind: str, wanted: int, count: int) -> Claim:
     """
-    Return a block of ports that no other process has, until this one ends.
+    Return a number that no other process has, until it is released or this one ends.
 
     Parameters
     ----------
+    kind : str
+        What is numbered.
     wanted : int
-        Block that is tried first, from 0.
+        Number that is tried first, modulo ``count``.
+    count : int
+        How many there are.
 
     Raises
     ------
     RuntimeError
-        If all blocks are taken.
+        If all are taken.
     """
-    folder = Path(tempfile.gettempdir()) / LOCK_FOLDER
-    folder.mkdir(exist_ok=True)
-    for step in range(BLOCKS):
-        number = (wanted + step) % BLOCKS
+    folder = Path(tempfile.gettempdir()) / LOCK_FOLDER / kind
+    folder.mkdir(parents=True, exist_ok=True)
+    for step in range(count):
+        number = (wanted + step) % count
         lock = os.open(folder / str(number), os.O_RDWR | os.O_CREAT)
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             os.close(lock)
             continue
-        first = FIRST_PORT + number * BLOCK_PORTS
-        return range(first, first + BLOCK_PORTS)
-    raise RuntimeError(f"all {BLOCKS} blocks of ports are taken")
+        return Claim(number, lock)
+    raise RuntimeError(f"all {count} {kind} are taken")
 
 
 def is_free(port: int) -> bool:
