--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -65,6 +65,17 @@
     And every job that can be done has ended
     And no wave had more hosts down than allowed, and each is complete
 
+  Scenario Outline: A wave of half of the hosts ends in time though few may be down
+    When days of "<site>" are played with a wave of which few hosts may be down at once
+    Then no promise is broken
+    And no wave had more hosts down than allowed, and each is complete
+    And each wave has ended in its time
+
+    Examples:
+      | site  |
+      | falaj |
+      | yayla |
+
   Scenario Outline: A wave keeps its limit while the time of day jumps
     When a day of "<site>" is played with a wave and a clock jump <gap> seconds after
     Then no promise is broken
--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -101,3 +101,7 @@
       | site  | trouble   |
       | falaj | lost rack |
       | yayla | lost rack |
+
+  Scenario: Hosts with lasting tasks are emptied from the begin on, beside idle ones
+    Given 6 idle hosts, and 8 of a pool of 12 with 2 lasting tasks each
+    Then of 6 that may be out at once, 3 with lasting tasks and 3 idle ones are emptied
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -16,6 +16,7 @@
     "clock jump",
     "underestimated jobs",
     "host lost in upkeep",
+    "tight wave",
 )  # in scenarios of their own
 
 
@@ -152,6 +153,18 @@
     assert not found, found
 
 
+@when('days of "{site}" are played with a wave of which few hosts may be down at once')
+def play_tight(context, site):
+    times = (("tight wave", 3.0),)
+    context.outcomes = play_all(Plan(site, seed, TURNS_S, times) for seed in (1, 2))
+
+
+@then("each wave has ended in its time")
+def waves_in_time(context):
+    found = [(one.plan, one.late_waves) for one in context.outcomes if one.late_waves]
+    assert not found, found
+
+
 @then("no wave had more hosts down than allowed, and each is complete")
 def waves_kept(context):
     found = [(one.plan, one.waves) for one in context.outcomes if one.waves]
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -52,6 +52,8 @@
         What its fillers would use if they could.
     paced : bool
         Whether its fillers work below their full pace.
+    leaving : bool
+        Whether its host will be emptied soon.
     """
 
     target: Target
@@ -59,6 +61,7 @@
     closed: bool = False
     filled_millis: int = 0
     paced: bool = False
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -82,6 +85,8 @@
         Time of the log, by which tickets expire.
     paced : frozenset of str
         Lives of targets where fillers work below their full pace.
+    leaving : frozenset of str
+        Lives of targets on hosts that will be emptied soon.
     """
 
     state: BatchState
@@ -93,6 +98,7 @@
     tickets: Tickets | None = None
     log_ms: int = 0
     paced: frozenset[str] = frozenset()
+    leaving: frozenset[str] = frozenset()
     rooms: dict[str, list[Room]] = field(default_factory=dict)
     team_used: dict[str, Tally] = field(default_factory=dict)
     times: dict[tuple[str, int], Times] = field(default_factory=dict)
@@ -107,6 +113,7 @@
                 used,
                 filled_millis=self.state.filling[target.life],
                 paced=target.life in self.paced,
+                leaving=target.life in self.leaving,
             )
             self.rooms.setdefault(target.pool, []).append(room)
 
@@ -260,7 +267,8 @@
     Return where a task runs best, None if there is no room.
 
     Lasting tasks are spread over racks and hosts, so that a lost one takes few of a
-    step; others are packed, so that hosts without work can leave the pool.
+    step, and are kept off hosts that they would have to leave soon; others are packed,
+    so that hosts without work can leave the pool.
     """
     best, best_rank = None, None
     size, most = spec.reserved, spec.max_per_target
@@ -278,6 +286,7 @@
             target.life == avoid,
             target.life in trials,
             racks[target.rack],
+            room.leaving if spec.long_running else False,
             taken[target.life] if spec.long_running else 0,
             bool(spec.data_rack) and target.rack != spec.data_rack,
             filler_rank(room) if spec.filler else -busy_share(room),
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -301,6 +301,18 @@
             tickets=self.tickets,
             log_ms=self.now(),
             paced=frozenset(one.life for one in self.sessions.values() if one.paced),
+            leaving=self.leaving_lives(),
+        )
+
+    def leaving_lives(self) -> frozenset[str]:
+        """Return the lives on hosts whose upkeep is due."""
+        lives = self.state.lives_by_host
+        return frozenset(
+            lives[host]
+            for wave in self.state.waves.values()
+            if not wave.completed
+            for host, upkeep in wave.hosts.items()
+            if host in lives and not (upkeep.away or upkeep.over)
         )
 
     def cordon(self) -> set[str]:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -153,7 +153,11 @@
 
     def order_empty(self, wave: WaveRecord) -> None:
         """Order the upkeep of the hosts that run nothing any more."""
-        away = sum(upkeep.away for upkeep in wave.hosts.values())
+        away = sum(
+            upkeep.away
+            or (upkeep.phase == UpkeepPhase.WAITING and host in self.calling)
+            for host, upkeep in wave.hosts.items()
+        )  # an intent that is not durable yet is about to take a host down
         for host, upkeep in wave.hosts.items():
             if host in self.calling:
                 continue
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -67,6 +67,8 @@
         Hosts that the leader takes for those of another pool at the end.
     void_starts : int
         Starts that were planned on lives that were over by then.
+    late_waves : tuple of str
+        Waves that took longer than they should.
     alone : tuple of str
         Members of gangs that waited for others in vain.
     """
@@ -81,6 +83,7 @@
     unfinished: tuple[str, ...]
     waves: tuple[str, ...] = ()
     misplaced: tuple[str, ...] = ()
+    late_waves: tuple[str, ...] = ()
     void_starts: int = 0
     alone: tuple[str, ...] = ()
 
@@ -135,11 +138,14 @@
         for job in state.jobs.values()
         if not job.ended and not job.spec.steps[0].long_running
     ]
-    waves = []
+    waves, late = [], []
     for wave in state.waves.values():
         most = day.fleet.cloud.most_down.get(wave.wave, 0)
         if most > wave.limit or not wave.completed:
             waves.append(f"wave {wave.wave}: {most} of {wave.limit} down at once")
+        took_ms = max(host.at_ms for host in wave.hosts.values()) - wave.began_ms
+        if took_ms > wave.duration_ms:
+            late.append(f"wave {wave.wave}: {took_ms} of {wave.duration_ms} ms")
     return Outcome(
         plan,
         report.share_in_time(),
@@ -151,6 +157,7 @@
         tuple(unfinished),
         tuple(waves),
         tuple(day.misplaced()),
+        tuple(late),
         day.log.void_starts,
         tuple(day.witness.alone),
     )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -18,6 +18,7 @@
 STRETCH = 5.0
 JUMP_MS = 2_000
 WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
+TIGHT_SHARE, TIGHT_S, TIGHT_LIMIT = 0.5, 25.0, 3
 
 
 def working_hosts(day: Day) -> list[str]:
@@ -99,6 +100,12 @@
     day.begin_wave(number, WAVE_SHARE, WAVE_S, WAVE_LIMIT)
 
 
+def tight_wave(day: Day) -> None:
+    """Ask for the upkeep of half of the hosts, of which few may be down at once."""
+    number = len(day.fleet.cloud.waves) + 1
+    day.begin_wave(number, TIGHT_SHARE, TIGHT_S, TIGHT_LIMIT)
+
+
 def lose_answers(day: Day) -> None:
     """Lose the cloud's answers to the next orders."""
     day.fleet.cloud.lost_answers += 5
@@ -159,6 +166,7 @@
     "hanging target": hang,
     "slow targets": slow,
     "wave": wave,
+    "tight wave": tight_wave,
     "lost answers of the cloud": lose_answers,
     "silent cloud": silence_cloud,
     "cancelled jobs": cancel_jobs,
