--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -100,3 +100,16 @@
       | lacks its rows            | 200    | {"validity_ms": 3000}                   | unknown  |
       | has rows of another form  | 200    | {"good": [7]}                           | unknown  |
       | does not come             | 0      | nothing                                 | unknown  |
+
+  Scenario Outline: A row of the cloud's list that <what>
+    When the cloud lists host "m-1", and "m-2" with <change>
+    Then the hosts read are <hosts>, and <unread> rows are not
+
+    Examples:
+      | what                          | change                     | hosts            | unread |
+      | tells of a host that is down  | "state" set to "down"      | m-1 up, m-2 down | 0      |
+      | names a new state             | "state" set to "resting"   | m-1 up           | 1      |
+      | has no capacity               | "capacity" left out        | m-1 up           | 1      |
+      | has a pool, but no host       | "machine" left out         | m-1 up           | 1      |
+      | has labels that are a number  | "labels" set to 3          | m-1 up           | 1      |
+      | names no target               | "id" set to ""             | m-1 up, m-2 up   | 0      |
--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -14,10 +14,11 @@
 from mulberryledge_core.batch.specs import StepId, TaskId, spec_problem
 from mulberryledge_platform.advisor import HttpAdvisor
 from mulberryledge_platform.announcements import decode_announcement
+from mulberryledge_platform.cloud import HttpCloud
 from mulberryledge_platform.http_client import HttpAnswer, NoAnswer
 from mulberryledge_platform.jobs import decode_job, decode_task, encode_task
 from mulberryledge_platform.manifest import decode_manifest
-from mulberryledge_platform.settings import Address, decode_settings
+from mulberryledge_platform.settings import Address, CloudSettings, decode_settings
 from mulberryledge_platform_testing.programs import SETTINGS
 
 ROUTE = {
@@ -33,6 +34,15 @@
     "stretch": 1.6,
     "public": False,
 }
+HOST = {
+    "machine": "m-1",
+    "pool": "rounds",
+    "state": "up",
+    "zone": "nizwa",
+    "labels": ["a", "r1-3"],
+    "capacity": {"cpu": 64000, "memory_limit_mb": 131072, "gpu": 0},
+    "id": "i-1",
+}
 LIMIT = {"cpu": 9000, "memory_limit_mb": 0, "gpu": 0}
 MANIFEST = {
     "version": 7,
@@ -239,3 +249,19 @@
     (found,) = context.grants
     names = "unknown" if found is None else " ".join(one.target for one in found)
     assert (names or "none") == tickets, found
+
+
+@when('the cloud lists host "m-1", and "m-2" with {change}')
+def cloud_lists(context, change):
+    plain = {"machines": [HOST, json.loads(changed(HOST | {"machine": "m-2"}, change))]}
+    client = OneAnswer(HttpAnswer(200, json.dumps(plain).encode()))
+    cloud = HttpCloud(client, CloudSettings(Address("10.0.0.1", 80), 1.0, 1.0), "core")
+    context.views = []
+    ensureDeferred(cloud.list_hosts()).addCallback(context.views.append)
+
+
+@then("the hosts read are {hosts}, and {unread:d} rows are not")
+def hosts_are(context, hosts, unread):
+    (view,) = context.views
+    found = ", ".join(f"{one.host} {one.state}" for one in view.hosts)
+    assert (found, view.unread) == (hosts, unread), view
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/losses.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/losses.py
@@ -12,6 +12,7 @@
 
 from twisted.internet.defer import ensureDeferred
 
+from mulberryledge_core.batch.targets import Target
 from mulberryledge_daemon.batch.ports import Cloud, HostState, HostsView, HostView
 from mulberryledge_daemon.batch.scheduler import Scheduler
 from mulberryledge_daemon.batch.sessions import TargetSession
@@ -74,23 +75,30 @@
             return
         rows = {row.host: row for row in view.hosts}
         silent = [one for one in self.silent() if one.heard_ms < sent_ms]
+        missing = {one.life for one in silent if one.target.host not in rows}
+        if view.unread:
+            missing.clear()  # their rows may be those that could not be read
         for session in silent:
-            self.judge(session, rows.get(session.target.host))
-        absent = {one.life for one in silent if one.target.host not in rows}
-        self.unlisted = absent
-
-    def judge(self, session: TargetSession, row: HostView | None) -> None:
-        """End a life that the list shows to be over."""
-        if row is None:
-            if session.life in self.unlisted:
-                session.end_life("the cloud does not list its host")
-        elif row.state == HostState.DOWN:
-            session.end_life("the cloud lists its host as down")
-        elif row.target not in ("", session.target.name):
-            session.end_life("the cloud lists another target on its host")
+            why = why_over(session.target, rows.get(session.target.host))
+            if session.life in missing & self.unlisted:
+                why = "the cloud does not list its host"
+            if why:
+                session.end_life(why)
+        self.unlisted = missing
 
     def broken(self, failure) -> None:
         """Log a failure of the program."""
         self.asking = False
         extra = {"failure": failure.getTraceback()}
         logger.critical("look at losses failed", extra=extra)
+
+
+def why_over(target: Target, row: HostView | None) -> str:
+    """Return why a target's life is over by the row of its host, empty if it is not."""
+    if row is None:
+        return ""
+    if row.state == HostState.DOWN:
+        return "the cloud lists its host as down"
+    if row.target not in ("", target.name):
+        return "the cloud lists another target on its host"
+    return ""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -248,9 +248,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HostsView:
-    """All hosts that the cloud lists."""
+    """
+    All hosts that the cloud lists.
+
+    Attributes
+    ----------
+    unread : int
+        Rows that could not be read: a host that is missing may be one of them.
+    """
 
     hosts: tuple[HostView, ...]
+    unread: int = 0
 
 
 class Cloud(Protocol):
