--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -7,7 +7,7 @@
 from mulberryledge_testing.batch.plans import Outcome, Plan, carry_out
 from mulberryledge_testing.batch.troubles import TROUBLES
 
-WORKERS = 2
+WORKERS = 3
 CALM_S, TROUBLED_S, HEAVY_S, TURNS_S = 16.0, 18.0, 20.0, 34.0
 LONG_TAIL_S = 45.0  # three runs of the longest task, one after the other, and its chain
 SITES = ("falaj", "yayla")
