--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -8,7 +8,7 @@
   # Which faults a seed plays depends on the time that answers take. The one kind of
   # fault that shows a defect is played again and again until it is found.
   Scenario Outline: A run finds a program that <defect>
-    When the soak plays only "<fault>" for at most 60 seconds with the defect "<defect>"
+    When the soak plays only "<fault>" for at most 60 seconds with the defect "<defect>", until a promise is broken: "<promise>"
     Then a promise was broken: "<promise>"
 
     Examples:
--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -18,10 +18,13 @@
 
 @when(
     'the soak plays only "{fault}" for at most {seconds:d} seconds'
-    ' with the defect "{defect}"'
+    ' with the defect "{defect}", until a promise is broken: "{promise}"'
 )
-def step_run_defect(context, fault, seconds, defect):
-    run_soak(context, 1, seconds, "--defect", defect, "--only", fault)
+def step_run_defect(context, fault, seconds, defect, promise):
+    options = ["--defect", defect, "--only", fault]
+    for text in promise.split(" or "):
+        options += ["--until", text]
+    run_soak(context, 1, seconds, *options)
 
 
 def run_soak(context, seed, seconds, *options):
