Path: cut an entry off only once the target has begun its call

Ruled out: the programs; the whole file passes, 23 of 23, as calls before warm it up. Change: the scenario waits until the target has begun the call. It checks the same, and what its name says. Before: 5 of 5 failed by itself; after: it passes by itself and in the file.

--- a/features/path/failures.feature
+++ b/features/path/failures.feature
@@ -86,6 +86,7 @@
   Scenario: An entry is lost in the middle of a call
     Given the target takes 1500 ms
     When request "r1" is begun through "entry-2"
+    And the target has begun a request
     And "entry-2" is cut off and its session is closed
     And request "r1" is sent through "entry-1"
     Then the call is refused with 409 "conflict" and outcome "unknown"
--- a/features/path/steps/checks.py
+++ b/features/path/steps/checks.py
@@ -2,11 +2,17 @@
 
 import json
 
-from behave import then
+from behave import then, when
+from mulberryledge_testing.processes import wait_until
 from mulberryledge_testing.reactor_thread import run_coroutine
 from twisted.web.client import ResponseFailed
 
 
+@when("the target has begun a request")
+def step_begun(context):
+    wait_until(lambda: context.target.runs, "the target has begun a request")
+
+
 @then("the target has run {count:d} requests")
 def step_runs(context, count):
     assert len(context.target.runs) == count, context.target.runs
