--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -16,15 +16,67 @@
 STARTUP_S = 0.7  # of a subtask that lasts, until it is at work
 
 
+GANG_TIMEOUT_S = 3.0
+CHECKPOINT_MS = 2_000
+
+
 class Run:
-    """A run in progress."""
+    """A run in progress; ``started_ms`` is None while its gang isn't complete."""
 
-    def __init__(self, number, started_ms, lasts_ms):
+    def __init__(self, number, started_ms, lasts_ms, checkpoint=""):
         self.number = number
         self.started_ms = started_ms
         self.lasts_ms = lasts_ms
+        self.checkpoint = checkpoint
+        self.salt = f"{random.getrandbits(32):08x}"
         self.stopping = False
 
+    def saved(self, clock_ms):
+        """Return the latest checkpoint: a value for each ``checkpoint_s`` of work."""
+        base_ms = int(self.checkpoint[:8], 16) if self.checkpoint else 0
+        if self.started_ms is None:
+            return self.checkpoint
+        steps = (clock_ms - self.started_ms) // CHECKPOINT_MS
+        if not steps:
+            return self.checkpoint
+        return f"{base_ms + steps * CHECKPOINT_MS:08x}{self.salt}"
+
+
+class Gang:
+    """
+    The members of one run of a gang.
+
+    They work from the moment when all are present, and all must carry the same
+    checkpoint: members with another value aren't present for them.
+    """
+
+    def __init__(self, count, work_ms):
+        self.count = count
+        self.work_ms = work_ms
+        self.members = {}
+
+    def join(self, worker, task, run):
+        """Add a member; let the gang work if it is complete."""
+        self.members[task] = worker, run
+        values = {run.checkpoint for _, run in self.members.values()}
+        if len(self.members) < self.count or len(values) > 1:
+            return
+        done_ms = int(run.checkpoint[:8], 16) if run.checkpoint else 0
+        for name, (place, member) in self.members.items():
+            member.started_ms = place.clock_ms()
+            member.lasts_ms = max(1, self.work_ms - done_ms)
+            place.later(member.lasts_ms / 1_000, name, member.number, "done")
+
+    def leave(self, task, how):
+        """Remove a member; the others end with it."""
+        if self.members.pop(task, None) is None or how == "alone":
+            return
+        others, self.members = self.members, {}
+        for name, (worker, member) in others.items():
+            run = worker.running.get(name)
+            if run is member:
+                worker.end(name, "done" if how == "done" else "broken")
+
 
 class Fleet:
     """
@@ -45,6 +97,8 @@
         self.work = work
         self.events = []
         self.workers = []
+        self.gang_sizes = {}
+        self.gangs = {}
 
     def note(self, what, task, run, worker, how=""):
         """Record an event."""
@@ -58,6 +112,13 @@
         self.workers.append(worker)
         return worker
 
+    def gang_of(self, task, number):
+        """Return the gang that a run belongs to, None for a step without one."""
+        step = task.rpartition(".")[0]
+        if step not in self.gang_sizes:
+            return None
+        return self.gangs.setdefault((step, number), Gang(*self.gang_sizes[step]))
+
     def starts(self, job):
         """Return the starts of a job's subtasks."""
         return [
@@ -164,9 +225,12 @@
             task.cancel()
         if self.server is not None:
             self.server.close()
-        for task, run in self.running.items():
+        lost, self.running = self.running, {}
+        for task, run in lost.items():
             self.fleet.note("end", task, run.number, self, "gone")
-        self.running.clear()
+            gang = self.fleet.gang_of(task, run.number)
+            if gang is not None:
+                gang.leave(task, "gone")
 
     def report(self):
         """Return the next status report."""
@@ -270,6 +334,15 @@
             self.extend(fields["deadline_ms"])
             return self.refusal("old")
         self.extend(fields["deadline_ms"])
+        checkpoint = fields.get("checkpoint", "")
+        gang = self.fleet.gang_of(task, number)
+        if gang is not None:
+            run = self.running[task] = Run(number, None, None, checkpoint)
+            note = f"checkpoint {checkpoint!r}"
+            self.fleet.note("start", task, number, self, note)
+            self.alone_later(task, run)
+            gang.join(self, task, run)
+            return 200, {"clock_ms": self.clock_ms()}
         seconds, how = self.fleet.work(self, task, number)
         lasts_ms = None if seconds is None else max(1, int(seconds * 1_000))
         self.running[task] = Run(number, self.clock_ms(), lasts_ms)
@@ -288,14 +361,27 @@
 
         asyncio.get_running_loop().call_later(seconds, end)
 
+    def alone_later(self, task, run):
+        """End a member as alone unless its gang is complete in time."""
+
+        def check():
+            if self.running.get(task) is run and run.started_ms is None:
+                self.end(task, "alone")
+
+        asyncio.get_running_loop().call_later(GANG_TIMEOUT_S, check)
+
     def end(self, task, how):
         """End a run and list it."""
         run = self.running.pop(task)
+        saved = run.saved(self.clock_ms())
+        gang = self.fleet.gang_of(task, run.number)
         self.closed_runs[task] = max(run.number, self.closed_runs.get(task, 0))
         self.number += 1
-        self.ended.append([self.number, task, run.number, how, "", self.clock_ms()])
+        self.ended.append([self.number, task, run.number, how, saved, self.clock_ms()])
         self.fleet.note("end", task, run.number, self, how)
         self.changed.set()
+        if gang is not None:
+            gang.leave(task, how)
 
     async def on_stop(self, fields):
         """Stop a run; one that isn't there yet will be rejected."""
@@ -329,8 +415,10 @@
                 await asyncio.wait_for(self.changed.wait(), wait_s)
             except TimeoutError:
                 pass
+        if not self.up:
+            return None
         running = [
-            [task, run.number, "", self.percent(run), 0]
+            [task, run.number, run.saved(self.clock_ms()), self.percent(run), 0]
             for task, run in self.running.items()
         ]
         lists = {
@@ -343,6 +431,8 @@
 
     def percent(self, run):
         """Return the progress of a run; 100 for one that lasts and is at work."""
+        if run.started_ms is None:
+            return 0
         passed_ms = self.clock_ms() - run.started_ms
         if run.lasts_ms is None:
             return 100 if passed_ms >= STARTUP_S * 1_000 else 0
