--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""An entry freezes while it waits for the leader, and a key is withdrawn meanwhile."""
+"""Workers shed starts for some seconds, and stay closed to all but one run for good."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -12,64 +11,83 @@
 from scene import HOST, KEY, manifest, play, route, tenant  # noqa: E402
 from workers import Fleet  # noqa: E402
 
-OTHER_KEY = "k-dispatch-2"
-JOBS = 120
-INTERVAL_S = 0.004
-FREEZE_S = 1.6
-REJECTED = (400, 401, 403, 404, 410, 429, 503)
+LASTING, SHORT = "5c0e7a21d94b36f8", "7d1f8b32ea5c47a9"
+WORKERS, SHEDDING = 14, 2  # a share of 0.14
+SHED_S = 6.5
+CALM_S, FINISH_S, IDLE_S = 4.0, 14.0, 3.0  # of the rule
 
 
 async def scene(record, deployment):
-    """Submit jobs through one entry, freeze it, withdraw their key, thaw it."""
-    await deployment.start_all()
-    fleet = Fleet(record, deployment.controls, lambda worker, task, run: (0.5, "done"))
-    try:
-        routes = [route("plans", "/plans/", "plan-desk")]
-        services = [("plan-desk", False)]
-        keys = [KEY, OTHER_KEY]
-        await deployment.put(manifest(1, routes, services, [tenant("dispatch", keys)]))
-        for number in range(2):
-            ip = f"127.{deployment.network}.1.{number + 1}"
-            await fleet.add(f"i-7f3a91{number:02x}", "plan-desk", ip)
-        await asyncio.sleep(2.5)
-        step = {"count": 1, "cpu": 500, "memory_limit_mb": 64, "estimated_ms": 500}
-        value = {"task_spec": "plan", "steps": [step]}
-        answers = {}
+    """Submit a lasting job while two workers shed, and a short one much later."""
 
-        async def submit(number):
-            job = f"{0x5C0E7A21D94B0000 + number:016x}"
-            reply = await deployment.call(
-                "entry-1", "POST", f"/plans/{job}", HOST, KEY, value, 3.0
-            )
-            answers[job] = reply.status
-            record.write(f"POST of {job}: {reply.status} {reply.error}")
+    def work(worker, task, run):
+        return (None, "") if task.startswith(LASTING) else (1.0, "done")
 
-        calls = []
-        for number in range(JOBS):
-            calls.append(asyncio.ensure_future(submit(number)))
-            await asyncio.sleep(INTERVAL_S)
-            if number == JOBS // 2 and is_on():
-                deployment.signal("entry-1", signal.SIGSTOP)
-                frozen_s = record.now()
+    await deployment.start_all()
+    fleet = Fleet(record, deployment.controls, work)
+    try:
         await deployment.put(
-            manifest(2, routes, services, [tenant("dispatch", [OTHER_KEY])])
+            manifest(
+                1,
+                [route("plans", "/plans/", "plan-desk")],
+                [("plan-desk", False)],
+                [tenant("dispatch", [KEY])],
+            )
+        )
+        network = f"127.{deployment.network}.1"
+        shedding = []
+        for number in range(WORKERS):
+            kind = "b" if number < SHEDDING else "a"
+            worker = await fleet.add(
+                f"i-7f3a91{number:02x}",
+                "plan-desk",
+                f"{network}.{number + 1}",
+                labels=(kind, f"r{number % 4}"),
+            )
+            if number < SHEDDING:
+                shedding.append(worker)
+        await asyncio.sleep(2.5)
+        for worker in shedding:
+            worker.sheds = is_on()
+        record.write(
+            f"{SHEDDING} of {WORKERS} workers answer starts with 503: {is_on()}"
         )
-        if is_on():
-            await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - record.now()))
-            deployment.signal("entry-1", signal.SIGCONT)
-        await asyncio.gather(*calls)
-        await asyncio.sleep(4.0)
-        broken = []
-        for job, status in answers.items():
-            starts = fleet.starts(job)
-            if starts and status in REJECTED:
-                broken.append(
-                    f"{job}: its only attempt was answered {status}, and"
-                    f" {starts[0][2]} started at {starts[0][0]:.3f}"
-                )
-        return broken
+        shed_from_s = record.now()
+        step = {"cpu": 2_000, "memory_limit_mb": 512, "requirements": "b"}
+        lasting = step | {"count": 2, "anti_affinity": 1, "long_running": True}
+        await submit(record, deployment, LASTING, lasting)
+        await asyncio.sleep(shed_from_s + SHED_S - record.now())
+        for worker in shedding:
+            worker.sheds = False
+        record.write("all workers take starts again")
+        await asyncio.sleep(CALM_S + 8.0)
+        record.write(f"the lasting job has {len(fleet.starts(LASTING))} starts")
+        short = step | {"count": 1, "estimated_ms": 1_000}
+        await submit(record, deployment, SHORT, short)
+        await asyncio.sleep(FINISH_S + IDLE_S)
+        reply = await deployment.call("entry-1", "GET", f"/plans/{SHORT}", HOST, KEY)
+        record.write(f"GET of the short job: {reply.status} {reply.body!r}")
+        starts = fleet.starts(SHORT)
+        for worker in shedding:
+            record.write(f"{worker.label} runs {list(worker.running)}, state ready")
+        if starts:
+            return []
+        return [
+            f"{SHORT}: accepted, nothing of it ran in {FINISH_S + IDLE_S:.0f} s after"
+            f" {CALM_S + 8.0:.0f} calm seconds; both workers of its kind were ready and"
+            f" had 62 of 64 cores free: {reply.body.decode()}"
+        ]
     finally:
         fleet.close()
 
 
+async def submit(record, deployment, job, step):
+    """Submit a job of one step; it has to be accepted."""
+    value = {"task_spec": "plan", "steps": [step]}
+    reply = await deployment.call("entry-1", "POST", f"/plans/{job}", HOST, KEY, value)
+    record.write(f"POST of {job}: {reply.status}")
+    if reply.status != 200:
+        raise RuntimeError("the job was not accepted")
+
+
 play(FOLDER, scene)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,116 +1,73 @@
-"""A status report without its machine, and then an ordinary restart of the worker."""
+"""An entry freezes while it waits for the leader, and a key is withdrawn meanwhile."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from deployment import is_on, until  # noqa: E402
-from http_standin import fetch  # noqa: E402
+from deployment import is_on  # noqa: E402
 from scene import HOST, KEY, manifest, play, route, tenant  # noqa: E402
 from workers import Fleet  # noqa: E402
 
-JOB = "5c0e7a21d94b36f8"
-FINISH_S = 14.0
-OWN_END_S = 1.0  # an end later than this after a disruption is the process's own
-ASKED_S = 6.0  # how long the job is asked for, at both entries in turn
+OTHER_KEY = "k-dispatch-2"
+JOBS = 120
+INTERVAL_S = 0.004
+FREEZE_S = 1.6
+REJECTED = (400, 401, 403, 404, 410, 429, 503)
 
 
 async def scene(record, deployment):
-    """Accept a job, send one report of another writer, replace a worker as planned."""
-
-    def work(worker, task, run):
-        return 1.0, "done"
-
+    """Submit jobs through one entry, freeze it, withdraw their key, thaw it."""
     await deployment.start_all()
-    fleet = Fleet(record, deployment.controls, work)
+    fleet = Fleet(record, deployment.controls, lambda worker, task, run: (0.5, "done"))
     try:
-        await deployment.put(
-            manifest(
-                1,
-                [route("plans", "/plans/", "plan-desk")],
-                [("plan-desk", False)],
-                [tenant("dispatch", [KEY])],
-            )
-        )
-        network = f"127.{deployment.network}.1"
-        old = await fleet.add("i-7f3a91c2", "plan-desk", f"{network}.1", machine="m-1")
-        await fleet.add("i-0b11d2e3", "plan-desk", f"{network}.2", machine="m-2")
+        routes = [route("plans", "/plans/", "plan-desk")]
+        services = [("plan-desk", False)]
+        keys = [KEY, OTHER_KEY]
+        await deployment.put(manifest(1, routes, services, [tenant("dispatch", keys)]))
+        for number in range(2):
+            ip = f"127.{deployment.network}.1.{number + 1}"
+            await fleet.add(f"i-7f3a91{number:02x}", "plan-desk", ip)
         await asyncio.sleep(2.5)
-        step = {"count": 4, "cpu": 500, "memory_limit_mb": 64, "estimated_ms": 1_000}
-        job = {"task_spec": "plan", "steps": [step]}
-        reply = await deployment.call(
-            "entry-1", "POST", f"/plans/{JOB}", HOST, KEY, job
+        step = {"count": 1, "cpu": 500, "memory_limit_mb": 64, "estimated_ms": 500}
+        value = {"task_spec": "plan", "steps": [step]}
+        answers = {}
+
+        async def submit(number):
+            job = f"{0x5C0E7A21D94B0000 + number:016x}"
+            reply = await deployment.call(
+                "entry-1", "POST", f"/plans/{job}", HOST, KEY, value, 3.0
+            )
+            answers[job] = reply.status
+            record.write(f"POST of {job}: {reply.status} {reply.error}")
+
+        calls = []
+        for number in range(JOBS):
+            calls.append(asyncio.ensure_future(submit(number)))
+            await asyncio.sleep(INTERVAL_S)
+            if number == JOBS // 2 and is_on():
+                deployment.signal("entry-1", signal.SIGSTOP)
+                frozen_s = record.now()
+        await deployment.put(
+            manifest(2, routes, services, [tenant("dispatch", [OTHER_KEY])])
         )
-        record.write(f"POST of the job: {reply.status}")
-        if reply.status != 200:
-            raise RuntimeError("the job was not accepted")
-        await asyncio.sleep(3.0)
         if is_on():
-            report = old.report()
-            del report["machine"]
-            report["sequence"] += 1_000
-            leader = deployment.ips[await deployment.leader()]
-            address = f"{leader}:{deployment.control_port}"
-            path = f"/Instances.Heartbeat/{old.name}"
-            reply = await fetch("POST", address, path, report)
-            record.write(f"report without `machine`: {reply.status} {report}")
-        sent_s = record.now()
+            await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - record.now()))
+            deployment.signal("entry-1", signal.SIGCONT)
+        await asyncio.gather(*calls)
         await asyncio.sleep(4.0)
-        old.heartbeats = False
-        old.state = "draining"
-
-        async def drains():
-            return await old.announce()
-
-        await until(5, drains, "draining acknowledged")
-        record.write(f"{old.label} drains")
-        await asyncio.sleep(2.0)
-
-        async def leaves():
-            for control in deployment.controls:
-                path = f"/Instances.Leave/{old.name}"
-                reply = await fetch(
-                    "POST", control, path, {"born": old.born}, redirects=2
+        broken = []
+        for job, status in answers.items():
+            starts = fleet.starts(job)
+            if starts and status in REJECTED:
+                broken.append(
+                    f"{job}: its only attempt was answered {status}, and"
+                    f" {starts[0][2]} started at {starts[0][0]:.3f}"
                 )
-                if reply.status == 200:
-                    return True
-            return False
-
-        await until(5, leaves, "Leave acknowledged")
-        old.crash()
-        record.write(f"{old.label} has left")
-        await asyncio.sleep(1.5)
-        await fleet.add("i-44c0ffee", "plan-desk", f"{network}.1", machine="m-1")
-        ends = []
-        deadline_s = record.now() + FINISH_S
-        while record.now() < deadline_s:
-            for name in deployment.cores:
-                code = deployment.exited(name)
-                if code is not None:
-                    ends.append(name)
-                    record.write(f"{name} ended by itself with code {code}")
-                    await asyncio.sleep(0.5)
-                    deployment.start(name)
-            await asyncio.sleep(0.1)
-        record.write(f"ends: {ends}; the report was sent at {sent_s:.3f}")
-        answered = False
-        deadline_s = record.now() + ASKED_S
-        while record.now() < deadline_s and not answered:
-            for entry in deployment.entries:
-                path = f"/plans/{JOB}"
-                reply = await deployment.call(entry, "GET", path, HOST, KEY)
-                record.write(f"GET of the job at {entry}: {reply.status} {reply.body}")
-                answered = answered or reply.status == 200
-            await asyncio.sleep(0.3)
-        if answered:
-            return []
-        return [
-            f"{JOB} was accepted and gets no answer {FINISH_S:.0f} s later; the core's"
-            f" processes ended by themselves {len(ends)} times"
-        ]
+        return broken
     finally:
         fleet.close()
 
