Decide about missing runs only by a complete list of ends

Cause: a target lists 500 ends at a time. TargetSession.changes_from took every live run that was neither listed as running nor as ended for one that never started (REFUSED) or was lost with its lease (LEASE_EXPIRED), also where the list of ends was cut at 500.

Evidence: the new leader logged `scheduling begins`, 53 ms later 700 times `run ended` with `how` `refused`, all by its first list; the starts followed in the same cycle. Ruled out: an end that was not durable before the kill (the targets still listed it), and the fencing token (no order was refused).

Fix: the client of targets marks a list that reaches the limit as incomplete. The ends that it shows are committed and acknowledged, which makes the target list the next ones; missing runs are decided by the first complete list. The target returns the oldest ends first, so each call makes progress. Same cause elsewhere: the cloud's list of hosts was cut silently after 200 pages, and hosts beyond them counted as lost and as not existing. It is now marked as truncated, and no conclusion is drawn from an absence.

--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -130,6 +130,19 @@
     context.fixture = AdmissionFixture(warm_up_s=MOVES_ORDERED_S, prepare_cloud=prepare)
 
 
+@given("an idle fleet whose cloud lists its hosts incompletely")
+def incomplete_lists(context):
+    def prepare(cloud):
+        list_hosts = cloud.list_hosts
+
+        async def list_first_pages():
+            return replace(await list_hosts(), truncated=True)
+
+        cloud.list_hosts = list_first_pages
+
+    context.fixture = AdmissionFixture(prepare_cloud=prepare)
+
+
 @given("a cloud that carries out moves without an answer for {seconds:d} seconds")
 def unanswered_moves(context, seconds):
     context.fixture.duration_ms = 200.0
--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -155,3 +155,24 @@
       | has a pool, but no host name | "machine" left out       | m-1 up           | 1         |
       | has labels that are a number | "labels" set to 3        | m-1 up           | 1         |
       | has an empty target name     | "id" set to ""           | m-1 up, m-2 up   | 0         |
+
+  # Guards against tasks that run twice: a list cut at its limit taken for complete.
+  Scenario Outline: A list of <count> ends <completeness>
+    When a target lists <count> ends
+    Then the view is <completeness>
+
+    Examples:
+      | count | completeness |
+      | 0     | complete     |
+      | 499   | complete     |
+      | 500   | incomplete   |
+
+  # Guards against runs ended as lost while the list of hosts has unread pages.
+  Scenario Outline: A list of <pages> pages of hosts
+    When the cloud lists its hosts on <pages> pages
+    Then the list of hosts is <completeness>
+
+    Examples:
+      | pages | completeness |
+      | 200   | complete     |
+      | 201   | incomplete   |
--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -394,3 +394,50 @@
     (view,) = context.views
     found = ", ".join(f"{host.host} {host.state}" for host in view.hosts)
     assert (found, view.undecoded) == (hosts, undecoded), view
+
+
+@when("a target lists {count:d} ends")
+def target_lists_ends(context, count):
+    rows = [
+        [number, f"5c0e7a21d94b36f8.0.0.{number}", 1, "done", ""]
+        for number in range(1, count + 1)
+    ]
+    context.decoded = decode_list(json.dumps(LISTS | {"ended": rows}).encode())
+
+
+@then("the view is {completeness}")
+def view_is(context, completeness):
+    view = context.decoded.ok_value
+    assert view.ends_complete == (completeness == "complete"), len(view.ended)
+
+
+class PagedClient:
+    """HTTP client that returns a list of hosts with one host on each page."""
+
+    def __init__(self, pages):
+        self.pages = pages
+
+    def request(self, address, request):
+        number = int(request.path.rpartition("=")[2]) if "=" in request.path else 1
+        page = {"machines": [HOST | {"machine": f"m-{number}"}]}
+        if number < self.pages:
+            page["next_page_token"] = str(number + 1)
+        return succeed(HttpResponse(200, json.dumps(page).encode()))
+
+
+@when("the cloud lists its hosts on {pages:d} pages")
+def cloud_lists_pages(context, pages):
+    cloud = HttpCloud(
+        PagedClient(pages),
+        CloudSettings(Address("10.0.0.1", 80), 1.0, 1.0),
+        "core",
+        lambda: True,
+    )
+    context.views = []
+    ensureDeferred(cloud.list_hosts()).addCallback(context.views.append)
+
+
+@then("the list of hosts is {completeness}")
+def list_of_hosts_is(context, completeness):
+    (view,) = context.views
+    assert view.truncated == (completeness == "incomplete"), len(view.hosts)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/host_losses.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/host_losses.py
@@ -78,8 +78,8 @@
             one for one in self.silent_sessions() if one.last_contact_ms < sent_ms
         ]
         missing = {one.incarnation for one in silent if one.target.host not in rows}
-        if view.undecoded:
-            missing.clear()  # their rows may be among those that could not be decoded
+        if view.undecoded or view.truncated:
+            missing.clear()  # their rows may be among those that could not be read
         for session in silent:
             why = end_reason(session.target, rows.get(session.target.host))
             if session.incarnation in missing & self.unlisted:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/hosts.py
@@ -57,6 +57,8 @@
     ----------
     complete : bool
         Whether the cloud's list has been read.
+    truncated : bool
+        Whether that list lacked hosts on further pages.
     """
 
     def __init__(self, state: BatchState, cloud: Cloud, move_ms: int, now: Callable):
@@ -66,11 +68,12 @@
         self.cloud = cloud
         self.hosts: dict[str, KnownHost] = {}
         self.complete = False
+        self.truncated = False
 
     def reset(self) -> None:
         """Discard all records: another leader may have moved hosts since."""
         self.hosts.clear()
-        self.complete = False
+        self.complete = self.truncated = False
 
     async def read_list(self) -> None:
         """Read the cloud's list."""
@@ -82,8 +85,9 @@
             if one.host not in self.hosts:
                 place = HostCapacity(one.capacity, frozenset(one.labels))
                 self.hosts[one.host] = KnownHost(one.host, one.pool, place, one.rack)
-        self.complete = True
-        logger.info("hosts listed", extra={"hosts": len(view.hosts)})
+        self.complete, self.truncated = True, view.truncated
+        extra = {"hosts": len(view.hosts), "truncated": view.truncated}
+        logger.info("hosts listed", extra=extra)
 
     def apply_announcements(self) -> None:
         """Update the records from the targets' announcements."""
@@ -99,8 +103,10 @@
                 self.hosts[host] = replace(known, pool=target.pool, moved_ms=None)
 
     def places(self) -> list[HostCapacity]:
-        """Return what each host offers; empty before the cloud's list is read."""
-        return [one.place for one in self.hosts.values()] if self.complete else []
+        """Return what each host offers; empty unless all hosts are known."""
+        if not self.complete or self.truncated:
+            return []
+        return [one.place for one in self.hosts.values()]
 
     def in_transit(self, host: str) -> bool:
         """Return whether a host may still be moving to another pool."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -173,12 +173,16 @@
     ----------
     born_ms : int or None
         Start time of the incarnation that answers, None if it does not report it.
+    ends_complete : bool
+        Whether no further ends can be waiting for a later list. A run that an
+        incomplete view does not list may have ended.
     """
 
     clock_ms: int
     born_ms: int | None
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
+    ends_complete: bool = True
 
 
 class TargetOrders(Protocol):
@@ -249,16 +253,19 @@
 @dataclass(frozen=True, slots=True)
 class HostsView:
     """
-    All hosts that the cloud lists.
+    Hosts that the cloud lists.
 
     Attributes
     ----------
     undecoded : int
         Number of rows that could not be decoded; a missing host may be among them.
+    truncated : bool
+        Whether the list has further pages that were not read.
     """
 
     hosts: tuple[HostView, ...]
     undecoded: int = 0
+    truncated: bool = False
 
 
 class Cloud(Protocol):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -347,17 +347,24 @@
                     self.leader.run_done((one.task, one.run), duration_ms)
 
     def changes_from(self, view: TargetView, sent_ms: int) -> list[EndRun]:
-        """Return the ends that the lists show, directly or by a missing run."""
+        """
+        Return the ends that the lists show, directly or by a missing run.
+
+        A run that is missing may have ended as long as further ends are to be listed.
+        """
         changes = [
             EndRun(*one.task, one.run, one.how, one.checkpoint)
             for one in view.ended
             if one.number > self.last_seen
         ]
         ended = {(one.task, one.run) for one in view.ended}
+        if not view.ends_complete:
+            extra = {"target": self.incarnation, "ends": len(ended)}
+            logger.info("further ends are listed later", extra=extra)
         for key in self.live_runs():
             if key in self.listed:
                 self.on_listed(key, sent_ms)
-            elif key not in ended:
+            elif key not in ended and view.ends_complete:
                 how = self.end_of_unlisted(key, view.clock_ms, sent_ms)
                 if how is not None:
                     changes.append(EndRun(*key[0], key[1], how))
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -30,6 +30,7 @@
 
 STOP_MS = 100
 MAX_LEASE_MS = 6_000
+MAX_LISTED_ENDS = 500  # the oldest; further ends follow once these are acknowledged
 STARTUP_MS = 700  # until a long-running task works
 TAIL_ALONE, TAIL_FILLER = 0.6, 0.1  # of the bound: alone, and added per filler
 
@@ -309,7 +310,11 @@
             for task, run in self.running.items()
         )
         return TargetView(
-            int(self.now_ms()), self.target.started_ms, rows, tuple(self.ended)
+            int(self.now_ms()),
+            self.target.started_ms,
+            rows,
+            tuple(self.ended[:MAX_LISTED_ENDS]),
+            ends_complete=len(self.ended) <= MAX_LISTED_ENDS,
         )
 
     def percent(self, run: Running) -> int:
