Decide a trial also by a task that is at work, and never close a target for good

Cause: a target with a strike is on trial until one of its runs is done, and takes nothing while it has any live run. A long-running task is never done. So a target was closed for good that got one as its trial, and so was one that ran long-running tasks when it shed a start.

Evidence: `start not confirmed` with `unhealthy` on both targets while they shed, then one start of the lasting job on each, then no order at all to them until the end, though `pools` counted them as usable. Ruled out: the exclusion itself (12 s at most, over 5 s before the job came), a cordon and the team's limit (none in the case).

Fix: a long-running trial that gets to work is a success. A trial is a run that started after the exclusion; earlier runs neither delay it nor close the target. A trial that is neither decided nor over closes its target for trial_ms, 3.5 s, as long as a long-running task may take to get to work; then the next one may start. A target that fails or hangs all runs gets one run at a time as before, and is excluded again by its failure.

--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from mulberryledge_testing.batch.demand import site_named
-from mulberryledge_testing.batch.play import Day
+from mulberryledge_testing.batch.play import POOL_POLICY, Day
 from mulberryledge_testing.batch.target import TaskTruth
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import deferLater
@@ -29,8 +29,10 @@
 class AdmissionFixture:
     """Fault-free fleet with a leader that accepts jobs."""
 
-    def __init__(self, limit_cores=0, warm_up_s=WARM_UP_S, prepare_cloud=None):
-        self.day = Day(site_named("falaj"), 1)
+    def __init__(
+        self, limit_cores=0, warm_up_s=WARM_UP_S, prepare_cloud=None, moves=True
+    ):
+        self.day = Day(site_named("falaj"), 1, POOL_POLICY if moves else None)
         if prepare_cloud is not None:
             prepare_cloud(self.day.fleet.cloud)
         self.day.site = replace(self.day.site, kinds=())
@@ -130,6 +132,18 @@
     context.fixture = AdmissionFixture(warm_up_s=MOVES_ORDERED_S, prepare_cloud=prepare)
 
 
+@given('an idle fleet with fixed pools, and two targets with label "{label}"')
+def labelled_targets(context, label):
+    context.fixture = AdmissionFixture(moves=False)
+    fleet = context.fixture.day.fleet
+    targets = [one for one in fleet.targets.values() if one.target.pool == "rounds"]
+    context.labelled_targets = targets[:2]
+    for process in context.labelled_targets:
+        target = process.target
+        process.target = replace(target, labels=(label, target.rack))
+    context.fixture.day.pass_time(2.0)  # they have announced themselves again
+
+
 @given("an idle fleet whose cloud lists its hosts incompletely")
 def incomplete_lists(context):
     def prepare(cloud):
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/placing.py
@@ -103,7 +103,7 @@
     durations : DurationEstimates
         Estimated durations of tasks.
     trials : frozenset of str
-        Incarnations that are limited to one run at a time.
+        Incarnations on which the plan may start one run only.
     tickets : Tickets or None
         Answers of the placement advisor; None if there is no advisor.
     log_ms : int
@@ -136,8 +136,6 @@
     def __post_init__(self):
         for target in self.targets:
             incarnation = target.incarnation
-            if incarnation in self.trials and self.state.live_runs(incarnation):
-                continue
             candidate = Candidate(
                 target,
                 self.state.used[incarnation].copy(),
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/target_health.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/target_health.py
@@ -8,7 +8,8 @@
 times slower. A target that fails runs at once has free capacity again at once, and
 would otherwise attract ever more work. Jobs that fail on other targets too do not
 count against a target. An excluded target returns on trial: one run at a time until
-one is done.
+one succeeds. A run succeeds when it is done or, if it is long-running, at work. A run
+that takes long is decided after a while, so that it never closes its target for good.
 """
 
 from dataclasses import dataclass, field
@@ -35,6 +36,9 @@
         expected for its progress.
     startup_ms : int
         Time within which a long-running run should be working.
+    trial_ms : int
+        Time for which a run on trial keeps its target closed to other runs; one that
+        fails or hangs has usually been noticed by then.
     min_slow_jobs : int
         Number of jobs with slow runs from which a target counts as slow.
     sibling_factor : float
@@ -53,6 +57,7 @@
     stuck_ms: int = 900
     stuck_factor: float = 1.2
     startup_ms: int = 3_500
+    trial_ms: int = 3_500
     min_slow_jobs: int = 2
     sibling_factor: float = 2.5
     max_evaluated_runs: int = 2
@@ -81,7 +86,7 @@
     excluded_until_ms: int = -1
     strikes: int = 0
 
-    def on_done(self) -> None:
+    def on_success(self) -> None:
         """Record a successful run."""
         self.failed_jobs.clear()
         self.strikes = 0
@@ -131,6 +136,16 @@
         """Whether the target is limited to one run at a time."""
         return self.strikes > 0
 
+    def is_trial(self, started_ms: int) -> bool:
+        """Return whether a run that started at a time is a trial of the target."""
+        return self.on_trial and started_ms >= self.excluded_until_ms
+
+    def is_undecided(
+        self, started_ms: int, now_ms: int, policy: HealthPolicy = POLICY
+    ) -> bool:
+        """Return whether a live run is a trial whose outcome must be awaited."""
+        return self.is_trial(started_ms) and now_ms - started_ms < policy.trial_ms
+
 
 def is_stuck(
     long_running: bool,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -325,6 +325,7 @@
             for one in self.sessions.values()
             if one.target.pool in pools
             and one.usable(now)
+            and not one.awaits_trial(now)
             and one.target.host not in cordoned
             and one.incarnation in self.state.targets
             and one.incarnation not in excluded
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -120,6 +120,8 @@
     ----------
     deadline_ms : int
         Deadline of the start on the target's clock.
+    started_ms : int
+        When the start was ordered, or the run was first listed.
     accepted_ms : int or None
         When the target confirmed the start.
     unanswered : bool
@@ -133,6 +135,7 @@
     """
 
     deadline_ms: int
+    started_ms: int = 0
     accepted_ms: int | None = None
     unanswered: bool = False
     stop_sent_ms: int = -1_000_000
@@ -219,6 +222,16 @@
             and not self.health.excluded(now)
         )
 
+    def awaits_trial(self, now: int) -> bool:
+        """Return whether another run must wait for the outcome of a trial."""
+        if not self.health.on_trial:
+            return False
+        for key in self.live_runs():
+            tracked = self.tracked_runs.get(key)
+            if tracked is None or self.health.is_undecided(tracked.started_ms, now):
+                return True  # without a record its start is about to be ordered
+        return False
+
     def close(self) -> None:
         """Stop sending orders."""
         self.closed = True
@@ -340,7 +353,7 @@
             if one.how == RunEnd.FAILED:
                 self.leader.run_failed(self, one.task)
             elif one.how == RunEnd.DONE:
-                self.health.on_done()
+                self.health.on_success()
                 tracked = self.tracked_runs.get((one.task, one.run))
                 if tracked is not None and tracked.accepted_ms is not None:
                     duration_ms = now - tracked.accepted_ms
@@ -377,7 +390,8 @@
         """Record that a run is listed, and its progress."""
         tracked = self.tracked_runs.get(key)
         if tracked is None:
-            tracked = self.tracked_runs[key] = TrackedRun(0, accepted_ms=sent_ms)
+            tracked = TrackedRun(0, started_ms=sent_ms, accepted_ms=sent_ms)
+            self.tracked_runs[key] = tracked
         if tracked.accepted_ms is None:
             tracked.accepted_ms = sent_ms
             tracked.unanswered = False
@@ -385,6 +399,10 @@
         tracked.listed_ms = self.leader.now()
         if percent != tracked.percent:
             tracked.percent, tracked.percent_since_ms = percent, tracked.listed_ms
+            spec = self.leader.state.spec_of(key[0].step_id)
+            is_trial = self.health.is_trial(tracked.started_ms)
+            if spec.long_running and percent == 100 and is_trial:
+                self.health.on_success()
 
     def end_of_unlisted(
         self, key: RunKey, clock_ms: int, sent_ms: int
@@ -469,7 +487,7 @@
         self.lease_end_ms = max(
             self.lease_end_ms, self.clock.certainly_passed(deadline_ms)
         )
-        tracked = TrackedRun(deadline_ms)
+        tracked = TrackedRun(deadline_ms, started_ms=now)
         self.tracked_runs[task, run] = tracked
         fence = self.leader.fence
         order = StartOrder(task, run, body, deadline_ms, fence, checkpoint, ticket)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -64,11 +64,14 @@
         Factor on all durations.
     fails, hangs : bool
         Whether all runs fail at once, or make no progress.
+    sheds : bool
+        Whether all starts are refused without any effect.
     """
 
     slow: float = 1.0
     fails: bool = False
     hangs: bool = False
+    sheds: bool = False
 
 
 @dataclass(slots=True)
@@ -143,6 +146,8 @@
         if order.fence < self.fence:
             return self.answer(OrderOutcome.FENCED)
         self.fence = order.fence
+        if self.behaviour.sheds:
+            return self.answer(OrderOutcome.UNHEALTHY)
         if self.now_ms() > order.deadline_ms:
             return self.answer(OrderOutcome.DEADLINE_PASSED)
         known = self.running.get(order.task)
