Don't let the refusal of a resent request deny what an earlier send achieved

Cause: Gateway.forward sends a request again when the leader's answer is lost, and returned whatever the last send got. The leader checks queue and key before it looks the job up; both may be withdrawn between the sends. The same held for cancellations, for dropped queues (404) and for a refusal by load (429).

Evidence: `job submitted` with `committed` `yes` on the leader during the freeze of the entry; on the entry `peer is silent`, `connection lost`, and 0.15 s later `request answered`, `bad-key`, for the same jobs. Ruled out: a job stored without its acceptance being durable, and a leader with an old manifest (the term was 1 throughout, and requests that came during the freeze were refused with reason).

Fix: the entry marks a submission or cancellation that it sends again after an unclear outcome. The leader then confirms what the earlier send has achieved, and waits for an acceptance under way. If it knows of nothing, the entry answers `unknown` in place of a refusal by key, queue or load, as the earlier send may still arrive. Callers can't set the mark, and a new request with a withdrawn key is refused as before, so that no version of the manifest is stretched.

--- /dev/null
+++ b/features/batch/resends.feature
@@ -0,0 +1,41 @@
+Feature: A refusal of a resent request does not deny what an earlier send has achieved
+
+  # Guards against 401 and 404 for jobs that were accepted and run.
+  Scenario Outline: A caller <request>, and <change> before the entry sends it again
+    Given an idle fleet, and an entry that loses the first answer of the leader
+    When a caller <request>, and <change> before the entry sends it again
+    Then the caller is told "<verdict>"
+    And the job is <state>
+
+    Examples:
+      | request       | change               | verdict | state     |
+      | submits a job | its key is withdrawn | ok      | accepted  |
+      | submits a job | its queue is removed | ok      | accepted  |
+      | submits a job | nothing changes      | ok      | accepted  |
+      | cancels a job | its key is withdrawn | ok      | cancelled |
+      | cancels a job | its queue is removed | ok      | cancelled |
+
+  # Guards against the same where the leader can't tell what became of the first send.
+  Scenario Outline: A caller <request>, <change>, and the first send may still arrive
+    Given an idle fleet, and an entry whose first request is delayed
+    When a caller <request>, and <change> before the entry sends it again
+    Then the caller is told "unknown"
+
+    Examples:
+      | request       | change               |
+      | submits a job | its key is withdrawn |
+      | submits a job | its queue is removed |
+      | submits a job | the leader is full   |
+      | cancels a job | its key is withdrawn |
+
+  Scenario Outline: A request that is sent once is refused as before if <change>
+    Given an idle fleet, and an entry that loses no answer
+    When <change>, and a caller submits a job
+    Then the caller is told "<verdict>"
+    And the job is unknown
+
+    Examples:
+      | change               | verdict  |
+      | its key is withdrawn | bad-key  |
+      | its queue is removed | no-queue |
+      | the leader is full   | refused  |
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/requests.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/requests.py
@@ -44,12 +44,15 @@
         Host and path of the HTTP request; the path ends with the job's identifier.
     key : str
         The caller's key, empty if it presented none.
+    resent : bool
+        Whether an earlier send of this request may have taken effect.
     """
 
     host: str
     path: str
     key: str
     spec: JobSpec
+    resent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +66,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAsk:
-    """Cancel a job."""
+    """
+    Cancel a job.
+
+    Attributes
+    ----------
+    resent : bool
+        Whether an earlier send of this request may have taken effect.
+    """
 
     host: str
     path: str
     key: str
+    resent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -6,17 +6,24 @@
 what a leader answered.
 
 A request that may have reached a leader is resent to the next one with the same
-identifier while the caller waits. A request that reached none is refused.
+identifier while the caller waits. A request that reached none is refused. A leader that
+refuses a resent request can't speak for an earlier send: keys, queues and load change.
 """
 
 import logging
+from dataclasses import replace
 from random import Random
 from uuid import uuid4
 
 from result import Ok
 from twisted.internet.task import deferLater
 
-from mulberryledge_core.batch.requests import CallReply, Verdict
+from mulberryledge_core.batch.requests import (
+    CallReply,
+    CancelAsk,
+    SubmitAsk,
+    Verdict,
+)
 from mulberryledge_core.consensus.members import Configuration
 from mulberryledge_daemon.log.channel import RequestChannel
 from mulberryledge_daemon.peers.link import LinkTiming
@@ -31,6 +38,9 @@
 ANSWER_MARGIN_S = 0.1  # reserved from the caller's time-out for returning the answer
 LEADERLESS_READY_S = 2.0  # an election takes less; after it the gateway is not ready
 
+# Refusals that depend on the time of the request, not only on its contents.
+CHANGEABLE_REFUSALS = (Verdict.BAD_KEY, Verdict.NO_QUEUE, Verdict.REFUSED)
+
 logger = logging.getLogger(__name__)
 
 
@@ -156,12 +166,28 @@
             if isinstance(outcome, Ok):
                 reply = outcome.ok_value
                 if reply.verdict != Verdict.UNAVAILABLE:
-                    return reply
-            else:
-                unsure = unsure or outcome.err_value.unsure
+                    return reply_for_all_sends(message, reply)
+            elif outcome.err_value.unsure:
+                unsure, message = True, mark_resent(message)
             await deferLater(self.reactor, RETRY_S)
 
 
+def mark_resent(message: object) -> object:
+    """Return the message for a further send of a request that may have an effect."""
+    if isinstance(message, SubmitAsk | CancelAsk):
+        return replace(message, resent=True)
+    return message
+
+
+def reply_for_all_sends(message: object, reply: CallReply) -> CallReply:
+    """Return the reply to a request, given the leader's reply to its last send."""
+    resent = isinstance(message, SubmitAsk | CancelAsk) and message.resent
+    if not resent or reply.verdict not in CHANGEABLE_REFUSALS:
+        return reply
+    reason = f"an earlier send may have taken effect, the last one: {reply.verdict}"
+    return replace(reply, verdict=Verdict.UNKNOWN, reason=reason)
+
+
 def reply_without_leader(unsure: bool) -> CallReply:
     """Return the reply to a request that no leader has answered."""
     if unsure:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -22,6 +22,7 @@
 )
 from mulberryledge_core.batch.commands import CancelJob, EndRun, RunEnd, SubmitJob
 from mulberryledge_core.batch.configuration import Queue
+from mulberryledge_core.batch.records import JobPhase
 from mulberryledge_core.batch.requests import (
     CallReply,
     CancelAsk,
@@ -92,6 +93,10 @@
             return Ok(unavailable("this daemon does not lead"))
         if not self.state.configuration.version:
             return Ok(unavailable("no configuration yet"))
+        if isinstance(ask, SubmitAsk | CancelAsk) and ask.resent:
+            earlier = await self.outcome_of_earlier_send(ask)
+            if earlier is not None:
+                return Ok(earlier)
         queue = self.state.configuration.find_queue(ask.host, ask.path)
         if queue is None:
             return Ok(CallReply(Verdict.NO_QUEUE))
@@ -102,6 +107,36 @@
         reply = await self.handlers[type(ask)](ask, queue, team or "", job_id)
         return Ok(reply)
 
+    async def outcome_of_earlier_send(
+        self, ask: SubmitAsk | CancelAsk
+    ) -> CallReply | None:
+        """
+        Return what an earlier send of a request has achieved, None if it isn't known.
+
+        The earlier send was checked when it arrived. Its key or queue may have been
+        withdrawn since, which doesn't undo it.
+        """
+        job_id = ask.path.rpartition("/")[2]
+        if isinstance(ask, SubmitAsk) and job_id in self.submissions:
+            return await self.submission(job_id)
+        job = self.state.jobs.get(job_id)
+        if job is None:
+            return None
+        queue = self.state.queue_of(job)
+        if (ask.host, ask.path) != (queue.host, queue.path_prefix + job_id):
+            return None
+        if isinstance(ask, SubmitAsk):
+            return CallReply(Verdict.OK, reason="job accepted by an earlier send")
+        if job.phase == JobPhase.CANCELLED:
+            return CallReply(Verdict.OK, phase=job.phase)
+        return None
+
+    def submission(self, job_id: str) -> Deferred:
+        """Return the reply to a submission whose acceptance is not durable yet."""
+        later = Deferred()
+        self.submissions[job_id].append(later)
+        return later
+
     async def submit(
         self, ask: SubmitAsk, queue: Queue, team: str, job_id: str
     ) -> CallReply:
@@ -111,9 +146,8 @@
         if job_id in self.state.jobs:
             return CallReply(Verdict.OK, reason="job already accepted")
         if job_id in self.submissions:
-            earlier = Deferred()
-            self.submissions[job_id].append(earlier)
-            return await earlier  # a refusal now would deny what may be accepted
+            # A refusal now would deny what may be accepted.
+            return await self.submission(job_id)
         refusal = self.refusal(ask, team)
         if refusal is not None:
             return refusal
