Report an unknown outcome if the key is refused after a lost answer

What operators saw: exit code 1 with bad-key for a command that an earlier send had carried out, when the answer to that send was lost and the next entry refused the key.

A refused key says nothing of an earlier send, as keys are withdrawn at any time, so the client now reports unknown-outcome (exit code 5). Other refusals of a command come from the replicated state, which takes a resend for the same command, and stay.

Measured: the new scenario of features/operations/commands.feature failed before the change and passes with it, as does the rest of that feature.

--- a/features/operations/commands.feature
+++ b/features/operations/commands.feature
@@ -111,6 +111,15 @@
     When the operator runs "team remove dispatch"
     Then the exit code is 0
 
+  # Guards against "bad-key" for a command that an earlier send has carried out.
+  Scenario: A key that is refused after a lost answer does not deny the command
+    Given team "dispatch" with pool "interior" is set up
+    And the entries are one that loses answers, and one that refuses the key
+    When the operator runs "team remove dispatch"
+    Then the exit code is 5
+    And it shows "it may have been accepted"
+    And there is no team
+
   Scenario: An entry that is down has an exit code of its own
     Given the entries are only one that is down
     When the operator runs "pool list"
--- a/features/operations/steps/commands.py
+++ b/features/operations/steps/commands.py
@@ -151,6 +151,24 @@
     context.entries = ",".join(urls)
 
 
+@given("the entries are one that loses answers, and one that refuses the key")
+def step_refused_key(context):
+    body = b'{"code": "bad-key", "message": "the key is wrong"}'
+    head = b"HTTP/1.1 401 Unauthorized\r\nConnection: close\r\nContent-Length: %d\r\n"
+
+    def refuse(client):
+        read_request(client)
+        client.sendall(head % len(body) + b"\r\n" + body)
+
+    urls = (lose_answer(context), serve_once_more(context, refuse))
+    context.entries = ",".join(urls)
+
+
+@then("there is no team")
+def step_no_team(context):
+    assert not context.daemon.log.state.teams, context.daemon.log.state.teams
+
+
 @given("the entries are only one that is down")
 def step_down(context):
     context.entries = closed_port()
--- a/packages/mulberryledge-cli/src/mulberryledge_cli/client.py
+++ b/packages/mulberryledge-cli/src/mulberryledge_cli/client.py
@@ -28,6 +28,7 @@
 RETRYABLE_STATUSES = frozenset((502, 503, 504))
 UNKNOWN_OUTCOME = "unknown-outcome"
 NO_ENTRY = "no-entry"
+BAD_KEY = "bad-key"
 
 ProgressCallback = Callable[[list[str], float], None]
 
@@ -149,6 +150,8 @@
                     return outcome, answer_lost
                 failure, retry = outcome.err_value
                 answer_lost = answer_lost or failure.code == UNKNOWN_OUTCOME
+                if answer_lost and failure.code == BAD_KEY:
+                    failure = final_failure(failure, answer_lost)
                 if not retry:
                     return Err(failure), answer_lost
             if time.monotonic() >= deadline_s:
