--- a/features/batch/resends.feature
+++ b/features/batch/resends.feature
@@ -5,7 +5,7 @@
     Given an idle fleet, and an entry that loses the first answer of the leader
     When a caller <request>, and <change> before the entry sends it again
     Then the caller is told "<verdict>"
-    And the job is <state>
+    And the caller's job is <state>
 
     Examples:
       | request       | change               | verdict | state     |
@@ -32,7 +32,7 @@
     Given an idle fleet, and an entry that loses no answer
     When <change>, and a caller submits a job
     Then the caller is told "<verdict>"
-    And the job is unknown
+    And the caller's job is unknown
 
     Examples:
       | change               | verdict  |
--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -149,17 +149,17 @@
     assert found == [verdict], context.entry.replies
 
 
-@then("the job is accepted")
+@then("the caller's job is accepted")
 def job_accepted(context):
     jobs = context.fixture.day.log.machine.state.jobs
     assert jobs[JOB].phase in ("queued", "running", "completed"), jobs[JOB].phase
 
 
-@then("the job is cancelled")
+@then("the caller's job is cancelled")
 def job_cancelled(context):
     assert context.fixture.day.log.machine.state.jobs[JOB].phase == "cancelled"
 
 
-@then("the job is unknown")
+@then("the caller's job is unknown")
 def job_unknown(context):
     assert JOB not in context.fixture.day.log.machine.state.jobs
