Keep the indexes of targets in step with records that are replaced

What callers saw: nothing was answered any more. Other operators report the same of one odd entry among those of the workers.

Cause: record_target added the new keys of a known incarnation to the indexes by name, host and address, and left the former ones. Once the incarnation had ended, conflicting_incarnations returned it by the former key, and the look-up of its record raised KeyError while a committed change was applied, on each replica.

Evidence: `invariant broken: stopping` with that KeyError on all three core machines, each time at the announcement of the next target on the host. Ruled out: damage of the log, as a restart ends at the same entry on each machine.

Fix: the former record is taken out of the indexes before the new one goes in, by the same function that removes an ended incarnation. A log that holds such an entry starts.

--- a/features/batch/machine.feature
+++ b/features/batch/machine.feature
@@ -47,6 +47,19 @@
     When an earlier incarnation of target a is announced late
     Then the later incarnation of target a is current
 
+  # Guards against processes that end while they apply a committed change.
+  Scenario Outline: A target that announces <what> leaves no trace once it has left
+    Given a job of two steps with two tasks each and 3 attempts, and two targets
+    When target a announces <what>, leaves, and a later target starts on its host
+    Then the later target is current
+    And a restored replica knows the same
+
+    Examples:
+      | what            |
+      | no host         |
+      | another host    |
+      | another address |
+
   Scenario: Occurrences become ready separately
     Given a job with three occurrences
     When two occurrences become due
--- a/features/batch/steps/machine.py
+++ b/features/batch/steps/machine.py
@@ -114,6 +114,10 @@
     if kind == 0:
         one = target(random.choice(names), random.randint(1, 5))
         one = replace(one, draining=random.random() < 0.3)
+        if random.random() < 0.3:
+            host = random.choice(("", "m-a", "m-b", "m-z"))
+            address = f"10.0.0.{random.choice((97, 98, 255))}:80"
+            one = replace(one, host=host, address=address)
         return RecordTarget(one, random.randint(0, 3))
     if kind == 1:
         return EndIncarnation(random.choice(incarnations))
@@ -345,6 +349,26 @@
     assert incarnations == ["a@9"], incarnations
 
 
+@when("target a announces {what}, leaves, and a later target starts on its host")
+def announce_elsewhere(context, what):
+    changed = {
+        "no host": {"host": ""},
+        "another host": {"host": "m-z"},
+        "another address": {"address": "10.0.0.255:80"},
+    }
+    apply = context.replica.apply
+    apply(RecordTarget(replace(target("a"), **changed[what]), 1))
+    apply(EndIncarnation("a@1"))
+    apply(RecordTarget(replace(target("z", 9, "m-a"), address=target("a").address)))
+
+
+@then("the later target is current")
+def later_target_is_current(context):
+    state = context.replica.state
+    assert "z@9" in state.targets and "a@1" not in state.targets, state.targets
+    assert state.incarnations_by_host["m-a"] == "z@9", state.incarnations_by_host
+
+
 @when("two occurrences become due")
 def two_due(context):
     for number in range(2):
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -402,6 +402,9 @@
         if state.targets[incarnation].started_ms > target.started_ms:
             return
         expire_incarnation(state, incarnation)
+    known = state.targets.get(target.incarnation)
+    if known is not None:
+        unindex_target(state, known)
     state.targets[target.incarnation] = target
     state.stored.sequences[target.incarnation] = change.sequence
     index_target(state, target)
@@ -432,6 +435,17 @@
         state.incarnations_by_host[target.host] = target.incarnation
 
 
+def unindex_target(state: BatchState, target: Target) -> None:
+    """Remove a target from the indexes by name, host and address."""
+    for index, key in (
+        (state.incarnations_by_name, target.name),
+        (state.incarnations_by_host, target.host),
+        (state.incarnations_by_address, target.address),
+    ):
+        if index.get(key) == target.incarnation:
+            del index[key]
+
+
 def end_incarnation(state: BatchState, change: EndIncarnation) -> None:
     """End an incarnation and all its runs."""
     if change.incarnation in state.targets:
@@ -444,14 +458,7 @@
     state.stored.sequences.pop(incarnation, None)
     if target.draining:
         remember_departed(state, incarnation)
-    for index in (
-        state.incarnations_by_name,
-        state.incarnations_by_host,
-        state.incarnations_by_address,
-    ):
-        for key in (target.name, target.host, target.address):
-            if index.get(key) == incarnation:
-                del index[key]
+    unindex_target(state, target)
     for task_id, run in list(state.live_runs(incarnation)):
         end_run(state, EndRun(*task_id, run, RunEnd.LEASE_EXPIRED))
     remove_incarnation(state, incarnation)
