Refuse or leave out an odd entry, whatever its fields hold

What operators saw: other systems that read a list of workers ended again and again, or stopped following it, after one entry that was nested deeply, held a number too large or a port out of range. Tried here on: the status report with port 70000, port 0, a host name for an address, a sequence of 20 digits, a negative start time or clock, or an empty service was taken as a target to use; and one row of the cloud's list of hosts with a list in place of a name was passed on, which the tasks that index hosts by name can't hold: they raise on each reading, so lost hosts and pools are no longer followed until the row is gone.

Cause: the decoders checked the type of a field, not its range, and not each field. Their handlers named the exceptions one by one; RecursionError of a reason that shows a deeply nested value, and OverflowError, were not among them, or differed from module to module.

The JSON bodies of the product's own interface refuse deep nesting with 400.

The random values now include lists nested 600 deep, numbers of 400 digits and odd addresses.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -49,6 +49,14 @@
       | has a start time with a fraction | "born" set to 1.5           |
       | has no capacity                  | "capacity" left out         |
       | has labels that are not a list   | "labels" set to "a"         |
+      | has a port out of range          | "address" set to "10.0.0.1:70000" |
+      | has a port of 0                  | "address" set to "10.0.0.1:0" |
+      | has an address that is no IP     | "address" set to "somewhere:80" |
+      | has a sequence of 20 digits      | "sequence" set to 10000000000000000000 |
+      | has a negative start time        | "born" set to -1            |
+      | has a clock below 0              | "clock_ms" set to -1        |
+      | has a host that is a number      | "machine" set to 7          |
+      | has an empty service             | "service" set to ""         |
 
   Scenario: A status report becomes a target
     When the example status report is decoded
@@ -102,6 +110,8 @@
       | manifest      |
       | wave          |
       | list of runs  |
+      | list of hosts |
+      | list of tickets |
 
   Scenario Outline: A wave is invalid that <fault>
     When the example wave is decoded with <change>
@@ -154,6 +164,8 @@
       | has no capacity              | "capacity" left out      | m-1 up           | 1         |
       | has a pool, but no host name | "machine" left out       | m-1 up           | 1         |
       | has labels that are a number | "labels" set to 3        | m-1 up           | 1         |
+      | has a list in place of a pool | "pool" set to ["rounds"] | m-1 up          | 1         |
+      | has a capacity of 20 digits  | "capacity.cpu" set to 10000000000000000000 | m-1 up | 1 |
       | has an empty target name     | "id" set to ""           | m-1 up, m-2 up   | 0         |
 
   # Guards against tasks that run twice: a list cut at its limit taken for complete.
--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -2,6 +2,8 @@
 
 import copy
 import json
+import math
+import socket
 import tomllib
 
 from behave import then, when
@@ -20,14 +22,17 @@
 )
 from mulberryledge_core.batch.configuration import AdviceCost
 from mulberryledge_core.batch.specs import StepId, TaskId, spec_problem
+from mulberryledge_daemon.batch.clocks import TargetClock
+from mulberryledge_daemon.batch.ports import HostsView
 from mulberryledge_platform.advisor import HttpAdvisor
 from mulberryledge_platform.announcements import decode_announcement
 from mulberryledge_platform.cloud import HttpCloud
+from mulberryledge_platform.fields import DECODE_ERRORS
 from mulberryledge_platform.http_client import HttpResponse, RequestFailure
 from mulberryledge_platform.jobs import decode_job, decode_task, encode_task
 from mulberryledge_platform.manifest import decode_manifest
 from mulberryledge_platform.settings import Address, CloudSettings, decode_settings
-from mulberryledge_platform.targets import DECODE_ERRORS, decode_view
+from mulberryledge_platform.targets import decode_view
 from mulberryledge_platform.waves import decode_wave
 from mulberryledge_platform_testing.programs import SETTINGS
 
@@ -111,6 +116,32 @@
         return Err(str(error))
 
 
+def decode_cloud_page(data):
+    """Read a page of the cloud's list of hosts, as the client of the cloud does."""
+    client = FixedResponseClient(HttpResponse(200, data))
+    cloud = HttpCloud(
+        client, CloudSettings(Address("10.0.0.1", 80), 1.0, 1.0), "core", lambda: True
+    )
+    views = []
+    ensureDeferred(cloud.list_hosts()).addCallback(views.append)
+    (view,) = views
+    if not isinstance(view, HostsView):
+        return Err(str(view))
+    return Ok({(row.host, row.pool, row.target, row.rack): row for row in view.hosts})
+
+
+def decode_grants(data):
+    """Read the answer of the advisor, as its client does."""
+    advisor = HttpAdvisor(
+        FixedResponseClient(HttpResponse(200, data)), Address("10.0.0.1", 80)
+    )
+    step = StepId("5c0e7a21d94b36f8", 0, 1)
+    grants = []
+    asked = ensureDeferred(advisor.advise(step, ("i-1",), AdviceCost(60, 5, 2_000)))
+    asked.addCallback(grants.append)
+    return Err("unknown") if grants[0] is None else Ok(grants[0])
+
+
 WAVE = {"wave": 1, "machines": ["m-1", "m-2"], "duration_s": 20, "upper_limit": 1}
 LISTS = {
     "clock_ms": 482113,
@@ -123,6 +154,8 @@
     "job": (JOB, decode_checked_job),
     "wave": (WAVE, decode_wave),
     "list of runs": (LISTS, decode_list),
+    "list of hosts": ({"machines": [HOST], "next_page_token": None}, decode_cloud_page),
+    "list of tickets": ({"good": [["i-1", "t1"]]}, decode_grants),
 }
 STORED_AS = {
     "manifest": lambda value: PutConfiguration(value, b""),
@@ -132,6 +165,8 @@
     "list of runs": lambda value: EndRun(
         *value.ended[0].task, 1, value.ended[0].how, value.ended[0].checkpoint
     ),
+    "list of hosts": None,
+    "list of tickets": None,
 }
 
 
@@ -182,13 +217,23 @@
     assert all(part in reason for part in (first, second, third)), reason
 
 
+def nested_list(depth):
+    """Return empty lists in each other."""
+    value = []
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
 SCALARS = strategies.one_of(
     strategies.none(),
     strategies.booleans(),
     strategies.integers(),
     strategies.floats(),
     strategies.text(strategies.characters(exclude_categories=())),
-    strategies.sampled_from([10**400, "\ud800", "²", [[[[]]]], {}]),
+    strategies.sampled_from([10**400, -(10**400), 2**53 + 1, "\ud800", "²", {}]),
+    strategies.sampled_from([nested_list(depth) for depth in (4, 300, 600)]),
+    strategies.sampled_from(["10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1", "a:80"]),
 )
 VALUES = strategies.recursive(
     SCALARS,
@@ -213,6 +258,23 @@
     return found
 
 
+def check_orders(view):
+    """Compare the fields of a list that the leader computes with."""
+    assert view.born_ms is None or view.born_ms >= 0
+    for run in view.running:
+        assert run.percent < math.inf and (run.measurement or 0) < math.inf, run
+
+
+def check_report(report):
+    """Use a report as the leader does: read its clock, connect to its address."""
+    assert 0 <= report.sequence <= 2**53, report
+    clock = TargetClock()
+    clock.observe(report.clock_ms or 0, 1)
+    assert clock.certainly_passed(clock.estimate(2) + 1_000) > 0
+    ip, _, port = report.target.address.rpartition(":")
+    assert socket.inet_aton(ip) and 0 < int(port) < 2**16, report
+
+
 def check_decoded(what, data):
     """Decode a text: it is refused with a reason, or can be stored in the log."""
     decoded = EXAMPLES[what][1](data)
@@ -220,8 +282,14 @@
         assert decoded.err_value
         return
     value = decoded.ok_value
-    if what == "list of runs" and not value.ended:
+    if what == "list of runs":
+        check_orders(value)
+        if not value.ended:
+            return
+    if STORED_AS[what] is None:
         return
+    if what == "status report":
+        check_report(value)
     encode_change_set(ChangeSet(1, (STORED_AS[what](value),)))
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/callers.py
@@ -349,7 +349,7 @@
         return Ok(None)
     try:
         plain = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(Refusal(Code.BAD_REQUEST, f"X-Job-Size: not JSON: {error}"))
     size = from_plain(plain, Resources)
     if isinstance(size, Err):
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/routing.py
@@ -251,7 +251,7 @@
     """Parse the request body as a JSON object."""
     try:
         value = json.loads(request.content.read() or b"{}")
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(Refusal(Code.BAD_REQUEST, f"body: not JSON: {error}"))
     if not isinstance(value, dict):
         return Err(Refusal(Code.BAD_REQUEST, "body: not a JSON object"))
