Refuse a status report that contradicts what is known of its process

One report of another writer, without `machine` and with a higher sequence, replaced the record of a sound target. From then on its own reports counted as late, so that its draining was acknowledged and not recorded.

Cause: each report of a known process replaced its record, whatever it said. A report without a host is well formed, as not every deployment has hosts, and a pool was never compared with the configuration.

Fix: a process doesn't change its host, address, pool or zone, so a report that denies one of them is refused, its sequence too, and the record stays. A field that isn't known yet may be reported later. A report of a new process is refused if its pool is neither configured nor used by a queue that took a job. Reports without a start time are exempt, as a later process may bear the name.

--- a/features/platform/path.feature
+++ b/features/platform/path.feature
@@ -43,6 +43,19 @@
     And the leader is killed
     Then within 6 seconds the operator can send a manifest with version 5
 
+  # Guards against processes that end, and targets that are lost, by one odd report.
+  Scenario: Odd status reports among those of the targets change nothing
+    When the operator sends a manifest with version 3
+    And a caller submits a job of two steps with three tasks each
+    Then the job is shown as "completed" through every entry within 5 seconds
+    When another writer sends odd status reports of every target
+    Then each of them is refused
+    When each target leaves and another one starts on its host
+    And a caller submits a job of two steps with three tasks each
+    Then the job is shown as "completed" through every entry within 5 seconds
+    And each of its tasks was started once, in the order of the steps
+    And no program has ended by itself
+
   Scenario: A cancelled job is stopped
     When the operator sends a manifest with version 3
     And a caller submits a job of long-running tasks
--- a/features/platform/steps/path.py
+++ b/features/platform/steps/path.py
@@ -322,3 +322,81 @@
     process = context.deployment.programs[context.stopped_entry].process
     assert process.wait(seconds) == code
     assert time.monotonic() - context.stop_sent_s < seconds
+
+
+def nested(depth):
+    """Return a JSON text of lists in each other."""
+    return "[" * depth + "]" * depth
+
+
+ODD_FIELDS = (
+    {"machine": None},
+    {"machine": "m-elsewhere"},
+    {"service": "nowhere"},
+    {"service": "unnamed", "born": 2_000_000_000_000},
+    {"address": "127.0.0.1:70000"},
+    {"address": "127.0.0.1:1"},
+    {"zone": 7},
+    {"state": "resting"},
+    {"sequence": 10**400},
+    {"clock_ms": -(10**30)},
+    {"born": "1"},
+    {"capacity": {"cpu": -1}},
+    {"labels": "a"},
+)
+ODD_TEXTS = (
+    nested(100_000),
+    f'{{"labels": {nested(600)}}}',
+    '{"service": "plans-pool", "sequence": 1e400}',
+    "",
+)
+
+
+def odd_reports(report):
+    """Return the bodies of odd reports of a target, given a sound one."""
+    later = report | {"sequence": report["sequence"] + 1_000}
+    changed = [
+        {name: value for name, value in (later | fields).items() if value is not None}
+        for fields in ODD_FIELDS
+    ]
+    texts = [*ODD_TEXTS, *(json.dumps(report) for report in changed)]
+    return [text.encode() for text in texts]
+
+
+@when("another writer sends odd status reports of every target")
+def send_odd_reports(context):
+    url = control_url(context, leader_of(context)) + "/Instances.Heartbeat/"
+    context.odd_statuses = {}
+    for incarnation in list(context.targets.incarnations.values()):
+        report = context.targets.report_of(incarnation, 1_000)
+        for body in odd_reports(report):
+            status, _ = call(url + incarnation.target.name, "POST", body)
+            context.odd_statuses[body[:300]] = status
+
+
+@then("each of them is refused")
+def odd_refused(context):
+    assert len(context.odd_statuses) > len(ODD_FIELDS), context.odd_statuses
+    accepted = {
+        body: status for body, status in context.odd_statuses.items() if status != 400
+    }
+    assert not accepted, accepted
+
+
+@when("each target leaves and another one starts on its host")
+def replace_targets(context):
+    for host, incarnation in list(context.targets.incarnations.items()):
+        target = incarnation.target
+        blockingCallFromThread(reactor, context.targets.remove, host)
+        for name in machines(context, "core"):
+            call(f"{control_url(context, name)}/Instances.Leave/{target.name}", "POST")
+        blockingCallFromThread(reactor, context.targets.add, host, target.pool)
+
+
+@then("no program has ended by itself")
+def none_ended(context):
+    codes = {
+        name: program.process.poll()
+        for name, program in context.deployment.programs.items()
+    }
+    assert not any(code is not None for code in codes.values()), codes
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
@@ -132,6 +132,12 @@
             or sequence < self.stored.sequences.get(incarnation, 0)
         )
 
+    def names_pool(self, pool: str) -> bool:
+        """Return whether a pool is configured, or a queue that took a job uses it."""
+        return pool in self.configuration.pools_by_name or any(
+            queue.pool == pool for queue in self.stored.queues.values()
+        )
+
     def queue_of(self, job: JobRecord) -> Queue:
         """Return the current or last known settings of the queue of a job."""
         return self.queue_named(job.queue)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/targets.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/targets.py
@@ -9,7 +9,9 @@
 
 from mulberryledge_core.batch.sizes import Size
 
-__all__ = ["Target"]
+__all__ = ["Target", "find_contradiction"]
+
+FIXED_FIELDS = ("host", "address", "pool", "availability_zone")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,3 +54,17 @@
     def incarnation(self) -> str:
         """Unique identifier of this incarnation."""
         return f"{self.name}@{self.started_ms}"
+
+
+def find_contradiction(known: Target, reported: Target) -> str:
+    """
+    Return what a report about a known incarnation denies, empty if nothing.
+
+    A process stays on its host, at its address and in its pool. A field that is not
+    known yet may be reported later.
+    """
+    for name in FIXED_FIELDS:
+        value = getattr(known, name)
+        if value and getattr(reported, name) != value:
+            return f"{name} {getattr(reported, name)!r} in place of {value!r}"
+    return ""
