Confirm a further send by its request, not by the job alone

What callers would have seen: 200 for a submission that came after its key had been withdrawn, if the job had been accepted from an earlier request and the entry had to send the new one twice.

Cause: the leader confirmed a request that was marked as sent again by the job alone, whichever request had submitted it.

Fix: each submission and cancellation carries an identifier, the same for all its sends. The leader remembers the latest 5,000 that took effect and repeats their reply; a send that arrives while the first is being answered waits for that reply. Another leader has no such memory, and the entry then answers `unknown` in place of a refusal, as before. The mark is gone.

--- a/features/batch/resends.feature
+++ b/features/batch/resends.feature
@@ -15,6 +15,21 @@
       | cancels a job | its key is withdrawn | ok      | cancelled |
       | cancels a job | its queue is removed | ok      | cancelled |
 
+  # Guards against 200 for a request that came after its key was withdrawn.
+  Scenario: An accepted job is submitted again with a key that is withdrawn
+    Given an idle fleet, and an entry that loses no answer
+    When a caller submits a job through another entry, and its key is withdrawn
+    And the caller submits it again, and the entry sends it twice
+    Then the caller is told "unknown"
+    And the caller's job is accepted
+
+  # Guards against 401 where the leader that accepted the job is lost.
+  Scenario: The leader that answered the first send has been replaced
+    Given an idle fleet, and an entry that loses the first answer of the leader
+    When a caller submits a job, and another leader without its key gets it again
+    Then the caller is told "unknown"
+    And the caller's job is accepted
+
   # Guards against the same where the leader can't tell what became of the first send.
   Scenario Outline: A caller <request>, <change>, and the first send may still arrive
     Given an idle fleet, and an entry whose first request is delayed
--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -136,6 +136,34 @@
     assert entry.sends == 2, entry.sends
 
 
+@when("a caller submits a job through another entry, and its key is withdrawn")
+def submit_elsewhere(context):
+    accepted = ensureDeferred(
+        context.fixture.service.answer(request_message(context, "submits a job"))
+    )
+    accepted.addCallback(lambda reply: reply.unwrap())
+    context.fixture.day.pass_time(SETTLE_S)
+    apply_change(context.entry, "its key is withdrawn")
+
+
+@when("the caller submits it again, and the entry sends it twice")
+def submit_again(context):
+    context.entry.fault = "answer"
+    context.entry.call(request_message(context, "submits a job"))
+    context.entry.lose_connection()
+    assert context.entry.sends == 2, context.entry.sends
+
+
+@when("a caller submits a job, and another leader without its key gets it again")
+def submit_to_new_leader(context):
+    entry = context.entry
+    entry.call(request_message(context, "submits a job"))
+    apply_change(entry, "its key is withdrawn")
+    entry.admission.service.confirmed.clear()  # another leader has no such memory
+    entry.lose_connection()
+    assert entry.sends == 2, entry.sends
+
+
 @when("{change}, and a caller submits a job")
 def change_and_call(context, change):
     apply_change(context.entry, change)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/requests.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/requests.py
@@ -44,15 +44,15 @@
         Host and path of the HTTP request; the path ends with the job's identifier.
     key : str
         The caller's key, empty if it presented none.
-    resent : bool
-        Whether an earlier send of this request may have taken effect.
+    request_id : str
+        Identifier of the caller's request, the same for each send of it.
     """
 
     host: str
     path: str
     key: str
     spec: JobSpec
-    resent: bool = False
+    request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,14 +71,14 @@
 
     Attributes
     ----------
-    resent : bool
-        Whether an earlier send of this request may have taken effect.
+    request_id : str
+        Identifier of the caller's request, the same for each send of it.
     """
 
     host: str
     path: str
     key: str
-    resent: bool = False
+    request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -54,6 +54,8 @@
         Leader and members by the newest message of a voter.
     leader_reached_s : float
         When the leader was last seen to be reachable.
+    last_request : int
+        Number of the last request that has an effect.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self.session = uuid4().hex
         self.directory = MemberDirectory(0, "", Configuration())
         self.leader_reached_s = -LEADERLESS_READY_S
+        self.last_request = 0
         handlers = NetworkHandlers(
             self.handshake, lambda hello: "", self.on_message, self.on_closed
         )
@@ -156,6 +159,11 @@
         """
         started_s = self.reactor.seconds()
         deadline_s = started_s + timeout_s - ANSWER_MARGIN_S
+        has_effect = isinstance(message, SubmitAsk | CancelAsk)
+        if has_effect:
+            self.last_request += 1
+            request_id = f"{self.session}-{self.last_request}"
+            message = replace(message, request_id=request_id)
         unsure = False
         while True:
             now_s = self.reactor.seconds()
@@ -166,23 +174,23 @@
             if isinstance(outcome, Ok):
                 reply = outcome.ok_value
                 if reply.verdict != Verdict.UNAVAILABLE:
-                    return reply_for_all_sends(message, reply)
-            elif outcome.err_value.unsure:
-                unsure, message = True, mark_resent(message)
+                    earlier_effect = unsure and has_effect
+                    return reply_for_all_sends(reply) if earlier_effect else reply
+            else:
+                unsure = unsure or outcome.err_value.unsure
             await deferLater(self.reactor, RETRY_S)
 
 
-def mark_resent(message: object) -> object:
-    """Return the message for a further send of a request that may have an effect."""
-    if isinstance(message, SubmitAsk | CancelAsk):
-        return replace(message, resent=True)
-    return message
-
+def reply_for_all_sends(reply: CallReply) -> CallReply:
+    """
+    Return the reply to a request that was sent more than once.
 
-def reply_for_all_sends(message: object, reply: CallReply) -> CallReply:
-    """Return the reply to a request, given the leader's reply to its last send."""
-    resent = isinstance(message, SubmitAsk | CancelAsk) and message.resent
-    if not resent or reply.verdict not in CHANGEABLE_REFUSALS:
+    Parameters
+    ----------
+    reply : CallReply
+        The leader's reply to the last send; an earlier one may have taken effect.
+    """
+    if reply.verdict not in CHANGEABLE_REFUSALS:
         return reply
     reason = f"an earlier send may have taken effect, the last one: {reply.verdict}"
     return replace(reply, verdict=Verdict.UNKNOWN, reason=reason)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -7,7 +7,7 @@
 
 import logging
 import re
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 from result import Ok, Result
@@ -22,7 +22,6 @@
 )
 from mulberryledge_core.batch.commands import CancelJob, EndRun, RunEnd, SubmitJob
 from mulberryledge_core.batch.configuration import Queue
-from mulberryledge_core.batch.records import JobPhase
 from mulberryledge_core.batch.requests import (
     CallReply,
     CancelAsk,
@@ -42,6 +41,7 @@
 ELECTION_RETRY_MS = 1_000  # about the duration of an election
 COUNT_INTERVAL_MS = 500  # between two counts of the open tasks
 END_RATE_WINDOW_MS = 5_000
+MAX_CONFIRMED = 5_000  # more than are accepted while a caller waits
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +61,10 @@
         Unfinished tasks by the last count, plus those accepted since.
     submissions : dict of str to list of Deferred
         By job whose acceptance is not durable yet: further submissions of it.
+    under_way : dict of str to list of Deferred
+        By identifier of a request that is being answered: further sends of it.
+    confirmed : OrderedDict of str to CallReply
+        Latest requests that took effect, and the replies to them.
     recent_ends : deque of (int, int)
         Times at which runs were done, and how many.
     """
@@ -73,6 +77,8 @@
         self.last_count_ms = 0
         self.recent_ends: deque[tuple[int, int]] = deque()
         self.submissions: dict[str, list[Deferred]] = {}
+        self.under_way: dict[str, list[Deferred]] = {}
+        self.confirmed: OrderedDict[str, CallReply] = OrderedDict()
         scheduler.tick_callbacks.append(self.count_open)
         scheduler.commit_callbacks.append(self.count_ends)
         self.handlers: dict[type, Callable] = {
@@ -88,54 +94,49 @@
             register(kind, self.answer)
 
     async def answer(self, ask: object) -> Result[CallReply, Refusal]:
+        """
+        Answer a request; a further send of one that took effect gets the same reply.
+
+        The key or the queue may have been withdrawn between two sends, which doesn't
+        undo the first one.
+        """
+        request_id = ask.request_id if isinstance(ask, SubmitAsk | CancelAsk) else ""
+        if not request_id:
+            return Ok(await self.decide(ask))
+        if request_id in self.under_way:
+            further = Deferred()
+            self.under_way[request_id].append(further)
+            return Ok(await further)
+        if request_id in self.confirmed:
+            logger.info("reply repeated", extra={"path": ask.path})
+            return Ok(self.confirmed[request_id])
+        self.under_way[request_id] = []
+        reply = CallReply(Verdict.UNKNOWN, reason="the leader failed to answer")
+        try:
+            reply = await self.decide(ask)
+        finally:
+            for further in self.under_way.pop(request_id):
+                further.callback(reply)
+        if reply.verdict == Verdict.OK:
+            self.confirmed[request_id] = reply
+            if len(self.confirmed) > MAX_CONFIRMED:
+                self.confirmed.popitem(last=False)
+        return Ok(reply)
+
+    async def decide(self, ask: object) -> CallReply:
         """Authenticate and dispatch a request."""
         if not self.scheduler.may_order():
-            return Ok(unavailable("this daemon does not lead"))
+            return unavailable("this daemon does not lead")
         if not self.state.configuration.version:
-            return Ok(unavailable("no configuration yet"))
-        if isinstance(ask, SubmitAsk | CancelAsk) and ask.resent:
-            earlier = await self.outcome_of_earlier_send(ask)
-            if earlier is not None:
-                return Ok(earlier)
+            return unavailable("no configuration yet")
         queue = self.state.configuration.find_queue(ask.host, ask.path)
         if queue is None:
-            return Ok(CallReply(Verdict.NO_QUEUE))
+            return CallReply(Verdict.NO_QUEUE)
         team = self.state.configuration.team_of_key(ask.key)
         if team is None and not queue.public:
-            return Ok(CallReply(Verdict.BAD_KEY))
+            return CallReply(Verdict.BAD_KEY)
         job_id = ask.path[len(queue.path_prefix) :]
-        reply = await self.handlers[type(ask)](ask, queue, team or "", job_id)
-        return Ok(reply)
-
-    async def outcome_of_earlier_send(
-        self, ask: SubmitAsk | CancelAsk
-    ) -> CallReply | None:
-        """
-        Return what an earlier send of a request has achieved, None if it isn't known.
-
-        The earlier send was checked when it arrived. Its key or queue may have been
-        withdrawn since, which doesn't undo it.
-        """
-        job_id = ask.path.rpartition("/")[2]
-        if isinstance(ask, SubmitAsk) and job_id in self.submissions:
-            return await self.submission(job_id)
-        job = self.state.jobs.get(job_id)
-        if job is None:
-            return None
-        queue = self.state.queue_of(job)
-        if (ask.host, ask.path) != (queue.host, queue.path_prefix + job_id):
-            return None
-        if isinstance(ask, SubmitAsk):
-            return CallReply(Verdict.OK, reason="job accepted by an earlier send")
-        if job.phase == JobPhase.CANCELLED:
-            return CallReply(Verdict.OK, phase=job.phase)
-        return None
-
-    def submission(self, job_id: str) -> Deferred:
-        """Return the reply to a submission whose acceptance is not durable yet."""
-        later = Deferred()
-        self.submissions[job_id].append(later)
-        return later
+        return await self.handlers[type(ask)](ask, queue, team or "", job_id)
 
     async def submit(
         self, ask: SubmitAsk, queue: Queue, team: str, job_id: str
@@ -146,8 +147,9 @@
         if job_id in self.state.jobs:
             return CallReply(Verdict.OK, reason="job already accepted")
         if job_id in self.submissions:
-            # A refusal now would deny what may be accepted.
-            return await self.submission(job_id)
+            earlier = Deferred()
+            self.submissions[job_id].append(earlier)
+            return await earlier  # a refusal now would deny what may be accepted
         refusal = self.refusal(ask, team)
         if refusal is not None:
             return refusal
