Log and count committed changes that had no effect, with the reason

The appliers of the state machine left out what they could not do: four of them without a line, the others with one that named a part of the change.

Each applier now returns why its change had no effect. Nobody acts on the reasons yet: logic and replies are as before.

--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -3,10 +3,12 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The replicated state machine of jobs: one applier for each command, deterministic on
-every replica.
+every replica. An applier returns why its change had no effect, None if what the change
+asked for holds.
 """
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 import cbor2
@@ -50,14 +52,26 @@
 
 DEPARTED_RETENTION_MS = 600_000  # a delayed announcement arrives within minutes
 
+# Fields that tell in a log line which change had no effect.
+NAMED_FIELDS = ("job_id", "step", "index", "run", "incarnation", "wave", "host")
+LOGGED_NAMES = {"job_id": "job", "index": "task_index", "incarnation": "target"}
+
 logger = logging.getLogger(__name__)
 
 
 class BatchMachine:
-    """Owns the replicated state of jobs."""
+    """
+    Owns the replicated state of jobs.
+
+    Attributes
+    ----------
+    without_effect : Counter of str
+        Number of changes without effect that this process applied, by kind.
+    """
 
     def __init__(self):
         self.state = BatchState()
+        self.without_effect: Counter[str] = Counter()
 
     def encode(self, command: ChangeSet) -> bytes:
         """Encode a change set for the log."""
@@ -68,7 +82,12 @@
         return decode_change_set(data)
 
     def apply(self, command: object, context: Context) -> ApplyResult:
-        """Apply a change set; one that was planned in another term is void."""
+        """
+        Apply a change set; one that was planned in another term is void.
+
+        A commit doesn't imply that each change took effect: the result names those
+        that had none.
+        """
         state = self.state
         assert context.index == state.applied_index + 1, (
             "entries are applied in index order"
@@ -80,9 +99,24 @@
         if command.term != context.term:
             text = f"planned in term {command.term}, appended in {context.term}"
             return Err(Refusal(Code.STALE, text))
-        for change in command.changes:
-            APPLIERS[type(change)](state, change)
-        return Ok(Applied(context.index))
+        without_effect = []
+        for position, change in enumerate(command.changes):
+            reason = APPLIERS[type(change)](state, change)
+            if reason is not None:
+                without_effect.append((position, reason))
+                self.record_without_effect(change, reason)
+        return Ok(Applied(context.index, without_effect=tuple(without_effect)))
+
+    def record_without_effect(self, change: object, reason: str) -> None:
+        """Log and count a change that had no effect."""
+        kind = type(change).__name__
+        self.without_effect[kind] += 1
+        extra = {"change": kind, "why": reason, "index": self.state.applied_index}
+        for name in NAMED_FIELDS:
+            value = getattr(change, name, None)
+            if value is not None:
+                extra[LOGGED_NAMES.get(name, name)] = value
+        logger.info("change without effect", extra=extra)
 
     def snapshot(self) -> bytes:
         """Encode the state."""
@@ -161,26 +195,27 @@
         remove_incarnation(state, incarnation)
 
 
-def put_configuration(state: BatchState, change: PutConfiguration) -> None:
+def put_configuration(state: BatchState, change: PutConfiguration) -> str | None:
     """Activate a configuration with a higher version."""
-    if change.configuration.version <= state.configuration.version:
-        return
+    version, known = change.configuration.version, state.configuration.version
+    if version <= known:
+        return f"version {version} is not above {known}"
     stored = state.stored
     stored.configuration, stored.text = change.configuration, change.text
     for name in stored.queues:
         queue = change.configuration.queues_by_name.get(name)
         if queue is not None:
             stored.queues[name] = queue
+    return None
 
 
-def submit_job(state: BatchState, change: SubmitJob) -> None:
+def submit_job(state: BatchState, change: SubmitJob) -> str | None:
     """Accept a job."""
     if change.job_id in state.jobs:
-        return
+        return None
     queue = state.configuration.queues_by_name.get(change.queue)
     if queue is None:
-        logger.error("job for an unknown queue", extra={"job": change.job_id})
-        return
+        return f"no queue {change.queue!r} in version {state.configuration.version}"
     state.stored.queues[queue.name] = queue
     job = JobRecord(change.job_id, change.queue, change.team, change.spec, state.now_ms)
     state.jobs[job.job_id] = job
@@ -189,16 +224,20 @@
         start_occurrence(state, job)
     else:
         state.scheduled[job.job_id] = job
+    return None
 
 
-def open_occurrence(state: BatchState, change: OpenOccurrence) -> None:
+def open_occurrence(state: BatchState, change: OpenOccurrence) -> str | None:
     """Start the next occurrence of a scheduled job."""
     job = state.jobs.get(change.job_id)
-    if job is None or job.ended or job.next_occurrence != change.occurrence:
-        return
+    if job is None or job.ended:
+        return "the job has ended"
+    if job.next_occurrence != change.occurrence:
+        return f"occurrence {job.next_occurrence} is the next one"
     start_occurrence(state, job)
     if job.next_occurrence == job.spec.occurrences:
         del state.scheduled[job.job_id]
+    return None
 
 
 def start_occurrence(state: BatchState, job: JobRecord) -> None:
@@ -213,11 +252,14 @@
             state.open_steps[job.queue][step_id] = step
 
 
-def cancel_job(state: BatchState, change: CancelJob) -> None:
+def cancel_job(state: BatchState, change: CancelJob) -> str | None:
     """Cancel a job that has not ended."""
     job = state.jobs.get(change.job_id)
-    if job is not None and not job.ended:
+    if job is None:
+        return "no such job"
+    if not job.ended:
         end_job(state, job, JobPhase.CANCELLED)
+    return None
 
 
 def end_job(state: BatchState, job: JobRecord, phase: JobPhase) -> None:
@@ -249,24 +291,17 @@
             del state.jobs[job_id]
 
 
-def start_run(state: BatchState, change: StartRun) -> None:
+def start_run(state: BatchState, change: StartRun) -> str | None:
     """Record the intent to start a run."""
     job = state.jobs.get(change.job_id)
     task_id = TaskId(change.job_id, change.occurrence, change.step, change.index)
     task = state.task(task_id)
     if job is None or task is None or job.ended or task.done:
-        logger.info("start of a task that has ended", extra={"task": task_id})
-        return
+        return "the task has ended"
     if change.run <= task.run:
-        logger.error(
-            "run number is not above the previous one", extra={"task": task_id}
-        )
-        return
+        return f"run {task.run} was started before"
     if change.incarnation not in state.targets:
-        logger.info(
-            "start on a target that is gone", extra={"target": change.incarnation}
-        )
-        return
+        return "the target is gone"
     task.run = change.run
     task.live[change.run] = change.incarnation
     step = state.step(task_id.step_id)
@@ -276,15 +311,16 @@
         job.started = True
         state.waiting[job.queue] -= 1
         job.phase = JobPhase.RUNNING
+    return None
 
 
-def end_run(state: BatchState, change: EndRun) -> None:
+def end_run(state: BatchState, change: EndRun) -> str | None:
     """Record the end of a run."""
     job = state.jobs.get(change.job_id)
     task_id = TaskId(change.job_id, change.occurrence, change.step, change.index)
     task = state.task(task_id)
     if job is None or task is None:
-        return
+        return "the task is not in progress"
     incarnation = task.live.pop(change.run, None)
     if incarnation is not None:
         remove_run(state, job, task_id, change.run, incarnation)
@@ -295,6 +331,7 @@
     occurrence = job.occurrences.get(change.occurrence)
     if occurrence is not None and (job.ended or not occurrence.steps_remaining):
         remove_ended_occurrence(job, change.occurrence)
+    return None
 
 
 def record_task_outcome(
@@ -393,14 +430,14 @@
             end_job(state, job, JobPhase.COMPLETED)
 
 
-def record_target(state: BatchState, change: RecordTarget) -> None:
+def record_target(state: BatchState, change: RecordTarget) -> str | None:
     """Record a target, and end other incarnations that it replaces."""
     target = change.target
     if state.is_outdated(target.incarnation, change.sequence):
-        return
+        return f"{target.incarnation} has left, or announced something later"
     for incarnation in conflicting_incarnations(state, target):
         if state.targets[incarnation].started_ms > target.started_ms:
-            return
+            return f"{target.incarnation} was replaced by {incarnation}"
         expire_incarnation(state, incarnation)
     known = state.targets.get(target.incarnation)
     if known is not None:
@@ -408,6 +445,7 @@
     state.targets[target.incarnation] = target
     state.stored.sequences[target.incarnation] = change.sequence
     index_target(state, target)
+    return None
 
 
 def conflicting_incarnations(state: BatchState, target: Target) -> list[str]:
@@ -480,26 +518,27 @@
         sums.pop(incarnation, None)
 
 
-def begin_wave(state: BatchState, change: BeginWave) -> None:
+def begin_wave(state: BatchState, change: BeginWave) -> str | None:
     """Record a new wave; a known one is left unchanged."""
     if change.wave in state.waves:
-        return
+        return None
     hosts = dict.fromkeys(change.hosts, HostUpkeep())
     state.waves[change.wave] = WaveRecord(
         change.wave, state.now_ms, change.duration_ms, change.limit, hosts
     )
+    return None
 
 
-def mark_upkeep(state: BatchState, change: MarkUpkeep) -> None:
+def mark_upkeep(state: BatchState, change: MarkUpkeep) -> str | None:
     """Record the phase of a host's upkeep."""
     wave = state.waves.get(change.wave)
-    if wave is not None and change.host in wave.hosts:
-        wave.hosts[change.host] = HostUpkeep(
-            change.phase, change.incarnation, state.now_ms
-        )
+    if wave is None or change.host not in wave.hosts:
+        return "the host is in no such wave"
+    wave.hosts[change.host] = HostUpkeep(change.phase, change.incarnation, state.now_ms)
+    return None
 
 
-APPLIERS: dict[type, Callable[[BatchState, object], None]] = {
+APPLIERS: dict[type, Callable[[BatchState, object], str | None]] = {
     PutConfiguration: put_configuration,
     SubmitJob: submit_job,
     CancelJob: cancel_job,
--- a/packages/mulberryledge-core/src/mulberryledge_core/outcomes.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/outcomes.py
@@ -97,10 +97,14 @@
         Log index at which the command took effect; the same for a resend.
     detail : str
         Identifier or short text that the command produced.
+    without_effect : tuple of (int, str)
+        For a command of several changes: positions of those that had no effect, and
+        why.
     """
 
     index: int
     detail: str = field(default="")
+    without_effect: tuple[tuple[int, str], ...] = ()
 
 
 ApplyResult = Result[Applied, Refusal]
