Answer from what a change did, not from its commit

What callers saw: 200 for a job that is recorded nowhere; its state is 410 or 404 ever after, it never runs. Likewise 200 for a cancellation of a job whose record is gone.

Cause: all changes of a scheduling cycle are one change set with one result. An earlier change of the set may drop the queue of a submission; the state machine then leaves the submission out, and every waiter of the cycle was told "yes" because the set was committed. The queue was looked up when the request arrived, up to 25 ms and one commit before.

The class of fault is a commit that is taken for an effect. It also acted on cancellations of removed records, and on the leader's tasks: tasks that never started were logged and counted as started, jobs that were left out added to the arrival rate that sizes pools.

Now the result of a change set names the changes without effect, each waiter gets the outcome of its own change, and the leader's tasks are told of changes with an effect. A submission without effect is answered 404, a cancellation 410. Ends of runs, reports of targets and manifests that had no effect count as durable, as nothing of them is left to do. The waiters of a submission are answered in a finally, so none waits after an error.

--- a/features/batch/steps/cycles.py
+++ b/features/batch/steps/cycles.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from mulberryledge_core.outcomes import Applied
 from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
 STEP_S = 0.001
@@ -27,7 +28,7 @@
     def propose(self, change_set):
         self.proposed_s.append(self.clock.seconds())
         done = Deferred()
-        self.clock.callLater(self.commit_s, done.callback, Ok(None))
+        self.clock.callLater(self.commit_s, done.callback, Ok(Applied(1)))
         return done
 
     def submit(self):
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
-from mulberryledge_core.outcomes import Code, Refusal
+from mulberryledge_core.outcomes import Applied, Code, Refusal
 from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
 FAULTY_CHANGE_SETS = 4
@@ -30,7 +30,7 @@
             return fail(RuntimeError("no such field"))
         if self.proposed == 1 and self.fault == "is refused as impossible to encode":
             return succeed(Err(Refusal(Code.BAD_REQUEST, "cannot be encoded")))
-        return succeed(Ok(None))
+        return succeed(Ok(Applied(1)))
 
     def on_committed(self, changes):
         if self.proposed == 1 and self.fault == "raises an error once committed":
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduling_cycles.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduling_cycles.py
@@ -33,9 +33,15 @@
     """Outcome of a change."""
 
     YES = "yes"
+    NO_EFFECT = "no-effect"  # it was applied, and changed nothing
     NO = "no"  # it was not applied, and never will be
     UNKNOWN = "unknown"
 
+    @property
+    def is_durable(self) -> bool:
+        """Whether the change was applied, with or without effect."""
+        return self in (CommitOutcome.YES, CommitOutcome.NO_EFFECT)
+
 
 class SchedulingCycles:
     """
@@ -47,7 +53,7 @@
         Takes the changes submitted for the cycle, and returns further ones, derived
         from the committed state.
     on_committed : callable
-        Takes the changes of a cycle once they are durable.
+        Takes the changes of a cycle that had an effect, once they are durable.
     """
 
     def __init__(
@@ -134,16 +140,23 @@
         if self.in_progress is not dones:
             return
         self.in_progress = []
+        outcomes = [CommitOutcome.YES] * len(changes)
         if isinstance(outcome, Ok):
-            self.report_committed(changes)
-            committed = CommitOutcome.YES
+            for position, _ in outcome.ok_value.without_effect:
+                outcomes[position] = CommitOutcome.NO_EFFECT
+            pairs = zip(changes, outcomes, strict=True)
+            self.report_committed(
+                tuple(change for change, how in pairs if how == CommitOutcome.YES)
+            )
         else:
             is_void = outcome.err_value.code in VOID_CODES
-            committed = CommitOutcome.NO if is_void else CommitOutcome.UNKNOWN
+            how = CommitOutcome.NO if is_void else CommitOutcome.UNKNOWN
+            outcomes = [how] * len(changes)
             extra = {"why": outcome.err_value.message, "changes": len(changes)}
             logger.warning("round not committed", extra=extra)
-        for done in dones:
-            done.callback(committed)
+        # The planned changes, which nobody waits for, come last.
+        for done, how in zip(dones, outcomes, strict=False):
+            done.callback(how)
         self.wake()
 
     def report_committed(self, changes: tuple[object, ...]) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -149,21 +149,25 @@
         if job_id in self.submissions:
             earlier = Deferred()
             self.submissions[job_id].append(earlier)
-            return await earlier  # a refusal now would deny what may be accepted
+            committed = await earlier  # a refusal now would deny what may be accepted
+            return reply_for(committed, Verdict.NO_QUEUE)
         refusal = self.refusal(ask, team)
         if refusal is not None:
             return refusal
         owner = "" if queue.public else team
         change = SubmitJob(job_id, queue.name, owner, ask.spec)
         self.submissions[job_id] = []
-        committed = await self.scheduler.cycles.submit(change)
-        for later in self.submissions.pop(job_id):
-            later.callback(reply_for(committed))
+        committed = CommitOutcome.UNKNOWN
+        try:
+            committed = await self.scheduler.cycles.submit(change)
+        finally:
+            for later in self.submissions.pop(job_id):
+                later.callback(committed)
         extra = {"job": job_id, "queue": queue.name, "team": team}
         extra |= {"steps": len(ask.spec.steps), "committed": committed}
         extra |= {"version": self.state.configuration.version}
         logger.info("job submitted", extra=extra | {"term": self.scheduler.term})
-        return reply_for(committed)
+        return reply_for(committed, Verdict.NO_QUEUE)
 
     def refusal(self, ask: SubmitAsk, team: str) -> CallReply | None:
         """Return the refusal of a job, None if it is accepted."""
@@ -233,7 +237,7 @@
             return CallReply(Verdict.OK, phase=job.phase)
         committed = await self.scheduler.cycles.submit(CancelJob(job_id))
         logger.info("job cancelled", extra={"job": job_id, "committed": committed})
-        return reply_for(committed)
+        return reply_for(committed, Verdict.NO_JOB)
 
     async def waiting(
         self, ask: QueueAsk, queue: Queue, team: str, job_id: str
@@ -251,10 +255,19 @@
     )
 
 
-def reply_for(committed: CommitOutcome) -> CallReply:
-    """Return the answer for the outcome of a change."""
+def reply_for(committed: CommitOutcome, without_effect: Verdict) -> CallReply:
+    """
+    Return the answer for the outcome of a change.
+
+    Parameters
+    ----------
+    without_effect : Verdict
+        What a change without effect means: its queue or job is gone.
+    """
     if committed == CommitOutcome.YES:
         return CallReply(Verdict.OK)
+    if committed == CommitOutcome.NO_EFFECT:
+        return CallReply(without_effect, reason="removed by an earlier change")
     if committed == CommitOutcome.NO:
         return unavailable("leadership was lost")
     return CallReply(Verdict.UNKNOWN, reason="leadership was lost")
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -32,7 +32,7 @@
     TargetOrders,
     TargetView,
 )
-from mulberryledge_daemon.batch.scheduling_cycles import CommitOutcome, SchedulingCycles
+from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
 __all__ = ["Leadership", "SessionTiming", "TargetSession"]
 
@@ -341,7 +341,7 @@
             self.leader.cycles.wake()
         dones = [self.leader.cycles.submit(change) for change in changes]
         outcomes = [await done for done in dones]
-        if all(outcome == CommitOutcome.YES for outcome in outcomes):
+        if all(outcome.is_durable for outcome in outcomes):
             numbers = [one.number for one in view.ended]
             self.last_seen = max([self.last_seen, *numbers])
 
