Resume all members of a gang from one checkpoint

Cause: each member was started with the checkpoint that it had left itself, and the member of the lost worker with none. Such members are not present for one another; the watchdog stopped each run and excluded the workers in turn.

The members now resume from the checkpoint of the latest run that left any, chosen from the replicated state.

The scenarios in features/batch/machine.feature can't pass before, as nothing chose one value for a gang.

--- a/features/batch/machine.feature
+++ b/features/batch/machine.feature
@@ -39,6 +39,28 @@
     When the gang starts, one member fails and the others are aborted, twice
     Then the job is failed
 
+  # Guards against gangs whose members resume from different states and never work.
+  Scenario Outline: The members of a gang resume from one checkpoint when <what>
+    Given a gang of three tasks with 2 attempts, and two targets
+    When the gang starts, and its members end with checkpoints <first>
+    And it starts again, and its members end with checkpoints <second>
+    Then all members resume from "<checkpoint>"
+    And a restored replica knows the same
+
+    Examples:
+      | what                               | first       | second      | checkpoint |
+      | one member is lost without any     | none one two | none none none | one    |
+      | each member has one of its own     | one two three | none none none | one   |
+      | one member has one of an older run | one two three | none four none | four  |
+      | no member has any                  | none none none | none none none |       |
+
+  Scenario: A checkpoint of an earlier run that is listed late is not used
+    Given a gang of three tasks with 2 attempts, and two targets
+    When the gang starts, and its members end with checkpoints one none none
+    And it starts again, and its members end with checkpoints two none none
+    And the end of its first run is listed again with checkpoint "late"
+    Then all members resume from "two"
+
   Scenario: A later incarnation of a target ends the earlier one
     Given a job of two steps with two tasks each and 3 attempts, and two targets
     When task 0.0 starts on target a, which restarts as a later incarnation
--- a/features/batch/steps/machine.py
+++ b/features/batch/steps/machine.py
@@ -29,7 +29,7 @@
 from mulberryledge_core.batch.machine import BatchMachine
 from mulberryledge_core.batch.records import UpkeepPhase
 from mulberryledge_core.batch.sizes import Size
-from mulberryledge_core.batch.specs import JobSpec, Schedule, StepSpec
+from mulberryledge_core.batch.specs import JobSpec, Schedule, StepSpec, TaskId
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_core.state.tables import Context
 
@@ -328,6 +328,37 @@
         end(context, 0, 2, RunEnd.GANG_ABORTED, run)
 
 
+def run_gang(context, run, checkpoints):
+    for index in range(3):
+        start(context, 0, index, run)
+    for index, checkpoint in enumerate(checkpoints.split()):
+        saved = "" if checkpoint == "none" else checkpoint
+        context.replica.apply(EndRun(JOB, 0, 0, index, run, RunEnd.GANG_ABORTED, saved))
+
+
+@when("the gang starts, and its members end with checkpoints {checkpoints}")
+def first_gang_run(context, checkpoints):
+    run_gang(context, 1, checkpoints)
+
+
+@when("it starts again, and its members end with checkpoints {checkpoints}")
+def second_gang_run(context, checkpoints):
+    run_gang(context, 2, checkpoints)
+
+
+@when('the end of its first run is listed again with checkpoint "{checkpoint}"')
+def listed_late(context, checkpoint):
+    context.replica.apply(EndRun(JOB, 0, 0, 0, 1, RunEnd.GANG_ABORTED, checkpoint))
+
+
+@then('all members resume from "{checkpoint}"')
+@then('all members resume from ""')
+def members_resume(context, checkpoint=""):
+    state = context.replica.state
+    found = {state.resumed_checkpoint(TaskId(JOB, 0, 0, index)) for index in range(3)}
+    assert found == {checkpoint}, found
+
+
 @when("task 0.0 starts on target a, which restarts as a later incarnation")
 def later_incarnation(context):
     start(context, 0, 0)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -324,8 +324,8 @@
     incarnation = task.live.pop(change.run, None)
     if incarnation is not None:
         remove_run(state, job, task_id, change.run, incarnation)
-    if change.checkpoint:
-        task.checkpoint = change.checkpoint
+    if change.checkpoint and change.run >= task.checkpoint_run:
+        task.checkpoint, task.checkpoint_run = change.checkpoint, change.run
     if not job.ended:
         record_task_outcome(state, job, task_id, change, incarnation)
     occurrence = job.occurrences.get(change.occurrence)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/records.py
@@ -60,12 +60,14 @@
     done : bool
         Whether a run has ended as done.
     checkpoint : str
-        Checkpoint from which the next run resumes.
+        Latest checkpoint of the task.
     avoided_incarnation : str
         Incarnation of the target on which the task failed last.
     live : dict of int to str
         Incarnations of the targets of live runs, by run number; such a run may be
         under way.
+    checkpoint_run : int
+        Number of the run that left the checkpoint.
     """
 
     run: int = 0
@@ -74,6 +76,7 @@
     checkpoint: str = ""
     avoided_incarnation: str = ""
     live: dict[int, str] = field(default_factory=dict)
+    checkpoint_run: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/state.py
@@ -170,6 +170,17 @@
             return None
         return step.tasks[task_id.index]
 
+    def resumed_checkpoint(self, task_id: TaskId) -> str:
+        """
+        Return the checkpoint from which a task in progress resumes, empty for none.
+
+        All members of a gang resume from the same one, the latest of any member.
+        """
+        step, task = self.step(task_id.step_id), self.task(task_id)
+        if self.spec_of(task_id.step_id).gang:
+            task = max(step.tasks, key=lambda member: member.checkpoint_run)
+        return task.checkpoint
+
     def live_runs(self, incarnation: str) -> dict[RunKey, Size]:
         """Return the live runs of an incarnation."""
         return self.runs.get(incarnation, {})
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -428,7 +428,8 @@
         ticket = ""
         if self.tickets is not None:
             ticket = self.tickets.text(task_id.step_id, change.incarnation, self.now())
-        session.start(task_id, change.run, job.spec.body, task.checkpoint, ticket)
+        checkpoint = self.state.resumed_checkpoint(task_id)
+        session.start(task_id, change.run, job.spec.body, checkpoint, ticket)
 
     def stop_unwanted(self) -> None:
         """Stop the runs that are no longer wanted."""
