Count a long-running task as away while a stop of it may take effect

Cause: the budget took a task for at work as soon as a list showed it at full progress, unless this leader had sent a stop in the last 0.5 s. A new leader knew no stops of the one before, which take up to 0.4 s; a stop that takes longer to be listed, or a leader that was paused right after it, let the task count again.

A task now counts as at work only by a list that was requested 0.5 s or more after the target first answered this leader, when each stop of an earlier one has taken effect or is fenced off; that is not older than 3 s; and that was requested later after the last stop than a late order can act. A stop that was not sent doesn't count.

Evidence: the checker at the simulated targets now checks the budget at each stop.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -35,6 +35,7 @@
       | hanging target            |
       | slow targets              |
       | wave                      |
+      | wave beside hand-overs    |
       | lost answers of the cloud |
       | silent cloud              |
       | cancelled jobs            |
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -46,6 +46,10 @@
     OrderOutcome.NOT_SENT,
 )
 STOP_RETRY_MS = 500  # the platform specifies 0.2 to 0.4 s for a stop
+LATE_STOP_MS = 12_500  # after which a stop without effect can't take effect any more
+MAX_LIST_AGE_MS = 3_000  # a list is requested each second, and may take 1.35 s
+AT_WORK_PERCENT = 100
+NEVER_MS = -1_000_000
 
 logger = logging.getLogger(__name__)
 
@@ -128,6 +132,8 @@
         Whether the outcome of the start is unknown.
     stop_sent_ms : int
         When a stop was last sent.
+    stop_may_act_ms : int
+        When the last stop was sent that may take effect.
     percent, percent_since_ms : int
         Progress by the latest list, and when this value was first listed.
     listed_ms : int
@@ -138,7 +144,8 @@
     started_ms: int = 0
     accepted_ms: int | None = None
     unanswered: bool = False
-    stop_sent_ms: int = -1_000_000
+    stop_sent_ms: int = NEVER_MS
+    stop_may_act_ms: int = NEVER_MS
     percent: int = -1
     percent_since_ms: int = 0
     listed_ms: int = 0
@@ -168,6 +175,8 @@
         Number of the last end that the target was told is durable.
     listed : dict of RunKey to ListedRun
         Runs of the latest list.
+    list_sent_ms, first_list_ms : int
+        When the latest list was requested, and when the first one arrived.
     health : Health
         Outcomes of the target's runs.
     missed_calls : int
@@ -201,6 +210,7 @@
         self.acked_end = 0
         self.view_clock_ms = -1
         self.listed: dict[RunKey, ListedRun] = {}
+        self.list_sent_ms = self.first_list_ms = NEVER_MS
         self.health = Health()
         self.missed_calls = 0
         self.renewed_ms: int | None = None
@@ -332,7 +342,10 @@
             return
         self.view_clock_ms = view.clock_ms
         self.listed = {(one.task, one.run): one for one in view.running}
+        self.list_sent_ms = sent_ms
         first_view = not self.confirmed
+        if first_view:
+            self.first_list_ms = now
         self.confirmed = True
         self.report_ends(view, now)
         changes = self.changes_from(view, sent_ms)
@@ -401,7 +414,7 @@
             tracked.percent, tracked.percent_since_ms = percent, tracked.listed_ms
             spec = self.leader.state.spec_of(key[0].step_id)
             is_trial = self.health.is_trial(tracked.started_ms)
-            if spec.long_running and percent == 100 and is_trial:
+            if spec.long_running and percent == AT_WORK_PERCENT and is_trial:
                 self.health.on_success()
 
     def end_of_unlisted(
@@ -559,6 +572,24 @@
             return False
         return self.leader.now() - tracked.stop_sent_ms < STOP_RETRY_MS
 
+    def works(self, key: RunKey) -> bool:
+        """
+        Return whether a long-running run is certain to be at work.
+
+        A stop may take effect after its answer, or without one; this leader knows none
+        of the stops by earlier leaders, which have taken effect or never will shortly
+        after the target has seen this leader's fencing token.
+        """
+        listed, tracked = self.listed.get(key), self.tracked_runs.get(key)
+        if listed is None or tracked is None or self.silent_since_ms is not None:
+            return False
+        return (
+            listed.percent >= AT_WORK_PERCENT
+            and self.leader.now() - self.list_sent_ms <= MAX_LIST_AGE_MS
+            and self.list_sent_ms - self.first_list_ms >= STOP_RETRY_MS
+            and self.list_sent_ms - tracked.stop_may_act_ms >= LATE_STOP_MS
+        )
+
     def stop(self, key: RunKey) -> None:
         """Send a stop."""
         if self.closed or not self.leader.may_order():
@@ -568,12 +599,15 @@
             tracked = self.tracked_runs[key] = TrackedRun(0, accepted_ms=0)
         tracked.stop_sent_ms = self.leader.now()
         order = StopOrder(key[0], key[1], self.leader.fence)
-        stopped: Deferred = ensureDeferred(self.order_stop(order))
+        stopped: Deferred = ensureDeferred(self.order_stop(order, tracked))
         stopped.addErrback(self.on_error)
 
-    async def order_stop(self, order: StopOrder) -> None:
+    async def order_stop(self, order: StopOrder, tracked: TrackedRun) -> None:
         """Send a stop; the lists show when it has taken effect."""
+        former_ms, tracked.stop_may_act_ms = tracked.stop_may_act_ms, self.leader.now()
         answer = await self.leader.orders.stop(self.target, order)
+        if answer.outcome == OrderOutcome.NOT_SENT:
+            tracked.stop_may_act_ms = former_ms
         if not self.closed and answer.outcome == OrderOutcome.FENCED:
             self.leader.on_fenced(self.target)
         self.wake()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -31,7 +31,6 @@
 __all__ = ["WaveController"]
 
 RETRY_S = 0.5  # before an order that was not carried out is repeated
-AT_WORK_PERCENT = 100
 RETURN_MARGIN_MS = 1_000  # beyond the duration of an upkeep
 LOST_MARGIN_MS = 4_000  # the same, for a host whose target should have announced itself
 
@@ -265,14 +264,7 @@
         )
 
     def at_work(self, key: RunKey) -> bool:
-        """Return whether a long-running task is at work by the latest list."""
+        """Return whether a long-running task is certain to be at work."""
         task = self.state.task(key[0])
         session = self.scheduler.sessions.get(task.live.get(key[1], ""))
-        if session is None or session.silent_since_ms is not None:
-            return False
-        listed = session.listed.get(key)
-        return (
-            listed is not None
-            and listed.percent >= AT_WORK_PERCENT
-            and not session.is_stopping(key)
-        )
+        return session is not None and session.works(key)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -18,6 +18,8 @@
 DURATION_FACTOR = 5.0
 JUMP_MS = 2_000
 WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
+HAND_OVERS, HAND_OVER_INTERVAL_S = 6, 1.3
+STOP_POLL_S = 0.01
 TIGHT_SHARE, TIGHT_S, TIGHT_LIMIT = 0.5, 25.0, 3
 
 
@@ -106,6 +108,29 @@
     day.begin_wave(number, TIGHT_SHARE, TIGHT_S, TIGHT_LIMIT)
 
 
+def wave_beside_hand_overs(day: Day) -> None:
+    """Request a wave, and change the leader while stops of tasks take effect."""
+    wave(day)
+    hand_over_at_stop(day, HAND_OVERS)
+
+
+def hand_over_at_stop(day: Day, remaining: int) -> None:
+    """Let another daemon lead once a target stops a run, so many times."""
+    stopping = any(
+        run.stopping
+        for target in day.fleet.targets.values()
+        for run in target.running.values()
+    )
+    delay_s = STOP_POLL_S
+    if stopping and day.log.leader:
+        others = [name for name in DAEMONS if name != day.log.leader]
+        day.log.elect(day.random.choice(others))
+        remaining -= 1
+        delay_s = HAND_OVER_INTERVAL_S
+    if remaining:
+        day.at(delay_s, hand_over_at_stop, day, remaining)
+
+
 def lose_answers(day: Day) -> None:
     """Lose the cloud's answers to the next orders."""
     day.fleet.cloud.lost_answers += 5
@@ -167,6 +192,7 @@
     "slow targets": slow,
     "wave": wave,
     "tight wave": tight_wave,
+    "wave beside hand-overs": wave_beside_hand_overs,
     "lost answers of the cloud": lose_answers,
     "silent cloud": silence_cloud,
     "cancelled jobs": cancel_jobs,
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -16,6 +16,8 @@
 
 EARLY_MS = 250
 MAX_HARM_S = 4.0
+STARTUP_S = 0.7  # until a long-running task works
+NOTICE_S = 4.5  # after which a task that doesn't work counts against its step's budget
 
 
 class InvariantChecker:
@@ -48,6 +50,8 @@
         self.starts = 0
         self.gang_timeouts: list[str] = []
         self.above_bound_since_s: dict[tuple[TaskId, int], float] = {}
+        self.stopped: set[TaskId] = set()
+        self.last_end_s: dict[TaskId, float] = {}
 
     def problem(self, text: str) -> None:
         """Record a violated invariant."""
@@ -163,13 +167,42 @@
         if self.team_used[team].cpu_millis > max_cpu_millis:
             self.problem(f"team {team} exceeds its upper limit")
 
+    def check_budget(self, target, task: TaskId, spec) -> None:
+        """Check that the stop of a task that works leaves enough others at work."""
+        unsound = target.target.draining or target.behaviour.hangs
+        if unsound or task.job_id in self.cancelled or not self.works(task):
+            return
+        others = (task._replace(index=index) for index in range(spec.count))
+        away = [other for other in others if other != task and self.is_away(other)]
+        if len(away) >= spec.max_unavailable:
+            self.problem(f"{task} is stopped while {len(away)} others are away")
+
+    def works(self, task: TaskId) -> bool:
+        """Return whether a long-running task has a run that has started up."""
+        started_s = self.last_start_s.get(task, self.clock.seconds())
+        return bool(self.live[task]) and self.clock.seconds() - started_s >= STARTUP_S
+
+    def is_away(self, task: TaskId) -> bool:
+        """Return whether a task counts against the budget of its step."""
+        if self.works(task):
+            self.stopped.discard(task)
+            return False
+        now = self.clock.seconds()
+        return task in self.stopped or now - self.last_end_s.get(task, now) >= NOTICE_S
+
     def on_end(self, target, task: TaskId, run: int, how: RunEnd) -> None:
         """Record an end."""
-        self.live[task].discard((target.target.incarnation, run))
         job = self.submitted.get(task.job_id)
+        spec = None if job is None else job.spec.steps[task.step]
+        if spec is not None and spec.long_running and self.works(task):
+            self.stopped.discard(task)
+            if how == RunEnd.STOPPED and spec.max_unavailable is not None:
+                self.check_budget(target, task, spec)
+                self.stopped.add(task)
+        self.last_end_s[task] = self.clock.seconds()
+        self.live[task].discard((target.target.incarnation, run))
         if job is None:
             return
-        spec = job.spec.steps[task.step]
         if job.team:
             self.team_used[job.team].add(spec.size, -1)
         if how == RunEnd.DONE:
