--- a/features/log/disk.feature
+++ b/features/log/disk.feature
@@ -88,3 +88,9 @@
     Given a daemon alone with pool "before" and a disk that fills up
     When a daemon of a later release proposes a command that is not known yet
     Then the proposer is told "unknown command 'FromTheFuture': upgrade this daemon first"
+
+  Scenario: A crash between a leader's snapshot and its log keeps no entry that it replaced
+    Given 5 records are written
+    When the disk fails at operation 3 of writing a leader's snapshot at 3
+    And the folder is opened again
+    Then a daemon begins at entry 3, without the replaced ones
--- a/features/log/steps/disk.py
+++ b/features/log/steps/disk.py
@@ -23,6 +23,7 @@
     HardState,
     Snapshot,
 )
+from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_daemon.log import invariant_guard
 from mulberryledge_daemon.log.disk import Disk
 from mulberryledge_daemon.log.frames import LogRecord, encode_frame
@@ -218,6 +219,25 @@
             assert error.errno == errno.EIO
 
 
+@when("the disk fails at operation {operation:d} of writing a leader's snapshot at 3")
+def step_fail_leader_snapshot(context, operation):
+    disk = FaultyDisk()
+    with open_storage(context.folder, "v1", disk) as storage:
+        disk.left = operation
+        snapshot = Snapshot(3, 2, 30, data=b"state")
+        try:
+            storage.write_snapshot(snapshot, LogRecord(HardState(2)))
+            raise AssertionError("the disk did not fail")
+        except OSError as error:
+            assert error.errno == errno.EIO
+
+
+@then("a daemon begins at entry {index:d}, without the replaced ones")
+def step_begins_at(context, index):
+    log = EntryLog(context.storage.snapshot, context.storage.entries)
+    assert (log.last_index, log.last_term) == (index, 2), log.entries
+
+
 @then("entries {first:d} to {last:d} are covered")
 def step_covered(context, first, last):
     storage = context.storage
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/storage.py
@@ -108,6 +108,7 @@
         self.log_bytes = found.intact_bytes
         for batch in found.records:
             self.replay(batch)
+        self.entries = entries_after(self.snapshot, self.entries)
 
     def load_snapshot(self) -> None:
         """Read the snapshot if there is one."""
@@ -133,8 +134,7 @@
         for entry in batch.entries:
             while self.entries and self.entries[-1].index >= entry.index:
                 self.entries.pop()
-            if entry.index > self.snapshot.index:
-                self.entries.append(entry)
+            self.entries.append(entry)
 
     def write(self, batch: LogRecord) -> None:
         """
@@ -195,6 +195,20 @@
             os.close(self.descriptor)
 
 
+def entries_after(snapshot: Snapshot, entries: list[Entry]) -> list[Entry]:
+    """
+    Return the entries of the log file that follow the snapshot.
+
+    After a crash between the two files the log is older than the snapshot. If its
+    entry at the snapshot's index is another one, the snapshot replaced it with all
+    that follow.
+    """
+    for entry in entries:
+        if entry.index == snapshot.index and entry.term != snapshot.term:
+            return []
+    return [entry for entry in entries if entry.index > snapshot.index]
+
+
 def is_disk_full(error: OSError) -> bool:
     """Return whether disk space, a quota or the file size is exhausted."""
     return error.errno in DISK_FULL_ERRNOS
