Log: a write that fails for no reason of the disk stops the process

What callers saw: nothing known. A daemon whose writer raised anything but OSError (out of memory, a fault of our own) logged "writer failed" and went on: it counted as a sound voter, started no later write, answered no append or vote, and did not end at SIGTERM, as stop() waits for the write in progress. Cause: the writer stays busy, as only OSError is handled, and storage_ok stays true. Why the fix works: it ends as after any broken invariant; the platform starts it again, and it reads what is on its disk. Whether the entry of KNOWN-RED.txt on a daemon that did not end had this cause isn't known.

--- a/features/log/disk.feature
+++ b/features/log/disk.feature
@@ -94,3 +94,9 @@
     When the disk fails at operation 3 of writing a leader's snapshot at 3
     And the folder is opened again
     Then a daemon begins at entry 3, without the replaced ones
+
+  Scenario: A write that fails for no reason of the disk stops the process, not only its votes
+    Given a daemon alone with pool "before" and a disk that fills up
+    And the disk has room again
+    When a write raises what is no error of the disk
+    Then the process ends with code 70 and the log says "invariant broken: stopping"
--- a/features/log/steps/disk.py
+++ b/features/log/steps/disk.py
@@ -9,7 +9,7 @@
 from unittest.mock import patch
 
 import cbor2
-from behave import given, then, when
+from behave import given, step, then, when
 from result import Err
 from twisted.internet.defer import Deferred, ensureDeferred, maybeDeferred
 from twisted.internet.task import Clock
@@ -370,6 +370,16 @@
         log.tick()
 
 
+@when("a write raises what is no error of the disk")
+def step_break_write(context):
+    context.codes = []
+    log = context.alone.log
+    raising = patch.object(context.disk, "append", side_effect=ValueError("broken"))
+    with patch.object(invariant_guard.os, "_exit", context.codes.append), raising:
+        ensureDeferred(log.propose(CreatePool("after")))
+        context.alone.advance(0.5)
+
+
 @then('the process ends with code {code:d} and the log says "{message}"')
 def step_ended(context, code, message):
     assert context.codes == [code], context.codes
@@ -383,7 +393,7 @@
     assert context.alone.log.status().disk == "full"
 
 
-@when("the disk has room again")
+@step("the disk has room again")
 def step_room(context):
     context.disk.full = False
     context.alone.advance(3.0)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/writer.py
@@ -15,6 +15,7 @@
 from mulberryledge_core.consensus.effects import Persist, Rewrite, Send
 from mulberryledge_core.consensus.entries import HardState
 from mulberryledge_daemon.log.frames import LogRecord
+from mulberryledge_daemon.log.invariant_guard import exit_on_exception
 from mulberryledge_daemon.log.storage import Storage, is_disk_full
 
 __all__ = ["Writer", "WriterEvents"]
@@ -98,7 +99,7 @@
         written.addCallbacks(
             self.on_written, self.on_write_failed, callbackArgs=(batch,)
         )
-        written.addErrback(log_failure)
+        written.addErrback(stop_process)
 
     def on_written(self, last: tuple[int, int] | None, batch: SyncBatch) -> None:
         """Send the messages that waited for the sync, and start the next one."""
@@ -188,6 +189,7 @@
     return None
 
 
-def log_failure(failure) -> None:
-    """Log a failure other than a disk error."""
-    logger.critical("writer failed", extra={"failure": failure.getTraceback()})
+def stop_process(failure) -> None:
+    """Stop: after a failure other than a disk error, no later write would start."""
+    with exit_on_exception():
+        failure.raiseException()
