--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/world.py
@@ -5,7 +5,7 @@
 Members of one cluster over a simulated network and disks, in virtual time.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -49,6 +49,11 @@
     entries: dict[int, Entry] = field(default_factory=dict)
     commit: int = 0
 
+    def write_all(self, effects: Iterable[Persist | Rewrite]) -> None:
+        """Store writes in order."""
+        for effect in effects:
+            self.write(effect)
+
     def write(self, effect: Persist | Rewrite) -> None:
         """Store one write."""
         self.hard_state = effect.hard_state
@@ -108,10 +113,16 @@
     ----------
     seed : int
         Seed of the only random generator.
+    standby : tuple of str
+        Members with a disk that do not vote at first.
     """
 
     def __init__(
-        self, seed: int, defects: Defects | None = None, standby: tuple[str, ...] = ()
+        self,
+        seed: int,
+        defects: Defects | None = None,
+        standby: tuple[str, ...] = (),
+        names: tuple[str, ...] = NAMES,
     ):
         self.standby = standby
         self.random = Random(seed)
@@ -131,9 +142,9 @@
         self.sequence = 0
         self.proposed: set[int] = set()
         self.genesis = Configuration(
-            tuple(Member(name, folder=name * (name in VOTERS)) for name in NAMES)
+            tuple(Member(name, folder=name * (name in VOTERS)) for name in names)
         )
-        self.members = {name: self.make_member(name) for name in NAMES}
+        self.members = {name: self.make_member(name) for name in names}
         for member in self.members.values():
             self.start(member)
 
@@ -141,10 +152,14 @@
         """Return a stopped member; voters and standbys have a disk."""
         disk = None
         if name in VOTERS or name in self.standby:
-            disk = SimulatedDisk(name, snapshot=Snapshot(members=self.genesis))
+            disk = self.make_disk(name, name)
         rate = self.random.uniform(1 - MAX_CLOCK_DRIFT, 1 + MAX_CLOCK_DRIFT)
         return SimulatedMember(name, disk, rate, self.random.uniform(0, 1e6))
 
+    def make_disk(self, name: str, folder: str) -> SimulatedDisk:
+        """Return the disk of a member with an empty folder of this identity."""
+        return SimulatedDisk(folder, snapshot=Snapshot(members=self.genesis))
+
     def after(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Schedule an action."""
         heappush(
@@ -208,8 +223,7 @@
         member.node = None
         member.paused_until = 0.0
         if member.disk is not None and self.random.random() < 0.5:
-            for effect in member.queue:
-                member.disk.write(effect)
+            member.disk.write_all(member.queue)
         self.after(
             self.random.uniform(1, self.restart_after_ms), lambda: self.start(member)
         )
@@ -220,7 +234,7 @@
         folder = f"{member.name}{next(self.event_numbers)}"
         if self.defects.wiped_keeps_name:
             folder = member.disk.folder
-        member.disk = SimulatedDisk(folder, snapshot=Snapshot(members=self.genesis))
+        member.disk = self.make_disk(member.name, folder)
 
     def pause(self, member: SimulatedMember, duration_ms: float) -> None:
         """Suspend a member."""
@@ -311,8 +325,7 @@
             self.crash(member)
             return
         done, member.queue = member.queue[:written], member.queue[written:]
-        for effect in done:
-            member.disk.write(effect)
+        member.disk.write_all(done)
         member.syncing = False
         if self.random.random() < self.crash_on_sync:
             self.crash(member)
@@ -344,8 +357,8 @@
 
     def deliver(self, sender: str, effect: Send) -> None:
         """Deliver a message to its receiver."""
-        member = self.members[effect.to]
-        if (sender, effect.to) in self.blocked or member.node is None:
+        member = self.members.get(effect.to)
+        if (sender, effect.to) in self.blocked or member is None or member.node is None:
             return
 
         def receive() -> None:
