--- a/features/log/steps/disk.py
+++ b/features/log/steps/disk.py
@@ -9,7 +9,7 @@
 from unittest.mock import patch
 
 import cbor2
-from behave import given, then, when
+from behave import given, step, then, when
 from result import Err
 from twisted.internet.defer import Deferred, ensureDeferred, maybeDeferred
 from twisted.internet.task import Clock
@@ -23,6 +23,7 @@
     HardState,
     Snapshot,
 )
+from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_daemon.log import invariant_guard
 from mulberryledge_daemon.log.disk import Disk
 from mulberryledge_daemon.log.frames import LogRecord, encode_frame
@@ -218,6 +219,25 @@
             assert error.errno == errno.EIO
 
 
+@when("the disk fails at operation {operation:d} of writing a leader's snapshot at 3")
+def step_fail_leader_snapshot(context, operation):
+    disk = FaultyDisk()
+    with open_storage(context.folder, "v1", disk) as storage:
+        disk.left = operation
+        snapshot = Snapshot(3, 2, 30, data=b"state")
+        try:
+            storage.write_snapshot(snapshot, LogRecord(HardState(2)))
+            raise AssertionError("the disk did not fail")
+        except OSError as error:
+            assert error.errno == errno.EIO
+
+
+@then("a daemon begins at entry {index:d}, without the replaced ones")
+def step_begins_at(context, index):
+    log = EntryLog(context.storage.snapshot, context.storage.entries)
+    assert (log.last_index, log.last_term) == (index, 2), log.entries
+
+
 @then("entries {first:d} to {last:d} are covered")
 def step_covered(context, first, last):
     storage = context.storage
@@ -350,6 +370,16 @@
         log.tick()
 
 
+@when("a write raises what is no error of the disk")
+def step_break_write(context):
+    context.codes = []
+    log = context.alone.log
+    raising = patch.object(context.disk, "append", side_effect=ValueError("broken"))
+    with patch.object(invariant_guard.os, "_exit", context.codes.append), raising:
+        ensureDeferred(log.propose(CreatePool("after")))
+        context.alone.advance(0.5)
+
+
 @then('the process ends with code {code:d} and the log says "{message}"')
 def step_ended(context, code, message):
     assert context.codes == [code], context.codes
@@ -363,7 +393,7 @@
     assert context.alone.log.status().disk == "full"
 
 
-@when("the disk has room again")
+@step("the disk has room again")
 def step_room(context):
     context.disk.full = False
     context.alone.advance(3.0)
