Call a target that has live runs and no call under way

What callers saw: a job whose task neither runs nor waits, until another start happens to go to the same target (LOST: nothing running, though there is capacity).

Cause: a session calls its target only while it knows of live runs when it looks. A start can become live without a call: its change set is applied after the leader lost its quorum lease and regained it in the same term and the new sessions have settled; the orders of a change set are interrupted by an error; or the lease is lost for less than a tick while the orders are made. Nothing looked at such a session again.

The new log line "start not ordered by this session" names the job if it happens.

--- /dev/null
+++ b/features/batch/starts.feature
@@ -0,0 +1,17 @@
+Feature: Every durable start is ordered, or ends so that its task starts again
+
+  # Guards against tasks that neither run nor wait, on a leader that stays in its term.
+  Scenario Outline: A job ends although <what>
+    Given an idle fleet on which <what>
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And 4 seconds pass on the fleet
+    Then the job has ended
+    And no invariant was violated on the fleet
+    And each run was started on the target that the log names
+
+    Examples:
+      | what                                                                     |
+      | starts are committed 0.5 seconds after the leader has regained its lease |
+      | starts are committed 5 ms after the leader has regained its lease        |
+      | an error interrupts the orders of a change set                           |
+      | the leader has no lease while it orders starts                           |
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -409,8 +409,11 @@
     ) -> RunEnd | None:
         """Return the end of a run that is not listed, None if undetermined."""
         tracked = self.tracked_runs.get(key)
-        if tracked is None:
-            return RunEnd.REFUSED  # a start by an earlier leader is fenced off by now
+        if tracked is None:  # a start by an earlier leader is fenced off by now
+            extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
+            extra |= {"target": self.incarnation, "fence": self.leader.fence}
+            logger.warning("start not ordered by this session", extra=extra)
+            return RunEnd.REFUSED
         if tracked.accepted_ms is not None:
             return RunEnd.LEASE_EXPIRED if tracked.accepted_ms < sent_ms else None
         if tracked.unanswered and clock_ms > tracked.deadline_ms:
@@ -444,11 +447,16 @@
         self.sleep(delay_ms)
 
     def check_idle(self, now: int) -> None:
-        """Call an idle target whose announcements have stopped."""
+        """
+        Call an idle target whose announcements have stopped or that has live runs.
+
+        A start may be committed without a call: its change set may be applied after
+        the leader has lost its lease and regained it, or its order may have failed.
+        """
         silence_ms = now - self.last_contact_ms
         if self.silent_since_ms is None and silence_ms > self.timing.idle_call_ms:
             self.silent_since_ms = now
-            self.wake()
+        self.wake()
 
     def end_incarnation(self, why: str) -> None:
         """Record that this incarnation has ended."""
