Resolve a start whose order raised an error by the next list

What callers saw: a job whose task is live for ever on a target that doesn't run it.

Cause: an order that raises leaves its run tracked as neither confirmed nor unanswered, and such a run is never taken for ended, however often the lists don't show it. The error handler of renewals, used for orders too, also reset the mark of a call in progress, so that two renewals ran side by side.

Why it works: the error is logged with the job, and the outcome counts as unknown, which a list made after the start's deadline decides.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -481,7 +481,7 @@
     ) -> None:
         """Send the order for a durable start."""
         started = ensureDeferred(self.order_start(task, run, body, checkpoint, ticket))
-        started.addErrback(self.on_error)
+        started.addErrback(self.on_order_error, (task, run))
 
     async def order_start(
         self, task: TaskId, run: int, body: str, checkpoint: str, ticket: str
@@ -533,6 +533,16 @@
             tracked.unanswered = True
         self.wake()
 
+    def on_order_error(self, failure, key: RunKey) -> None:
+        """Log an unexpected error; the lists show what became of the order."""
+        extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
+        extra |= {"target": self.incarnation, "failure": failure.getTraceback()}
+        logger.critical("order failed", extra=extra)
+        tracked = self.tracked_runs.get(key)
+        if tracked is not None and tracked.accepted_ms is None:
+            tracked.unanswered = True
+        self.wake()
+
     def due_stops(self) -> list[RunKey]:
         """Return the unwanted runs to which a stop must be sent now."""
         now = self.leader.now()
@@ -577,7 +587,7 @@
         tracked.stop_sent_ms = self.leader.now()
         order = StopOrder(key[0], key[1], self.leader.fence)
         stopped: Deferred = ensureDeferred(self.order_stop(order))
-        stopped.addErrback(self.on_error)
+        stopped.addErrback(self.on_order_error, key)
 
     async def order_stop(self, order: StopOrder) -> None:
         """Send a stop; the lists show when it has taken effect."""
