Repeat the end of a refused start until it is committed

What callers saw: a job whose task is live for ever although its target refused it.

Cause: the end that follows a refusal was submitted once and its outcome not looked at. If that change set isn't committed, the run is neither confirmed nor unanswered, and a run in that state is never taken for ended.

Evidence: "the end of a refused start can't be committed at first" in features/batch/starts.feature; on the code before, the job was still running after 4 s.

Why it works: each start that isn't confirmed, refused ones too, is decided by a list made after its deadline. A second end of the same run changes nothing. The field is renamed to unconfirmed, which is what it says now.

Looked for elsewhere: ends from lists are listed again until they are committed, lapses and announcements are repeated, upkeep marks have a scenario.

--- a/features/batch/starts.feature
+++ b/features/batch/starts.feature
@@ -15,4 +15,5 @@
       | starts are committed 5 ms after the leader has regained its lease        |
       | an error interrupts the orders of a change set                           |
       | the first order of a start raises an error                               |
+      | the end of a refused start can't be committed at first                   |
       | the leader has no lease while it orders starts                           |
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -124,8 +124,8 @@
         When the start was ordered, or the run was first listed.
     accepted_ms : int or None
         When the target confirmed the start.
-    unanswered : bool
-        Whether the outcome of the start is unknown.
+    unconfirmed : bool
+        Whether the start was answered by a refusal, or not at all.
     stop_sent_ms : int
         When a stop was last sent.
     percent, percent_since_ms : int
@@ -137,7 +137,7 @@
     deadline_ms: int
     started_ms: int = 0
     accepted_ms: int | None = None
-    unanswered: bool = False
+    unconfirmed: bool = False
     stop_sent_ms: int = -1_000_000
     percent: int = -1
     percent_since_ms: int = 0
@@ -394,7 +394,7 @@
             self.tracked_runs[key] = tracked
         if tracked.accepted_ms is None:
             tracked.accepted_ms = sent_ms
-            tracked.unanswered = False
+            tracked.unconfirmed = False
         percent = self.listed[key].percent
         tracked.listed_ms = self.leader.now()
         if percent != tracked.percent:
@@ -416,7 +416,7 @@
             return RunEnd.REFUSED
         if tracked.accepted_ms is not None:
             return RunEnd.LEASE_EXPIRED if tracked.accepted_ms < sent_ms else None
-        if tracked.unanswered and clock_ms > tracked.deadline_ms:
+        if tracked.unconfirmed and clock_ms > tracked.deadline_ms:
             return RunEnd.REFUSED
         return None
 
@@ -516,6 +516,7 @@
                 tracked.accepted_ms = self.leader.now()
             self.wake()
             return
+        tracked.unconfirmed = True  # the lists decide if what is submitted here is lost
         extra = {"job": task.job_id, "task": task[1:], "run": run}
         extra |= {"target": self.incarnation, "outcome": outcome}
         logger.warning("start not confirmed", extra=extra)
@@ -529,8 +530,6 @@
             self.leader.on_fenced(self.target)
         elif outcome == OrderOutcome.OTHER_INCARNATION:
             self.end_incarnation("another incarnation answers")
-        else:
-            tracked.unanswered = True
         self.wake()
 
     def on_order_error(self, failure, key: RunKey) -> None:
@@ -540,7 +539,7 @@
         logger.critical("order failed", extra=extra)
         tracked = self.tracked_runs.get(key)
         if tracked is not None and tracked.accepted_ms is None:
-            tracked.unanswered = True
+            tracked.unconfirmed = True
         self.wake()
 
     def due_stops(self) -> list[RunKey]:
