Order a start only on the target that the log names

What callers saw: a task that runs twice, once on a target that the log doesn't name; there it is stopped as a stray run, or ends first and its end is not noted.

Cause: before an order, the number of the run was compared with the log, not its target. After a change set whose outcome counted as unknown and that is applied later, the next one has the same numbers, perhaps with other targets. Its starts are void, but ordered.

Evidence: "starts are committed after their outcome counted as unknown" in features/batch/starts.feature.

Why it works: the void start is not ordered, and logged; the recorded one is found by the list of its target, as not ordered, and its task starts again.

--- a/features/batch/starts.feature
+++ b/features/batch/starts.feature
@@ -16,4 +16,5 @@
       | an error interrupts the orders of a change set                           |
       | the first order of a start raises an error                               |
       | the end of a refused start can't be committed at first                   |
+      | starts are committed after their outcome counted as unknown              |
       | the leader has no lease while it orders starts                           |
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -422,7 +422,13 @@
         session = self.sessions.get(change.incarnation)
         task_id = TaskId(change.job_id, change.occurrence, change.step, change.index)
         task = self.state.task(task_id)
-        if session is None or task is None or change.run not in task.live:
+        if session is None or task is None:
+            return
+        if task.live.get(change.run) != change.incarnation:
+            extra = {"job": change.job_id, "task": task_id[1:], "run": change.run}
+            extra |= {"target": change.incarnation}
+            extra |= {"recorded": task.live.get(change.run, "")}
+            logger.info("start was not recorded", extra=extra)
             return
         job = self.state.jobs[change.job_id]
         ticket = ""
