Wait for starts under way when a lease is regained in its term

What callers saw: a task that runs twice (TWICE).

Cause: a leader that loses its quorum lease steps down, and takes over again once it has it back, which may be in the same term. A run that a target doesn't list and that the new session hasn't ordered counts as one of an earlier leader, fenced off by now. In the same term the fencing token is the same: an order that is under way still takes effect, up to its deadline, while the task has been started elsewhere.

The fleet's log has no lease of its own; that the real log regains its lease in one term is read in consensus/leases.py and leading.py, not played.

Why it works: the latest deadline of the starts that were ordered in the term is kept when the leader steps down. The next session of the term takes such a run for ended only by a list made after that deadline. Nothing changes for a takeover in a new term.

--- a/features/batch/starts.feature
+++ b/features/batch/starts.feature
@@ -18,3 +18,12 @@
       | the end of a refused start can't be committed at first                   |
       | starts are committed after their outcome counted as unknown              |
       | the leader has no lease while it orders starts                           |
+
+  # Guards against tasks that run twice: a start under way counted as fenced off.
+  Scenario: A start is under way when the leader loses and regains its lease in one term
+    Given an idle fleet whose tasks take 2 seconds
+    And a start that arrives 0.4 seconds late, while the leader has no lease for 0.1
+    When a job of 1 tasks of 4 cores with label "" is submitted
+    And 6 seconds pass on the fleet
+    Then the job has ended
+    And no invariant was violated on the fleet
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -65,6 +65,9 @@
         When this daemon took over leadership.
     fenced_term : int
         Latest term that ended because another leader's orders were seen.
+    start_deadlines_ms : dict of str to int
+        By incarnation: latest deadline of the starts that it was ordered, on its clock,
+        when this daemon last stepped down, in ``start_deadlines_term``.
     takeover_callbacks : list of callable
         Called when this daemon takes over leadership: earlier knowledge is stale.
     tick_callbacks : list of callable
@@ -113,6 +116,8 @@
         self.term: int | None = None
         self.term_start_ms = 0
         self.fenced_term = 0
+        self.start_deadlines_ms: dict[str, int] = {}
+        self.start_deadlines_term = 0
         self.last_removal_ms = 0
         self.last_report_ms = 0
         self.last_idle_check_ms = 0
@@ -208,6 +213,8 @@
         """Open a session with each target to learn its runs, and start to plan."""
         self.term, self.term_start_ms = self.log.term, self.now()
         lease_end_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
+        if self.term != self.start_deadlines_term:
+            self.start_deadlines_ms.clear()
         for target in self.state.targets.values():
             self.open_session(target, lease_end_ms)
         extra = {"term": self.term, "targets": len(self.sessions)}
@@ -221,8 +228,10 @@
         if self.term is None:
             return
         logger.info("scheduling ends", extra={"term": self.term})
+        self.start_deadlines_term = self.term
         self.term = None
-        for session in self.sessions.values():
+        for incarnation, session in self.sessions.items():
+            self.start_deadlines_ms[incarnation] = session.max_deadline_ms
             session.close()
         self.sessions.clear()
         self.failed_on.clear()
@@ -261,7 +270,8 @@
 
     def open_session(self, target: Target, lease_end_ms: int) -> None:
         """Open a session with a target."""
-        session = TargetSession(target, self, self.timing, lease_end_ms)
+        deadline_ms = self.start_deadlines_ms.get(target.incarnation, -1)
+        session = TargetSession(target, self, self.timing, lease_end_ms, deadline_ms)
         self.sessions[target.incarnation] = session
         session.wake()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -178,6 +178,9 @@
         Limit on the delay of a list until a run ends, None for the usual one.
     throttled : bool
         Whether the fillers there work below full speed.
+    earlier_deadline_ms, max_deadline_ms : int
+        Latest deadline of the starts that were ordered under this fencing token by
+        earlier sessions, and by this one too, on the target's clock.
     """
 
     def __init__(
@@ -186,6 +189,7 @@
         leader: Leadership,
         timing: SessionTiming,
         lease_end_ms: int,
+        earlier_deadline_ms: int = -1,
     ):
         self.target = target
         self.incarnation = target.incarnation
@@ -206,6 +210,7 @@
         self.renewed_ms: int | None = None
         self.max_list_wait_ms: int | None = None
         self.throttled = False
+        self.earlier_deadline_ms = self.max_deadline_ms = earlier_deadline_ms
         self.tracked_runs: dict[RunKey, TrackedRun] = {}
         self.closed = False
         self.calling = False
@@ -407,9 +412,16 @@
     def end_of_unlisted(
         self, key: RunKey, clock_ms: int, sent_ms: int
     ) -> RunEnd | None:
-        """Return the end of a run that is not listed, None if undetermined."""
+        """
+        Return the end of a run that is not listed, None if undetermined.
+
+        A start that this session has not ordered can't take effect any more: an earlier
+        term's is fenced off, and one of this term is past its deadline.
+        """
         tracked = self.tracked_runs.get(key)
-        if tracked is None:  # a start by an earlier leader is fenced off by now
+        if tracked is None:
+            if clock_ms <= self.earlier_deadline_ms:
+                return None  # an order of an earlier session may still arrive
             extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
             extra |= {"target": self.incarnation, "fence": self.leader.fence}
             logger.warning("start not ordered by this session", extra=extra)
@@ -495,6 +507,7 @@
         self.lease_end_ms = max(
             self.lease_end_ms, self.clock.certainly_passed(deadline_ms)
         )
+        self.max_deadline_ms = max(self.max_deadline_ms, deadline_ms)
         tracked = TrackedRun(deadline_ms, started_ms=now)
         self.tracked_runs[task, run] = tracked
         fence = self.leader.fence
