--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -128,8 +128,8 @@
         When the start was ordered, or the run was first listed.
     accepted_ms : int or None
         When the target confirmed the start.
-    unanswered : bool
-        Whether the outcome of the start is unknown.
+    unconfirmed : bool
+        Whether the start was answered by a refusal, or not at all.
     stop_sent_ms : int
         When a stop was last sent.
     stop_may_act_ms : int
@@ -143,7 +143,7 @@
     deadline_ms: int
     started_ms: int = 0
     accepted_ms: int | None = None
-    unanswered: bool = False
+    unconfirmed: bool = False
     stop_sent_ms: int = NEVER_MS
     stop_may_act_ms: int = NEVER_MS
     percent: int = -1
@@ -187,6 +187,9 @@
         Limit on the delay of a list until a run ends, None for the usual one.
     throttled : bool
         Whether the fillers there work below full speed.
+    earlier_deadline_ms, max_deadline_ms : int
+        Latest deadline of the starts that were ordered under this fencing token by
+        earlier sessions, and by this one too, on the target's clock.
     """
 
     def __init__(
@@ -195,6 +198,7 @@
         leader: Leadership,
         timing: SessionTiming,
         lease_end_ms: int,
+        earlier_deadline_ms: int = -1,
     ):
         self.target = target
         self.incarnation = target.incarnation
@@ -216,6 +220,7 @@
         self.renewed_ms: int | None = None
         self.max_list_wait_ms: int | None = None
         self.throttled = False
+        self.earlier_deadline_ms = self.max_deadline_ms = earlier_deadline_ms
         self.tracked_runs: dict[RunKey, TrackedRun] = {}
         self.closed = False
         self.calling = False
@@ -407,7 +412,7 @@
             self.tracked_runs[key] = tracked
         if tracked.accepted_ms is None:
             tracked.accepted_ms = sent_ms
-            tracked.unanswered = False
+            tracked.unconfirmed = False
         percent = self.listed[key].percent
         tracked.listed_ms = self.leader.now()
         if percent != tracked.percent:
@@ -420,13 +425,23 @@
     def end_of_unlisted(
         self, key: RunKey, clock_ms: int, sent_ms: int
     ) -> RunEnd | None:
-        """Return the end of a run that is not listed, None if undetermined."""
+        """
+        Return the end of a run that is not listed, None if undetermined.
+
+        A start that this session has not ordered can't take effect any more: an earlier
+        term's is fenced off, and one of this term is past its deadline.
+        """
         tracked = self.tracked_runs.get(key)
         if tracked is None:
-            return RunEnd.REFUSED  # a start by an earlier leader is fenced off by now
+            if clock_ms <= self.earlier_deadline_ms:
+                return None  # an order of an earlier session may still arrive
+            extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
+            extra |= {"target": self.incarnation, "fence": self.leader.fence}
+            logger.warning("start not ordered by this session", extra=extra)
+            return RunEnd.REFUSED
         if tracked.accepted_ms is not None:
             return RunEnd.LEASE_EXPIRED if tracked.accepted_ms < sent_ms else None
-        if tracked.unanswered and clock_ms > tracked.deadline_ms:
+        if tracked.unconfirmed and clock_ms > tracked.deadline_ms:
             return RunEnd.REFUSED
         return None
 
@@ -457,11 +472,16 @@
         self.sleep(delay_ms)
 
     def check_idle(self, now: int) -> None:
-        """Call an idle target whose announcements have stopped."""
+        """
+        Call an idle target whose announcements have stopped or that has live runs.
+
+        A start may be committed without a call: its change set may be applied after
+        the leader has lost its lease and regained it, or its order may have failed.
+        """
         silence_ms = now - self.last_contact_ms
         if self.silent_since_ms is None and silence_ms > self.timing.idle_call_ms:
             self.silent_since_ms = now
-            self.wake()
+        self.wake()
 
     def end_incarnation(self, why: str) -> None:
         """Record that this incarnation has ended."""
@@ -486,7 +506,7 @@
     ) -> None:
         """Send the order for a durable start."""
         started = ensureDeferred(self.order_start(task, run, body, checkpoint, ticket))
-        started.addErrback(self.on_error)
+        started.addErrback(self.on_order_error, (task, run))
 
     async def order_start(
         self, task: TaskId, run: int, body: str, checkpoint: str, ticket: str
@@ -500,6 +520,7 @@
         self.lease_end_ms = max(
             self.lease_end_ms, self.clock.certainly_passed(deadline_ms)
         )
+        self.max_deadline_ms = max(self.max_deadline_ms, deadline_ms)
         tracked = TrackedRun(deadline_ms, started_ms=now)
         self.tracked_runs[task, run] = tracked
         fence = self.leader.fence
@@ -521,6 +542,7 @@
                 tracked.accepted_ms = self.leader.now()
             self.wake()
             return
+        tracked.unconfirmed = True  # the lists decide if what is submitted here is lost
         extra = {"job": task.job_id, "task": task[1:], "run": run}
         extra |= {"target": self.incarnation, "outcome": outcome}
         logger.warning("start not confirmed", extra=extra)
@@ -534,8 +556,16 @@
             self.leader.on_fenced(self.target)
         elif outcome == OrderOutcome.OTHER_INCARNATION:
             self.end_incarnation("another incarnation answers")
-        else:
-            tracked.unanswered = True
+        self.wake()
+
+    def on_order_error(self, failure, key: RunKey) -> None:
+        """Log an unexpected error; the lists show what became of the order."""
+        extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
+        extra |= {"target": self.incarnation, "failure": failure.getTraceback()}
+        logger.critical("order failed", extra=extra)
+        tracked = self.tracked_runs.get(key)
+        if tracked is not None and tracked.accepted_ms is None:
+            tracked.unconfirmed = True
         self.wake()
 
     def due_stops(self) -> list[RunKey]:
@@ -600,7 +630,7 @@
         tracked.stop_sent_ms = self.leader.now()
         order = StopOrder(key[0], key[1], self.leader.fence)
         stopped: Deferred = ensureDeferred(self.order_stop(order, tracked))
-        stopped.addErrback(self.on_error)
+        stopped.addErrback(self.on_order_error, key)
 
     async def order_stop(self, order: StopOrder, tracked: TrackedRun) -> None:
         """Send a stop; the lists show when it has taken effect."""
