Requests of a process to the leader have numbers that no earlier process had

Cause: the numbers of requests began at 1 in each process, and a leader sends its reply to whichever process has the name now. A reply that was under way during the restart resolved the new process's request of the same number.

Evidence: by reading, then the scenario added to resends.feature; on the unchanged code the caller of the restarted entry is told OK for a request that was never delivered.

Fix: the numbers begin at one that is drawn with the session of the process, so that a late reply finds no request. The form of the messages on the wire is the same. Core machines use the same channel for their reads, which had the same fault.

--- a/features/batch/resends.feature
+++ b/features/batch/resends.feature
@@ -54,3 +54,9 @@
       | its key is withdrawn | bad-key  |
       | its queue is removed | no-queue |
       | the leader is full   | refused  |
+
+  # Guards against 200 for a job that was never accepted, after a restart of the entry.
+  Scenario: The answer to a request of an entry arrives after the entry was restarted
+    Given an idle fleet, and an entry whose first request is delayed
+    When an entry restarts, and the leader's answer to its former request arrives
+    Then the caller of the restarted entry is told nothing yet
--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -20,6 +20,7 @@
 
 LEADER, JOB = "core-1", "5c0e7a21d94b36f8"
 SPEC = JobSpec("", (StepSpec(1, Size(1_000, 64), 200),))
+SESSION = "0f" * 16
 WAIT_S = 3.0
 LATENCY_S = 0.0015
 SETTLE_S = 0.2
@@ -46,7 +47,7 @@
         self.gateway.directory = MemberDirectory(1, LEADER, Configuration())
         self.gateway.channel.send = self.deliver
         self.leader_channel = RequestChannel(
-            self.day.clock, lambda: LEADER, lambda: True, self.reply
+            self.day.clock, lambda: LEADER, lambda: True, self.reply, SESSION
         )
         admission.service.serve(self.leader_channel.serve)
         self.day.truths[JOB] = (TaskTruth(SPEC.steps[0], 1_000.0),)
@@ -191,3 +192,29 @@
 @then("the caller's job is unknown")
 def job_unknown(context):
     assert JOB not in context.fixture.day.log.machine.state.jobs
+
+
+@when("an entry restarts, and the leader's answer to its former request arrives")
+def answer_after_restart(context):
+    asks = []
+    for fixture in (context.entry, EntryFixture(context.fixture, "request")):
+        fixture.gateway.channel.send = lambda leader, ask: asks.append(ask) or True
+        fixture.call(request_message(context, "submits a job"))
+    former, _ = asks
+    restarted = fixture
+    leader_channel = RequestChannel(
+        context.entry.day.clock,
+        lambda: LEADER,
+        lambda: True,
+        lambda name, reply: restarted.gateway.channel.on_reply(reply),
+        SESSION,
+    )
+    context.fixture.service.serve(leader_channel.serve)
+    leader_channel.on_ask("entry-1", former)
+    context.entry.day.pass_time(SETTLE_S)
+    context.restarted = restarted
+
+
+@then("the caller of the restarted entry is told nothing yet")
+def nothing_told(context):
+    assert context.restarted.replies == [], context.restarted.replies
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -79,7 +79,11 @@
         )
         self.network = Network(reactor, name, handlers, random, timing=timing)
         self.channel = RequestChannel(
-            reactor, lambda: self.directory.leader, lambda: False, self.network.send
+            reactor,
+            lambda: self.directory.leader,
+            lambda: False,
+            self.network.send,
+            self.session,
         )
 
     def start(self) -> None:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/channel.py
@@ -22,6 +22,7 @@
 
 ASK_TIMEOUT_S = 40.0
 MAX_PENDING_ASKS = 10_000
+SESSION_HEX_DIGITS = 12  # of a session's identifier, in the numbers of its requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +34,15 @@
 
 
 class RequestChannel:
-    """Owns the open requests of this daemon and the handlers of its leader tasks."""
+    """
+    Owns the open requests of this daemon and the handlers of its leader tasks.
+
+    Parameters
+    ----------
+    session : str
+        Hexadecimal identifier of this process. Its requests have numbers of their own:
+        the leader may still answer those of an earlier process with the same name.
+    """
 
     def __init__(
         self,
@@ -41,6 +50,7 @@
         leader: Callable[[], str],
         is_leader: Callable[[], bool],
         send: Callable[[str, object], bool],
+        session: str,
     ):
         self.clock = clock
         self.leader = leader
@@ -48,7 +58,7 @@
         self.send = send
         self.handlers: dict[type, Callable] = {}
         self.pending: dict[int, PendingAsk] = {}
-        self.last_number = 0
+        self.last_number = int(session[:SESSION_HEX_DIGITS], base=16)
 
     def serve(self, kind: type, handler: Callable[[object], Awaitable]) -> None:
         """Register the handler of a kind of request."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -149,7 +149,11 @@
             reactor, self.session, self.send_proposal, self.machine.encode
         )
         self.channel = RequestChannel(
-            reactor, lambda: self.node.leader, self.is_leader, self.network.send
+            reactor,
+            lambda: self.node.leader,
+            self.is_leader,
+            self.network.send,
+            self.session,
         )
         self.in_force_waiter = InForceWaiter(reactor, self.channel, self.node, self.now)
         self.reads = LinearizableReads(
