An entry ends after its last reply has left it, and logs what it cuts off

Cause: a stop waited until no handler was running. A reply counted as given once it was handed to the connection, whose buffer went with the process, and a request of which only a part had been read didn't count at all.

Fix: the stop closes idle connections and waits until all are closed, which a connection is only once its last reply has left the process, or until the deadline that it had. What is still open then is logged with the path (which holds the job) and the unsent bytes.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -10,3 +10,23 @@
     When a new connection brings a request while the process is blocked, and it stops listening
     Then the request is answered
     And new connections are refused
+
+  # Guards against replies that are written and dropped with the process.
+  Scenario: A caller reads a large reply slowly while the entry stops
+    Given an entry that gives large replies
+    When it stops after a request of a caller that reads 3.5 seconds later
+    Then the caller gets the whole reply
+    And the stop is over before the grace period
+
+  # Guards against a connection that is closed under a request which is being received.
+  Scenario: A request arrives in two parts while the entry stops
+    Given an entry that takes 0.4 seconds to answer
+    When it stops while a caller sends a request from second 2 to 3.2
+    Then the caller gets 1 reply
+
+  # Guards against replies that are cut off without a record of it.
+  Scenario: A caller does not read its reply at all while the entry stops
+    Given an entry that gives large replies
+    When it stops after a request of a caller that reads 6 seconds later
+    Then the stop is over before the grace period
+    And the log names the request that was cut off, and how much of its reply was left
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -44,6 +44,10 @@
             return
         super().handleContentChunk(data)
 
+    def process(self) -> None:  # noqa: D102
+        self.channel.last_path = self.path
+        super().process()
+
     def refuse_body(self) -> None:
         """Reply at once and close the connection without reading the rest."""
         self.refused = True
@@ -64,10 +68,13 @@
     receive_start_s : float or None
         When the connection was made or the present request began to arrive, on the
         reactor's clock; None between requests.
+    last_path : bytes
+        Path of the latest request, empty before the first one.
     """
 
     receive_start_s: float | None = None
     in_body = False
+    last_path = b""
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -102,6 +109,12 @@
         )
         self.transport.loseConnection()
 
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of replies have not left this process."""
+        transport = self.transport
+        buffered = len(transport.dataBuffer) - transport.offset
+        return buffered + transport._tempDataLen
+
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the receive time-out of a request has been exceeded."""
         if self.receive_start_s is None:
