--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -24,6 +24,13 @@
     When it stops while a caller sends a request from second 2 to 3.2
     Then the caller gets 1 reply
 
+  # Guards against requests that are accepted until the end and cut off by it.
+  Scenario: Callers come until an entry without an answer of its leader has ended
+    Given an entry that waits for a leader that is silent
+    When it stops while callers send a request every 50 milliseconds
+    Then no request that it has read ends without an answer
+    And the stop is over before the grace period
+
   # Guards against replies that are cut off without a record of it.
   Scenario: A caller does not read its reply at all while the entry stops
     Given an entry that gives large replies
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -11,6 +11,7 @@
 """
 
 import logging
+import math
 from dataclasses import replace
 from random import Random
 from uuid import uuid4
@@ -56,6 +57,8 @@
         When the leader was last seen to be reachable.
     last_request : int
         Number of the last request that has an effect.
+    end_s : float
+        When each request must have been answered, however long its caller waits.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self.directory = MemberDirectory(0, "", Configuration())
         self.leader_reached_s = -LEADERLESS_READY_S
         self.last_request = 0
+        self.end_s = math.inf
         handlers = NetworkHandlers(
             self.handshake, lambda hello: "", self.on_message, self.on_closed
         )
@@ -91,6 +95,10 @@
         self.network.start_link_checks()
         self.follow_members()
 
+    def answer_until(self, end_s: float) -> None:
+        """Answer each request by a given time, as the process ends after it."""
+        self.end_s = end_s
+
     async def stop(self) -> None:
         """Close the connections."""
         await self.network.stop()
@@ -171,7 +179,7 @@
         unsure = False
         while True:
             now_s = self.reactor.seconds()
-            remaining_s = deadline_s - now_s
+            remaining_s = min(deadline_s, self.end_s) - now_s
             if remaining_s <= 0 or (not unsure and now_s - started_s > LEADER_WAIT_S):
                 return reply_without_leader(unsure)
             outcome = await self.channel.ask(message, min(remaining_s, ATTEMPT_S))
