--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -24,6 +24,12 @@
     When it stops while a caller sends a request from second 2 to 3.2
     Then the caller gets 1 reply
 
+  # Guards against a request that is read and dropped behind another one.
+  Scenario: Two requests arrive at once on one connection while the entry stops
+    Given an entry that takes 0.4 seconds to answer
+    When it stops after a caller has sent two requests at once in second 2.1
+    Then the caller gets 2 replies
+
   # Guards against requests that are accepted until the end and cut off by it.
   Scenario: Callers come until an entry without an answer of its leader has ended
     Given an entry that waits for a leader that is silent
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -109,6 +109,10 @@
         )
         self.transport.loseConnection()
 
+    def has_buffered_data(self) -> bool:
+        """Return whether data arrived behind the request that is being answered."""
+        return bool(self._dataBuffer)
+
     def unsent_bytes(self) -> int:
         """Return how many bytes of replies have not left this process."""
         transport = self.transport
