A new connection has half a second for its first request before a stop closes it

Callers saw: a connection that was closed before their request had arrived, with an entry that was still accepting connections (in a test). The request hadn't been read, so that this isn't an answer that was lost, but an attempt of the caller.

Cause: a stopping entry closes connections without a request in progress each 50 ms, new ones too; a packet that is sent again takes 200 ms.

Fix: a connection isn't idle within 0.5 s of its start, or of the first bytes of a request whose first line isn't complete.

Measured: features/platform/stopping.feature 8 of 8; before, the new scenario failed.

--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -30,6 +30,12 @@
     When it stops after a caller has sent two requests at once in second 2.1
     Then the caller gets 2 replies
 
+  # Guards against a connection that is closed before its first request can arrive.
+  Scenario: A caller connects just before the entry closes idle connections
+    Given an entry that takes 0.4 seconds to answer
+    When it stops while a caller connects in second 2.2 and sends its request in second 2.5
+    Then the caller gets 1 reply
+
   # Guards against requests that are accepted until the end and cut off by it.
   Scenario: Callers come until an entry without an answer of its leader has ended
     Given an entry that waits for a leader that is silent
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -22,6 +22,7 @@
 HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 120.0
 SWEEP_INTERVAL_S = 2.0
+FIRST_REQUEST_S = 0.5  # from a connection to its first request: a resent packet
 
 
 class BoundedRequest(Request):
@@ -119,6 +120,13 @@
         buffered = len(transport.dataBuffer) - transport.offset
         return buffered + transport._tempDataLen
 
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether no request is in progress, and none is about to arrive."""
+        if self.requests:
+            return False
+        start_s = self.receive_start_s
+        return start_s is None or now_s - start_s > FIRST_REQUEST_S
+
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the receive time-out of a request has been exceeded."""
         if self.receive_start_s is None:
@@ -172,8 +180,9 @@
 
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
+        now_s = self.clock.seconds()
         for channel in list(self.open):
-            if not channel.requests:
+            if channel.is_idle(now_s):
                 channel.loseConnection()
 
     def log(self, request: Request) -> None:
