Bodies of requests are kept in memory

Callers saw: a connection that ended without an answer, for a request whose body has 100,000 bytes or more or comes in chunks, on a machine where no temporary file can be written (in a test; large manifests are such requests).

Cause: Twisted keeps such bodies in a temporary file, and an exception on creating it ends the connection. Machines of entries have no disk, and the users may play with a read-only view of the files.

Evidence: with a folder for temporary files that doesn't exist, both requests of the new scenarios ended without an answer on the unchanged code (FileNotFoundError in gotLength).

Fix: the site keeps each body in memory. Each handler reads the whole body into memory anyway, and the limit on its size stays.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -5,6 +5,8 @@
 HTTP server with limits on connections, body sizes and receive times.
 """
 
+from io import BytesIO
+
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.web.http import HTTPChannel
@@ -171,6 +173,10 @@
             return None
         return super().buildProtocol(address)
 
+    def getContentFile(self, length: int | None) -> BytesIO:
+        """Return where a body is kept: never on a disk, which a machine may lack."""
+        return BytesIO()
+
     def sweep(self) -> None:
         """Abort connections whose requests have exceeded the receive time-out."""
         now_s = self.clock.seconds()
