--- a/features/platform/receiving.feature
+++ b/features/platform/receiving.feature
@@ -11,3 +11,15 @@
       | what                      |
       | a body of 200,000 bytes   |
       | a body in chunks          |
+
+  # Guards against 500, and lines about an error of ours, for what a caller sent.
+  Scenario Outline: A request has a <header> that is no UTF-8
+    Given a service with an open connection
+    When a caller sends a <header> that is no UTF-8
+    Then the request is answered
+
+    Examples:
+      | header        |
+      | Host          |
+      | X-Key         |
+      | X-Deadline-Ms |
