--- /dev/null
+++ b/features/platform/signals.feature
@@ -0,0 +1,20 @@
+Feature: Programs that get signals answer what they have read, and end
+
+  # Guards against an entry that lives on after SIGTERM, until it is killed.
+  Scenario: An entry that could not listen for its callers is stopped
+    Given an entry at an address that another process has
+    When it gets "SIGTERM"
+    Then it ends with code 0 within 6 seconds
+
+  # Guards against the same for any error of a stop.
+  Scenario: A program raises an error while it stops
+    Given a program whose stop raises an error
+    When the program is told to stop
+    Then its reactor is stopped
+
+  Scenario: An entry gets signals in series while callers hold connections
+    Given three core machines that know one another
+    And 12 connections on which callers use an entry all the time
+    When it gets other seeds and "SIGHUP SIGHUP", and is stopped by "SIGTERM SIGHUP SIGTERM"
+    Then it ends with code 0 within 6 seconds
+    And no request of its callers ended without an answer
--- /dev/null
+++ b/features/platform/steps/signals.py
@@ -0,0 +1,196 @@
+"""Steps on programs of a deployment that get signals."""
+
+import json
+import re
+import signal
+import socket
+import tempfile
+import threading
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+from behave import given, then, when
+from support.calls import (
+    HOST,
+    KEY,
+    PREFIX,
+    READY_S,
+    call,
+    control_url,
+    leader_of,
+    machines,
+    readiness_of,
+    send_manifest,
+    wait_until,
+)
+from twisted.internet.defer import ensureDeferred
+
+from mulberryledge_platform.running import stop_program
+from mulberryledge_platform_testing.programs import (
+    CALLERS_PORT,
+    CONTROL_PORT,
+    running_deployment,
+)
+
+LOSS_SLACK_S = 0.2  # the platform's loss_slack_ms
+PAUSE_S = 0.3
+STOP_SETTLE_S = 0.1
+CALLER_TIMEOUT_S = 5.0
+SIGNAL_GAP_S = 0.2
+PARTS = (b"POST /Instances.Leave/nobody HTTP/1.1\r\nHost: core\r\n", b"\r\n")
+LENGTH = re.compile(rb"content-length: (\d+)\r\n", re.IGNORECASE)
+LIST_QUEUE = f"GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n\r\n".encode()
+
+
+def start_deployment(context, cores):
+    """Start a deployment without entries."""
+    folder = Path(context.scenario_stack.enter_context(tempfile.TemporaryDirectory()))
+    context.deployment = context.scenario_stack.enter_context(
+        running_deployment(folder, cores, 0)
+    )
+
+
+@given("an entry at an address that another process has")
+def entry_without_port(context):
+    start_deployment(context, 0)
+    other = context.scenario_stack.enter_context(socket.socket())
+    other.bind((f"127.{context.deployment.network}.0.1", CALLERS_PORT))
+    other.listen()
+    context.program = context.deployment.add("entry")
+    wait_until(
+        READY_S,
+        lambda: '"started"' in context.deployment.log(context.program),
+        "the entry has started",
+    )
+
+
+@given("a program whose stop raises an error")
+def failing_program(context):
+    async def stop():
+        raise RuntimeError("no port")
+
+    context.program = SimpleNamespace(stop=stop)
+
+
+@when("the program is told to stop")
+def stop_failing_program(context):
+    context.reactor_stops = []
+    reactor = SimpleNamespace(stop=lambda: context.reactor_stops.append(True))
+    stopped = ensureDeferred(stop_program(context.program, reactor))
+    stopped.addErrback(lambda failure: failure.trap(RuntimeError))
+
+
+@then("its reactor is stopped")
+def reactor_stopped(context):
+    assert context.reactor_stops == [True], context.reactor_stops
+
+
+@given("three core machines that know one another")
+def core_machines(context):
+    start_deployment(context, 3)
+    for name in machines(context, "core"):
+        url = control_url(context, name) + "/Configuration.Get"
+        wait_until(READY_S, lambda url=url: call(url)[0] != 0, f"{name} serves")
+    wait_until(READY_S, lambda: send_manifest(context, 3), "a manifest")
+
+
+@when('it gets "{names}"')
+def send_signals(context, names):
+    context.stop_s = time.monotonic()
+    for name in names.split():
+        context.deployment.signal(context.program, getattr(signal, name))
+        time.sleep(SIGNAL_GAP_S)
+
+
+@when('it gets other seeds and "{first}", and is stopped by "{last}"')
+def send_series(context, first, last):
+    send_signals(context, first)
+    path = context.deployment.programs[context.program].folder / "local.toml"
+    seeds = json.dumps(context.deployment.seeds()[:1])
+    path.write_text(re.sub(r"seeds = .*", f"seeds = {seeds}", path.read_text()))
+    send_signals(context, first)
+    send_signals(context, last)
+
+
+@then("it ends with code {code:d} within {seconds:g} seconds")
+def ends(context, code, seconds):
+    process = context.deployment.programs[context.program].process
+    remaining_s = context.stop_s + seconds - time.monotonic()
+    assert process.wait(remaining_s) == code, context.deployment.log(context.program)
+
+
+@when("a core machine that does not lead gets the two parts before and after its stop")
+def stop_core(context):
+    leader = leader_of(context)
+    names = machines(context, "core")
+    context.program = next(name for name in names if name != leader)
+    ip = context.deployment.programs[context.program].ip
+    first, second = PARTS
+    with socket.create_connection((ip, CONTROL_PORT), CALLER_TIMEOUT_S) as caller:
+        caller.sendall(first)
+        time.sleep(PAUSE_S)
+        send_signals(context, "SIGTERM")
+        caller.sendall(second)
+        context.reply = receive(caller)
+
+
+@then("the request has got an answer")
+def answered(context):
+    assert context.reply.startswith(b"HTTP/1.1 "), context.reply
+
+
+def receive(connection):
+    """Return what comes up to the end of a reply or of the connection."""
+    data = b""
+    try:
+        while part := connection.recv(4_096):
+            data += part
+            head, found, body = data.partition(b"\r\n\r\n")
+            if found and len(body) == int(LENGTH.search(head + b"\r\n")[1]):
+                return data
+    except OSError:
+        pass  # an incomplete reply is judged by the caller
+    return b""
+
+
+@given("{count:d} connections on which callers use an entry all the time")
+def used_entry(context, count):
+    context.program = context.deployment.add("entry")
+    wait_until(
+        READY_S, lambda: readiness_of(context, context.program) == 200, "it is ready"
+    )
+    context.outcomes = []
+    program = context.deployment.programs[context.program]
+    address = (program.ip, CALLERS_PORT)
+
+    def use():
+        while program.process.poll() is None:
+            try:
+                use_connection()
+            except OSError:
+                time.sleep(SIGNAL_GAP_S)  # refused, or closed before the request
+
+    def use_connection():
+        with socket.create_connection(address, CALLER_TIMEOUT_S) as connection:
+            reply = b"first"
+            while reply and b"connection: close" not in reply.lower():
+                connection.sendall(LIST_QUEUE)
+                sent_s = time.monotonic()
+                reply = receive(connection)
+                waited_s = time.monotonic() - sent_s
+                context.outcomes.append((bool(reply), waited_s))
+
+    context.callers = [threading.Thread(target=use) for _ in range(count)]
+    for caller in context.callers:
+        caller.start()
+    context.scenario_stack.callback(context.deployment.close)
+
+
+@then("no request of its callers ended without an answer")
+def none_lost(context):
+    for caller in context.callers:
+        caller.join()
+    waits_s = [wait_s for answered, wait_s in context.outcomes if not answered]
+    assert all(wait_s < LOSS_SLACK_S for wait_s in waits_s), waits_s
+    assert len(waits_s) < len(context.outcomes) / 2, len(waits_s)
