--- a/features/platform/signals.feature
+++ b/features/platform/signals.feature
@@ -12,6 +12,13 @@
     When the program is told to stop
     Then its reactor is stopped
 
+  # Guards against a report or a manifest that is cut off by the stop of a core machine.
+  Scenario: A core machine is stopped while a request arrives in two parts
+    Given three core machines that know one another
+    When a core machine that does not lead gets the two parts before and after its stop
+    Then the request has got an answer
+    And it ends with code 0 within 6 seconds
+
   Scenario: An entry gets signals in series while callers hold connections
     Given three core machines that know one another
     And 12 connections on which callers use an entry all the time
