A request whose leader can't tell its outcome is sent to the next leader

Callers saw: 504 at once for jobs and cancels that were being made durable when the leader was stopped, although they still waited and the next leader could tell (in tests).

Cause: a gateway resends a request if the connection to its leader is lost or another one leads, but took the reply 'unknown', which a leader that stops gives first, as final.

Fix: such a reply is treated as a lost connection is: the request is sent again with the same identifier until its caller stops waiting, and ends as unknown only then. Submitting and cancelling again has no further effect, as for any resend.

--- a/features/batch/resends.feature
+++ b/features/batch/resends.feature
@@ -60,3 +60,20 @@
     Given an idle fleet, and an entry whose first request is delayed
     When an entry restarts, and the leader's answer to its former request arrives
     Then the caller of the restarted entry is told nothing yet
+
+  # Guards against 504 at each planned stop of a leader, while the caller still waits.
+  Scenario Outline: A caller <request>, and the leader <end> before that is durable
+    Given an idle fleet, and an entry that loses no answer
+    When a caller <request>, and the leader <end> before that is durable
+    Then the caller is told "<verdict>"
+    And the caller's job is <state>
+
+    Examples:
+      | request       | end                              | verdict | state     |
+      | submits a job | resigns and is elected again     | ok      | accepted  |
+      | cancels a job | resigns and is elected again     | ok      | cancelled |
+
+  Scenario: A caller submits a job, and no leader can tell what became of it
+    Given an idle fleet, and an entry that loses no answer
+    When a caller submits a job, and the leader resigns before that is durable
+    Then the caller is told nothing until it stops waiting, and "unknown" then
--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -218,3 +218,32 @@
 @then("the caller of the restarted entry is told nothing yet")
 def nothing_told(context):
     assert context.restarted.replies == [], context.restarted.replies
+
+
+@when("a caller {request}, and the leader {end} before that is durable")
+def leader_resigns(context, request, end):
+    entry = context.entry
+    message = request_message(context, request)
+    cycles = entry.day.leader.cycles
+    called = ensureDeferred(entry.gateway.forward(message, WAIT_S))
+    called.addCallback(entry.replies.append)
+    while not cycles.in_progress:
+        entry.day.pass_time(LATENCY_S)
+    assert not entry.replies, entry.replies
+    term = cycles.term
+    cycles.stop()
+    if end == "resigns and is elected again":
+        entry.day.pass_time(SETTLE_S)
+        cycles.start(term)
+        entry.day.pass_time(SETTLE_S)
+    else:
+        entry.day.leader.may_order = lambda: False
+
+
+@then('the caller is told nothing until it stops waiting, and "{verdict}" then')
+def told_at_the_end(context, verdict):
+    entry = context.entry
+    entry.day.pass_time(WAIT_S / 2)
+    assert not entry.replies, entry.replies
+    entry.day.pass_time(WAIT_S / 2)
+    caller_told(context, verdict)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -6,8 +6,9 @@
 what a leader answered.
 
 A request that may have reached a leader is resent to the next one with the same
-identifier while the caller waits. A request that reached none is refused. A leader that
-refuses a resent request can't speak for an earlier send: keys, queues and load change.
+identifier while the caller waits, also if that leader could not tell its outcome. A
+request that reached none is refused. A leader that refuses a resent request can't speak
+for an earlier send: keys, queues and load change.
 """
 
 import logging
@@ -42,6 +43,9 @@
 # Refusals that depend on the time of the request, not only on its contents.
 CHANGEABLE_REFUSALS = (Verdict.BAD_KEY, Verdict.NO_QUEUE, Verdict.REFUSED)
 
+# Replies of a leader after which the next one may decide the request.
+RESENT_VERDICTS = (Verdict.UNAVAILABLE, Verdict.UNKNOWN)
+
 logger = logging.getLogger(__name__)
 
 
@@ -185,9 +189,10 @@
             outcome = await self.channel.ask(message, min(remaining_s, ATTEMPT_S))
             if isinstance(outcome, Ok):
                 reply = outcome.ok_value
-                if reply.verdict != Verdict.UNAVAILABLE:
+                if reply.verdict not in RESENT_VERDICTS:
                     earlier_effect = unsure and has_effect
                     return reply_for_all_sends(reply) if earlier_effect else reply
+                unsure = unsure or reply.verdict == Verdict.UNKNOWN
             else:
                 unsure = unsure or outcome.err_value.unsure
             await deferLater(self.reactor, RETRY_S)
