A peer that was left out of the settings for a moment is dialled again

Cause: a connection that ended before its handshake, to a peer that the settings or the members left out at that moment, left the peer marked as being dialled for good.

Fix: the mark goes with the connection, whether the peer is to be dialled now or not.

Measured: features/log/joining.feature 5 of 5; before, the new scenario failed.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -241,8 +241,12 @@
         if self.links.get(link.peer) is link:
             del self.links[link.peer]
             self.handlers.on_closed(link.peer)
-        if link.peer in self.addresses and link.peer not in self.links:
+        if link.peer in self.links:
+            return
+        if link.peer in self.addresses:
             self.dial_later(link.peer)
+        else:
+            self.dialling.discard(link.peer)
 
     def send(self, to: str, message: object) -> bool:
         """Send a message; return False without a connection or with a full queue."""
