Further submissions of a job get an answer if the first one fails with an error

Callers could see: no answer to a job that was sent again while its first submission was under way, if that one ended in an unexpected error, nor to any later one of the same job (in a test; no such error is known).

Cause: who waited for the first submission was told only if it ended without an error, and the job stayed marked as being submitted.

Fix: they are told in any case, that the outcome is unknown if there is none.

--- a/features/batch/resends.feature
+++ b/features/batch/resends.feature
@@ -77,3 +77,9 @@
     Given an idle fleet, and an entry that loses no answer
     When a caller submits a job, and the leader resigns before that is durable
     Then the caller is told nothing until it stops waiting, and "unknown" then
+
+  # Guards against callers that wait for ever behind a submission that failed.
+  Scenario: Two callers submit a job, and the leader fails with an error on the first
+    Given an idle fleet, and an entry that loses no answer
+    When two callers submit the same job, and the leader's cycle raises an error
+    Then both callers are told "unknown", and a third one is told "ok"
--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 from mulberryledge_testing.batch.target import TaskTruth
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from mulberryledge_core.batch.admission import MAX_OPEN_TASKS
 from mulberryledge_core.batch.commands import PutConfiguration
@@ -247,3 +247,35 @@
     assert not entry.replies, entry.replies
     entry.day.pass_time(WAIT_S / 2)
     caller_told(context, verdict)
+
+
+@when("two callers submit the same job, and the leader's cycle raises an error")
+def submit_with_error(context):
+    entry = context.entry
+    cycles = entry.day.leader.cycles
+    submit, changes = cycles.submit, []
+
+    def hold(change):
+        changes.append(Deferred())
+        return changes[-1]
+
+    cycles.submit = hold
+    message = request_message(context, "submits a job")
+    outcomes = context.outcomes = []
+    for number in (1, 2):
+        ask = replace(message, request_id=f"caller-{number}")
+        answered = ensureDeferred(context.fixture.service.answer(ask))
+        answered.addCallbacks(
+            lambda reply: outcomes.append(reply.unwrap().verdict),
+            lambda failure: outcomes.append("unknown"),  # as the channel says it
+        )
+    cycles.submit = submit
+    (held,) = changes
+    held.errback(RuntimeError("no such field"))
+
+
+@then('both callers are told "{first}", and a third one is told "{second}"')
+def both_told(context, first, second):
+    assert context.outcomes == [first, first], context.outcomes
+    context.entry.call(request_message(context, "submits a job"))
+    caller_told(context, second)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/service.py
@@ -156,9 +156,12 @@
         owner = "" if queue.public else team
         change = SubmitJob(job_id, queue.name, owner, ask.spec)
         self.submissions[job_id] = []
-        committed = await self.scheduler.cycles.submit(change)
-        for later in self.submissions.pop(job_id):
-            later.callback(reply_for(committed))
+        committed = CommitOutcome.UNKNOWN
+        try:
+            committed = await self.scheduler.cycles.submit(change)
+        finally:
+            for later in self.submissions.pop(job_id):
+                later.callback(reply_for(committed))
         extra = {"job": job_id, "queue": queue.name, "team": team}
         extra |= {"steps": len(ask.spec.steps), "committed": committed}
         extra |= {"version": self.state.configuration.version}
