SIGHUP does not end a program that is starting

Cause: until a program has imported its modules, SIGHUP had its default action, which ends the process. An entry accepts connections before that.

--- a/features/platform/signals.feature
+++ b/features/platform/signals.feature
@@ -25,3 +25,9 @@
     When it gets other seeds and "SIGHUP SIGHUP", and is stopped by "SIGTERM SIGHUP SIGTERM"
     Then it ends with code 0 within 6 seconds
     And no request of its callers ended without an answer
+
+  # Guards against a program that a changed settings file ends while it starts.
+  Scenario: An entry gets SIGHUP while it loads its program
+    Given three core machines that know one another
+    When an entry starts, and gets SIGHUP again and again once it accepts connections
+    Then it starts
--- a/features/platform/steps/signals.py
+++ b/features/platform/steps/signals.py
@@ -38,6 +38,7 @@
 STOP_SETTLE_S = 0.1
 CALLER_TIMEOUT_S = 5.0
 SIGNAL_GAP_S = 0.2
+SIGHUP_GAP_S = 0.005
 PARTS = (b"POST /Instances.Leave/nobody HTTP/1.1\r\nHost: core\r\n", b"\r\n")
 LENGTH = re.compile(rb"content-length: (\d+)\r\n", re.IGNORECASE)
 LIST_QUEUE = f"GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n\r\n".encode()
@@ -194,3 +195,26 @@
     waits_s = [wait_s for answered, wait_s in context.outcomes if not answered]
     assert all(wait_s < LOSS_SLACK_S for wait_s in waits_s), waits_s
     assert len(waits_s) < len(context.outcomes) / 2, len(waits_s)
+
+
+@when("an entry starts, and gets SIGHUP again and again once it accepts connections")
+def hang_up_early(context):
+    deployment = context.deployment
+    context.program = deployment.add("entry")
+    process = deployment.programs[context.program].process
+    while not deployment.listens(context.program):
+        time.sleep(SIGHUP_GAP_S)
+    while not deployment.log(context.program) and process.poll() is None:
+        process.send_signal(signal.SIGHUP)
+        time.sleep(SIGHUP_GAP_S)
+
+
+@then("it starts")
+def has_started(context):
+    process = context.deployment.programs[context.program].process
+
+    def started():
+        assert process.poll() is None, f"it ended with {process.poll()}"
+        return '"started"' in context.deployment.log(context.program)
+
+    wait_until(READY_S, started, "it has started")
