--- a/features/platform/steps/stopping.py
+++ b/features/platform/steps/stopping.py
@@ -57,6 +57,33 @@
     run_coroutine(block, WAIT_S)
 
 
+@when(
+    "{count:d} new connections bring requests while the process is blocked,"
+    " and it stops"
+)
+def step_many_connections(context, count):
+    async def block():
+        context.callers = [connect(context) for _ in range(count)]
+        for caller in context.callers:
+            caller.sendall(REQUEST)
+        await context.service.stop_listening()
+        await context.service.close_idle()
+
+    run_coroutine(block, WAIT_S)
+
+
+@then("each of these requests is answered")
+def step_all_answered(context):
+    replies = []
+    for caller in context.callers:
+        try:
+            replies.append(caller.recv(1_000))
+        except ConnectionError:
+            replies.append(b"")
+    unanswered = [reply for reply in replies if b"200 OK" not in reply]
+    assert not unanswered, f"{len(unanswered)} of {len(replies)}"
+
+
 @then("the request is answered")
 def step_answered(context):
     assert b"200 OK" in context.caller.recv(1_000)
--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -11,6 +11,12 @@
     Then the request is answered
     And new connections are refused
 
+  # Guards against connections that are reset after a stall, unread.
+  Scenario: Requests on many connections not yet accepted are answered
+    Given a service with an open connection
+    When 100 new connections bring requests while the process is blocked, and it stops
+    Then each of these requests is answered
+
   # Guards against replies that are written and dropped with the process.
   Scenario: A caller reads a large reply slowly while the entry stops
     Given an entry that gives large replies
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -83,6 +83,7 @@
         super().connectionMade()
         self.transport.setTcpNoDelay(True)
         self.site.open.add(self)
+        self.site.accepted += 1
         self.receive_start_s = self.site.reactor.seconds()
 
     def connectionLost(self, reason) -> None:
@@ -145,6 +146,8 @@
     ----------
     open : set of BoundedChannel
         Open connections.
+    accepted : int
+        Number of connections that were ever open.
     """
 
     def __init__(self, resource: Resource, clock: IReactorTime):
@@ -157,6 +160,7 @@
         self.protocol = BoundedChannel
         self.clock = clock
         self.open: set[BoundedChannel] = set()
+        self.accepted = 0
         self.sweeper = LoopingCall(self.sweep)
         self.sweeper.clock = clock
 
