--- a/features/batch/steps/gateway_sends.py
+++ b/features/batch/steps/gateway_sends.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 from mulberryledge_testing.batch.target import TaskTruth
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred
 
 from mulberryledge_core.batch.admission import MAX_OPEN_TASKS
 from mulberryledge_core.batch.commands import PutConfiguration
@@ -20,6 +20,7 @@
 
 LEADER, JOB = "core-1", "5c0e7a21d94b36f8"
 SPEC = JobSpec("", (StepSpec(1, Size(1_000, 64), 200),))
+SESSION = "0f" * 16
 WAIT_S = 3.0
 LATENCY_S = 0.0015
 SETTLE_S = 0.2
@@ -46,7 +47,7 @@
         self.gateway.directory = MemberDirectory(1, LEADER, Configuration())
         self.gateway.channel.send = self.deliver
         self.leader_channel = RequestChannel(
-            self.day.clock, lambda: LEADER, lambda: True, self.reply
+            self.day.clock, lambda: LEADER, lambda: True, self.reply, SESSION
         )
         admission.service.serve(self.leader_channel.serve)
         self.day.truths[JOB] = (TaskTruth(SPEC.steps[0], 1_000.0),)
@@ -191,3 +192,90 @@
 @then("the caller's job is unknown")
 def job_unknown(context):
     assert JOB not in context.fixture.day.log.machine.state.jobs
+
+
+@when("an entry restarts, and the leader's answer to its former request arrives")
+def answer_after_restart(context):
+    asks = []
+    for fixture in (context.entry, EntryFixture(context.fixture, "request")):
+        fixture.gateway.channel.send = lambda leader, ask: asks.append(ask) or True
+        fixture.call(request_message(context, "submits a job"))
+    former, _ = asks
+    restarted = fixture
+    leader_channel = RequestChannel(
+        context.entry.day.clock,
+        lambda: LEADER,
+        lambda: True,
+        lambda name, reply: restarted.gateway.channel.on_reply(reply),
+        SESSION,
+    )
+    context.fixture.service.serve(leader_channel.serve)
+    leader_channel.on_ask("entry-1", former)
+    context.entry.day.pass_time(SETTLE_S)
+    context.restarted = restarted
+
+
+@then("the caller of the restarted entry is told nothing yet")
+def nothing_told(context):
+    assert context.restarted.replies == [], context.restarted.replies
+
+
+@when("a caller {request}, and the leader {end} before that is durable")
+def leader_resigns(context, request, end):
+    entry = context.entry
+    message = request_message(context, request)
+    cycles = entry.day.leader.cycles
+    called = ensureDeferred(entry.gateway.forward(message, WAIT_S))
+    called.addCallback(entry.replies.append)
+    while not cycles.in_progress:
+        entry.day.pass_time(LATENCY_S)
+    assert not entry.replies, entry.replies
+    term = cycles.term
+    cycles.stop()
+    if end == "resigns and is elected again":
+        entry.day.pass_time(SETTLE_S)
+        cycles.start(term)
+        entry.day.pass_time(SETTLE_S)
+    else:
+        entry.day.leader.may_order = lambda: False
+
+
+@then('the caller is told nothing until it stops waiting, and "{verdict}" then')
+def told_at_the_end(context, verdict):
+    entry = context.entry
+    entry.day.pass_time(WAIT_S / 2)
+    assert not entry.replies, entry.replies
+    entry.day.pass_time(WAIT_S / 2)
+    caller_told(context, verdict)
+
+
+@when("two callers submit the same job, and the leader's cycle raises an error")
+def submit_with_error(context):
+    entry = context.entry
+    cycles = entry.day.leader.cycles
+    submit, changes = cycles.submit, []
+
+    def hold(change):
+        changes.append(Deferred())
+        return changes[-1]
+
+    cycles.submit = hold
+    message = request_message(context, "submits a job")
+    outcomes = context.outcomes = []
+    for number in (1, 2):
+        ask = replace(message, request_id=f"caller-{number}")
+        answered = ensureDeferred(context.fixture.service.answer(ask))
+        answered.addCallbacks(
+            lambda reply: outcomes.append(reply.unwrap().verdict),
+            lambda failure: outcomes.append("unknown"),  # as the channel says it
+        )
+    cycles.submit = submit
+    (held,) = changes
+    held.errback(RuntimeError("no such field"))
+
+
+@then('both callers are told "{first}", and a third one is told "{second}"')
+def both_told(context, first, second):
+    assert context.outcomes == [first, first], context.outcomes
+    context.entry.call(request_message(context, "submits a job"))
+    caller_told(context, second)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -6,11 +6,13 @@
 what a leader answered.
 
 A request that may have reached a leader is resent to the next one with the same
-identifier while the caller waits. A request that reached none is refused. A leader that
-refuses a resent request can't speak for an earlier send: keys, queues and load change.
+identifier while the caller waits, also if that leader could not tell its outcome. A
+request that reached none is refused. A leader that refuses a resent request can't speak
+for an earlier send: keys, queues and load change.
 """
 
 import logging
+import math
 from dataclasses import replace
 from random import Random
 from uuid import uuid4
@@ -41,6 +43,9 @@
 # Refusals that depend on the time of the request, not only on its contents.
 CHANGEABLE_REFUSALS = (Verdict.BAD_KEY, Verdict.NO_QUEUE, Verdict.REFUSED)
 
+# Replies of a leader after which the next one may decide the request.
+RESENT_VERDICTS = (Verdict.UNAVAILABLE, Verdict.UNKNOWN)
+
 logger = logging.getLogger(__name__)
 
 
@@ -56,6 +61,8 @@
         When the leader was last seen to be reachable.
     last_request : int
         Number of the last request that has an effect.
+    end_s : float
+        When each request must have been answered, however long its caller waits.
     """
 
     def __init__(
@@ -74,12 +81,17 @@
         self.directory = MemberDirectory(0, "", Configuration())
         self.leader_reached_s = -LEADERLESS_READY_S
         self.last_request = 0
+        self.end_s = math.inf
         handlers = NetworkHandlers(
             self.handshake, lambda hello: "", self.on_message, self.on_closed
         )
         self.network = Network(reactor, name, handlers, random, timing=timing)
         self.channel = RequestChannel(
-            reactor, lambda: self.directory.leader, lambda: False, self.network.send
+            reactor,
+            lambda: self.directory.leader,
+            lambda: False,
+            self.network.send,
+            self.session,
         )
 
     def start(self) -> None:
@@ -87,6 +99,10 @@
         self.network.start_link_checks()
         self.follow_members()
 
+    def answer_until(self, end_s: float) -> None:
+        """Answer each request by a given time, as the process ends after it."""
+        self.end_s = end_s
+
     async def stop(self) -> None:
         """Close the connections."""
         await self.network.stop()
@@ -167,15 +183,16 @@
         unsure = False
         while True:
             now_s = self.reactor.seconds()
-            remaining_s = deadline_s - now_s
+            remaining_s = min(deadline_s, self.end_s) - now_s
             if remaining_s <= 0 or (not unsure and now_s - started_s > LEADER_WAIT_S):
                 return reply_without_leader(unsure)
             outcome = await self.channel.ask(message, min(remaining_s, ATTEMPT_S))
             if isinstance(outcome, Ok):
                 reply = outcome.ok_value
-                if reply.verdict != Verdict.UNAVAILABLE:
+                if reply.verdict not in RESENT_VERDICTS:
                     earlier_effect = unsure and has_effect
                     return reply_for_all_sends(reply) if earlier_effect else reply
+                unsure = unsure or reply.verdict == Verdict.UNKNOWN
             else:
                 unsure = unsure or outcome.err_value.unsure
             await deferLater(self.reactor, RETRY_S)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/http/server.py
@@ -5,6 +5,8 @@
 HTTP server with limits on connections, body sizes and receive times.
 """
 
+from io import BytesIO
+
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.web.http import HTTPChannel
@@ -22,6 +24,7 @@
 HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 120.0
 SWEEP_INTERVAL_S = 2.0
+FIRST_REQUEST_S = 0.5  # from a connection to its first request: a resent packet
 
 
 class BoundedRequest(Request):
@@ -44,6 +47,10 @@
             return
         super().handleContentChunk(data)
 
+    def process(self) -> None:  # noqa: D102
+        self.channel.last_path = self.path
+        super().process()
+
     def refuse_body(self) -> None:
         """Reply at once and close the connection without reading the rest."""
         self.refused = True
@@ -64,15 +71,19 @@
     receive_start_s : float or None
         When the connection was made or the present request began to arrive, on the
         reactor's clock; None between requests.
+    last_path : bytes
+        Path of the latest request, empty before the first one.
     """
 
     receive_start_s: float | None = None
     in_body = False
+    last_path = b""
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.transport.setTcpNoDelay(True)
         self.site.open.add(self)
+        self.site.accepted += 1
         self.receive_start_s = self.site.reactor.seconds()
 
     def connectionLost(self, reason) -> None:
@@ -102,6 +113,23 @@
         )
         self.transport.loseConnection()
 
+    def has_buffered_data(self) -> bool:
+        """Return whether data arrived behind the request that is being answered."""
+        return bool(self._dataBuffer)
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of replies have not left this process."""
+        transport = self.transport
+        buffered = len(transport.dataBuffer) - transport.offset
+        return buffered + transport._tempDataLen
+
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether no request is in progress, and none is about to arrive."""
+        if self.requests:
+            return False
+        start_s = self.receive_start_s
+        return start_s is None or now_s - start_s > FIRST_REQUEST_S
+
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the receive time-out of a request has been exceeded."""
         if self.receive_start_s is None:
@@ -118,6 +146,8 @@
     ----------
     open : set of BoundedChannel
         Open connections.
+    accepted : int
+        Number of connections that were ever open.
     """
 
     def __init__(self, resource: Resource, clock: IReactorTime):
@@ -130,6 +160,7 @@
         self.protocol = BoundedChannel
         self.clock = clock
         self.open: set[BoundedChannel] = set()
+        self.accepted = 0
         self.sweeper = LoopingCall(self.sweep)
         self.sweeper.clock = clock
 
@@ -146,6 +177,10 @@
             return None
         return super().buildProtocol(address)
 
+    def getContentFile(self, length: int | None) -> BytesIO:
+        """Return where a body is kept: never on a disk, which a machine may lack."""
+        return BytesIO()
+
     def sweep(self) -> None:
         """Abort connections whose requests have exceeded the receive time-out."""
         now_s = self.clock.seconds()
@@ -155,8 +190,9 @@
 
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
+        now_s = self.clock.seconds()
         for channel in list(self.open):
-            if not channel.requests:
+            if channel.is_idle(now_s):
                 channel.loseConnection()
 
     def log(self, request: Request) -> None:
