--- a/features/batch/steps/acceptance.py
+++ b/features/batch/steps/acceptance.py
@@ -43,6 +43,7 @@
 STEP_S = 0.001
 COMMIT_S = 0.012
 LATENCY_S = 0.0015
+SESSION = "0f" * 16
 WAIT_S = 3.0  # of a caller
 DELAY_S = 5.0  # of a request that is held up on its way
 QUEUES, KEYS = ("plan", "load"), ("key-0", "key-1")
@@ -94,7 +95,7 @@
         )
         self.service = JobService(self, list)
         self.channel = RequestChannel(
-            cluster.clock, lambda: cluster.leader, self.may_order, self.reply
+            cluster.clock, lambda: cluster.leader, self.may_order, self.reply, SESSION
         )
         self.service.serve(self.channel.serve)
 
