End only the incarnation of a target that left

Cause: a leave ended whichever incarnation had the name when it arrived.

A leave that tells the start of its process ends that incarnation only. One that does not ends an incarnation that has announced that it drains, as each one does before a planned end; any other target is called, gets no new runs until it answers, and its lease settles the rest.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -519,6 +519,40 @@
                 return None
         return self.cycles.submit(RecordTarget(target, sequence))
 
+    def record_leave(self, name: str, started_ms: int = 0):
+        """
+        Record that a target leaves, if the message is of its present incarnation.
+
+        A message may arrive after the target has started again. It ends an incarnation
+        that it names, or one that has announced that it drains; any other is called.
+
+        Parameters
+        ----------
+        started_ms : int
+            Start of the process that leaves, 0 if the message does not tell it.
+
+        Returns
+        -------
+        Deferred of CommitOutcome or None
+            None if the message changes nothing.
+        """
+        incarnation = self.state.incarnations_by_name.get(name, "")
+        target = self.state.targets.get(incarnation)
+        if target is None:
+            return None
+        extra = {"target": incarnation, "draining": target.draining}
+        extra["started_ms"] = started_ms
+        if started_ms not in (0, target.started_ms):
+            logger.info("late leave ignored", extra=extra)
+            return None
+        logger.info("target leaves", extra=extra)
+        if started_ms or target.draining:
+            return self.cycles.submit(EndIncarnation(incarnation))
+        session = self.sessions.get(incarnation)
+        if session is not None:
+            session.check_presence()
+        return None
+
 
 def run_isolated(callback: Callable[..., None], *arguments: object) -> None:
     """Call a task of the leader; an unexpected error there does not stop the others."""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -478,9 +478,14 @@
         A start may be committed without a call: its change set may be applied after
         the leader has lost its lease and regained it, or its order may have failed.
         """
-        silence_ms = now - self.last_contact_ms
-        if self.silent_since_ms is None and silence_ms > self.timing.idle_call_ms:
-            self.silent_since_ms = now
+        if now - self.last_contact_ms > self.timing.idle_call_ms:
+            self.check_presence()
+        self.wake()
+
+    def check_presence(self) -> None:
+        """Call the target, which gets no new runs until it answers."""
+        if self.silent_since_ms is None:
+            self.silent_since_ms = self.leader.now()
         self.wake()
 
     def end_incarnation(self, why: str) -> None:
