Measure timers by a clock that doesn't jump

Cause: Twisted's reactor measures by time.time. A jump ahead ends all time-outs, leases of links and waits at once; after a jump back no timer fires until the time of day has caught up: no heartbeat, no election, no answer at a deadline, no end of a stop.

The programs let the reactor measure by CLOCK_BOOTTIME, which counts time in suspend too, as the replicated log does already. Nothing compared the reactor's time with the time of day.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/main.py
@@ -26,6 +26,7 @@
 from mulberryledge_daemon.log.storage import StorageError
 from mulberryledge_daemon.logs import configure_logging
 from mulberryledge_daemon.settings import load_settings
+from mulberryledge_daemon.steady_time import use_steady_time
 
 __all__ = ["main"]
 
@@ -118,6 +119,7 @@
         settings = loaded.ok_value
         level = settings.logs.level.upper()
         configure_logging(settings.daemon.name, level)
+        use_steady_time(reactor)
         try:
             with open_daemon(reactor, settings) as daemon:
                 configure_logging(settings.daemon.name, level, daemon.log_position)
