--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -38,6 +38,8 @@
       | lost answers of the cloud |
       | silent cloud              |
       | cancelled jobs            |
+      | lost lease                |
+      | shedding targets          |
 
   Scenario Outline: Fillers, served tasks, gangs and advice with <trouble>
     When a day of "shared" with <trouble> is simulated, twice on the day
@@ -114,6 +116,17 @@
     And every job that can complete has ended
     And no wave had more hosts down than allowed, and each is complete
 
+  # Guards against tasks that neither run nor wait, and against targets left unused.
+  Scenario: On days with random faults no task waits while sound targets have room
+    When 30 days with random faults are simulated
+    Then no invariant is violated
+    And every job that can complete has ended
+    And no task waits while sound targets have room
+
+  Scenario: The checker detects tasks that are not started again
+    When a day with crashes is simulated without starting their tasks again
+    Then a task waits while sound targets have room
+
   Scenario: The checker detects a scheduler that ignores capacity
     When a fault-free day of "yayla" is simulated with unenforced capacity
     Then an invariant is violated
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -2,6 +2,7 @@
 
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from random import Random
 
 from behave import given, then, when
 from mulberryledge_testing.batch.plans import Outcome, Plan, simulate
@@ -17,6 +18,8 @@
     "underestimated jobs",
     "host lost in upkeep",
     "tight wave",
+    "lost lease",
+    "shedding targets",
 )  # tested in separate scenarios
 
 
@@ -142,6 +145,43 @@
     context.outcomes = simulate_all(plans)
 
 
+def random_day(seed) -> Plan:
+    random = Random(seed)
+    usual = sorted(set(FAULTS) - set(SEPARATE_FAULTS))
+    names = [*usual, "lost lease", "shedding targets"]
+    fault_times_s = tuple(
+        (random.choice(names), random.uniform(3.0, 12.0)) for _ in range(3)
+    )
+    return Plan(random.choice(SITES), seed, HEAVY_S, fault_times_s)
+
+
+@when("{count:d} days with random faults are simulated")
+def simulate_random(context, count):
+    context.outcomes = simulate_all(random_day(seed) for seed in range(count))
+
+
+@when("a day with crashes is simulated without starting their tasks again")
+def simulate_without_restarts(context):
+    fault_times_s = (("crash", 5.0),)
+    plan = Plan("yayla", 1, FAULTY_S, fault_times_s, without=("restarts",))
+    context.outcomes = [simulate(plan)]
+
+
+@then("no task waits while sound targets have room")
+def none_starved(context):
+    found = [
+        (outcome.plan, outcome.starved[:3])
+        for outcome in context.outcomes
+        if outcome.starved
+    ]
+    assert not found, found
+
+
+@then("a task waits while sound targets have room")
+def some_starved(context):
+    assert any(outcome.starved for outcome in context.outcomes)
+
+
 @when('a fault-free day of "{site}" is simulated with unenforced capacity')
 def simulate_without_capacity(context, site):
     plan = Plan(site, 1, FAULT_FREE_S, moves=False, without=("capacity",))
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/log.py
@@ -34,6 +34,8 @@
         Starts on incarnations that had ended when the start was applied.
     skew_ms : int
         Error of the wall clock.
+    commit_s : float
+        Delay from a proposal to its commit.
     """
 
     def __init__(self, clock):
@@ -43,6 +45,7 @@
         self.term = 1
         self.leader = ""
         self.skew_ms = 0
+        self.commit_s = COMMIT_S
         self.void_starts = 0
         self.frozen: set[str] = set()
         self.change_sets: list[ChangeSet] = []
@@ -107,7 +110,7 @@
     def propose(self, command: ChangeSet) -> Deferred:
         """Propose a command; it is lost if there is no leader at commit."""
         done = Deferred()
-        self.log.clock.callLater(COMMIT_S, self.commit, command, done)
+        self.log.clock.callLater(self.log.commit_s, self.commit, command, done)
         return done
 
     def commit(self, command: ChangeSet, done: Deferred) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from unittest.mock import patch
 
-from mulberryledge_core.batch import placing, target_health, tickets
+from mulberryledge_core.batch import machine, placing, target_health, tickets
 from mulberryledge_core.batch.sizes import Tally
 from mulberryledge_daemon.batch import filler_throttle, host_losses, sessions, watchdog
 from mulberryledge_testing.batch.demand import site_named
@@ -72,6 +72,8 @@
         Waves that took longer than their planned duration.
     gang_timeouts : tuple of str
         Members of gangs that timed out waiting for the others.
+    starved : tuple of str
+        Tasks that waited for seconds while sound targets had room.
     """
 
     plan: Plan
@@ -87,6 +89,7 @@
     late_waves: tuple[str, ...] = ()
     obsolete_starts: int = 0
     gang_timeouts: tuple[str, ...] = ()
+    starved: tuple[str, ...] = ()
 
 
 def first_in_first_out(view, queue, step_id) -> tuple:
@@ -119,6 +122,9 @@
         tickets.Tickets, "text", lambda self, *arguments: "none"
     ),
     "losses": lambda: patch.object(host_losses.LossDetector, "tick", lambda self: None),
+    "restarts": lambda: patch.object(
+        machine, "return_to_queue", lambda *arguments: None
+    ),
     "watchdog": lambda: patch.object(watchdog.Watchdog, "tick", lambda self: None),
 }  # fmt: skip
 
@@ -165,4 +171,5 @@
         tuple(late),
         day.log.void_starts,
         tuple(day.checker.gang_timeouts),
+        tuple(day.starvation.problems),
     )
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -44,6 +44,7 @@
 from mulberryledge_testing.batch.demand import Arrival, Site, arrivals
 from mulberryledge_testing.batch.fleet import Fleet
 from mulberryledge_testing.batch.log import SimulatedLog, SimulatedReplica
+from mulberryledge_testing.batch.starvation import StarvationChecker
 from mulberryledge_testing.batch.target import TaskTruth
 from mulberryledge_testing.batch.witness import InvariantChecker
 from mulberryledge_testing.clock import SortedClock
@@ -130,6 +131,7 @@
         self.completed_s: dict[str, float] = {}
         self.report = Report()
         self.duration_factor = 1.0
+        self.starvation = StarvationChecker(self)
         self.build()
 
     def build(self) -> None:
@@ -292,6 +294,7 @@
         self.report.long_running_shares.append(self.long_running_share())
         for incarnation in self.fleet.targets.values():
             self.checker.check_tail_latency(incarnation)
+        self.starvation.observe()
         self.clock.callLater(SAMPLE_INTERVAL_S, self.sample_state)
 
     def long_running_share(self) -> float:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from mulberryledge_daemon.batch.ports import HostState
+from mulberryledge_testing.batch.log import COMMIT_S
 from mulberryledge_testing.batch.play import DAEMONS, Day
 
 __all__ = ["FAULTS", "schedule_fault"]
@@ -17,6 +18,7 @@
 UNDERESTIMATED_S = 2.0
 DURATION_FACTOR = 5.0
 JUMP_MS = 2_000
+SLOW_COMMIT_S = 0.8
 WAVE_SHARE, WAVE_S, WAVE_LIMIT = 0.45, 26.0, 8
 TIGHT_SHARE, TIGHT_S, TIGHT_LIMIT = 0.5, 25.0, 3
 
@@ -70,6 +72,27 @@
     day.at(7.0, day.log.frozen.discard, old)
 
 
+def lose_lease(day: Day) -> None:
+    """Let the leader lose its lease thrice in its term, while commits are slow."""
+    name = day.log.leader
+    day.log.commit_s = day.random.uniform(COMMIT_S, SLOW_COMMIT_S)
+    day.at(CUT_S, setattr, day.log, "commit_s", COMMIT_S)
+    at_s = 0.0
+    for _ in range(3):
+        at_s += day.random.uniform(0.05, 0.9)
+        day.at(at_s, day.log.frozen.add, name)
+        at_s += day.random.uniform(0.01, 0.4)
+        day.at(at_s, day.log.frozen.discard, name)
+
+
+def shed(day: Day) -> None:
+    """Let some targets refuse all starts for some seconds."""
+    for host in pick(day, 0.1):
+        behaviour = day.fleet.targets[host].behaviour
+        behaviour.sheds = True
+        day.at(CUT_S, setattr, behaviour, "sheds", False)
+
+
 def drain(day: Day) -> None:
     """Drain some targets, which end afterwards."""
     for host in pick(day, 0.08):
@@ -161,6 +184,8 @@
     "cut targets": cut_targets,
     "late orders": late_orders,
     "new leader": change_leader,
+    "lost lease": lose_lease,
+    "shedding targets": shed,
     "drain": drain,
     "failing target": fail_all,
     "hanging target": hang,
