Count a host as serving its pool only until its move is ordered

What callers saw: a job that waits for as long as the cloud takes to answer, while a host of its pool has room.

Cause: a host whose move is ordered still counted as serving its pool until the cloud had answered. So it counted as surplus again at each look (every 100 ms), and the hosts that the pool needs were emptied in its place: nothing was started on them until the surplus was gone from the count.

Why it works: hosts that are on their way out are neither serving nor surplus, so the surplus is at most what the pool has beyond its request. A host that has arrived counts.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -110,6 +110,16 @@
     And 15 seconds pass on the fleet
     Then every task of it was started once
 
+  # Guards against tasks that wait for a slow cloud: surplus hosts counted repeatedly.
+  Scenario: A pool keeps the hosts it needs while the moves of the others are slow
+    Given a fleet whose surplus hosts are being moved by a cloud that takes 12 seconds
+    When the pool of a queue loses the hosts that are not being moved, but 1
+    And a job of 3 tasks of 4 cores with label "" is submitted
+    And 1 seconds pass on the fleet
+    And a job of 3 tasks of 4 cores with label "" is submitted whose tasks take 200 ms
+    And 2 seconds pass on the fleet
+    Then the job has ended
+
   Scenario: A move whose answers are lost ends the host's earlier incarnation only
     Given an idle fleet
     And a cloud that carries out moves without an answer for 4 seconds
--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -100,6 +100,10 @@
     "a fleet whose surplus hosts are being moved by a cloud that takes {seconds:d}"
     " second"
 )
+@given(
+    "a fleet whose surplus hosts are being moved by a cloud that takes {seconds:d}"
+    " seconds"
+)
 def slow_moves(context, seconds):
     def prepare(cloud):
         move = cloud.move
@@ -170,6 +174,17 @@
     cloud.move = move_unanswered
 
 
+@when("the pool of a queue loses the hosts that are not being moved, but {count:d}")
+def lose_hosts(context, count):
+    day, calling = context.fixture.day, context.fixture.mover.calling
+    pool = [one for one in day.fleet.cloud.hosts.values() if one.pool == "rounds"]
+    staying = [one.host for one in pool if one.host not in calling]
+    assert len(staying) < len(pool), "no host of the pool is being moved"
+    for host in staying[count:]:
+        day.fleet.lose(host)
+    day.pass_time(3.0)
+
+
 @then("the leader counts the hosts of each pool as the cloud does")
 def pools_counted(context):
     day, mover = context.fixture.day, context.fixture.mover
@@ -351,6 +366,15 @@
     context.reply = context.fixture.submit(context.step)
 
 
+@when(
+    'a job of {tasks:d} tasks of {cpu:d} cores with label "" is submitted whose tasks'
+    " take {duration:d} ms"
+)
+def submit_job_taking(context, tasks, cpu, duration):
+    context.fixture.duration_ms = float(duration)
+    submit_job(context, tasks, cpu)
+
+
 @when('a gang of {tasks:d} tasks of {cpu:d} cores with label "" is submitted')
 def submit_gang(context, tasks, cpu):
     context.reply = context.fixture.submit(step_of(tasks, cpu, "", gang=True))
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -212,9 +212,16 @@
         return sizes[0] if sizes else NOTHING
 
     def serving_hosts(self, now: int) -> dict[str, list[KnownHost]]:
-        """Return the hosts that serve each pool, or are moving to it."""
+        """
+        Return the hosts that serve each pool, or are moving to it.
+
+        A host whose move is ordered serves its pool no more: while the cloud is slow it
+        would be counted as surplus again, and the pool's last hosts would be emptied.
+        """
         serving = defaultdict(list)
         for known in self.table.hosts.values():
+            if known.host in self.calling and not self.has_arrived(known.host):
+                continue
             incarnation = self.table.incarnation_on(known.host)
             if known.moved_ms is not None:
                 if now - known.moved_ms < ARRIVAL_TIMEOUT_MS:
