Don't count excluded targets as hosts that serve their pool

What callers saw: a job that waits until an exclusion ends (3 to 12 s), though spare hosts are free.

Cause: a host whose target is excluded from placement, because it fails, refuses or stalls what it gets, still counted as serving its pool. A pool whose few hosts are all excluded got no other.

Evidence: "A pool whose targets are excluded gets other hosts" in features/batch/policies.feature; on the code before, the job was still running after 5 s.

Why it works: the pool is short of what it requests and gets spare hosts; the excluded ones count again once their exclusion ends, and the surplus leaves as usual.

--- a/features/batch/policies.feature
+++ b/features/batch/policies.feature
@@ -120,6 +120,15 @@
     And 2 seconds pass on the fleet
     Then the job has ended
 
+  # Guards against tasks that wait for the end of an exclusion, with spare hosts at hand.
+  Scenario: A pool whose targets are excluded gets other hosts
+    Given an idle fleet
+    When 6 seconds pass on the fleet
+    And all targets of its pool shed all starts for 20 seconds
+    And a job of 3 tasks of 4 cores with label "" is submitted
+    And 5 seconds pass on the fleet
+    Then the job has ended
+
   Scenario: A move whose answers are lost ends the host's earlier incarnation only
     Given an idle fleet
     And a cloud that carries out moves without an answer for 4 seconds
--- a/features/batch/steps/admission.py
+++ b/features/batch/steps/admission.py
@@ -185,6 +185,16 @@
     day.pass_time(3.0)
 
 
+@when("all targets of its pool shed all starts for {seconds:d} seconds")
+def shed_in_pool(context, seconds):
+    day = context.fixture.day
+    pool = [one for one in day.fleet.targets.values() if one.target.pool == "rounds"]
+    assert pool
+    for process in pool:
+        process.behaviour.sheds = True
+        day.at(float(seconds), setattr, process.behaviour, "sheds", False)
+
+
 @then("the leader counts the hosts of each pool as the cloud does")
 def pools_counted(context):
     day, mover = context.fixture.day, context.fixture.mover
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -229,18 +229,19 @@
             elif (
                 incarnation
                 and incarnation != known.former_incarnation
-                and self.serves(known, incarnation)
+                and self.serves(known, incarnation, now)
             ):
                 serving[known.pool].append(known)
         return serving
 
-    def serves(self, known: KnownHost, incarnation: str) -> bool:
+    def serves(self, known: KnownHost, incarnation: str, now: int) -> bool:
         """Return whether a host takes new work, ignoring this task's own cordon."""
         session = self.scheduler.sessions.get(incarnation)
         return (
             session is not None
             and session.silent_since_ms is None
             and not session.target.draining
+            and not session.health.excluded(now)
             and not self.scheduler.is_cordoned(known.host, self.emptying)
         )
 
