Keep ended jobs by the monotonic clock, not by log time

What callers saw: 410 for a job that was accepted and has ended, well within the time for which its state is kept (LOST), once the leader's time of day has jumped ahead.

Cause: the age of an ended job was measured in log time, which is the leader's time of day and never goes back. A jump by more than the retention (150 s) ended that of all jobs.

Evidence: "An ended job is kept for its time although the time of day jumps ahead" in features/batch/errors.feature (600 s ahead); on the code before, the first of two jobs was gone after 122 s.

Why it works: the leader measures from when it has first seen the end, on its monotonic clock. A new leader starts anew, so a job is kept longer, never shorter. It also removes jobs while nothing is appended, where log time stands still.

Measured: features/batch/errors.feature: 6 scenarios passed.

--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -24,3 +24,16 @@
     When a wave begins, and the outcome of its first change sets is unknown
     And 30 seconds pass on the fleet
     Then the wave is complete
+
+  # Guards against jobs that are unknown to callers within the time they are kept.
+  Scenario: An ended job is kept for its time although the time of day jumps ahead
+    Given an idle fleet
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And 2 seconds pass on the fleet
+    Then the job has ended
+    When the time of day jumps ahead by 600 seconds
+    And a job of 3 tasks of 4 cores with label "" is submitted
+    And 120 seconds pass on the fleet
+    Then 2 jobs are recorded
+    When 50 seconds pass on the fleet
+    Then 0 jobs are recorded
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -76,6 +76,17 @@
     assert job.phase == "completed", job.phase
 
 
+@when("the time of day jumps ahead by {seconds:d} seconds")
+def jump_ahead(context, seconds):
+    context.fixture.day.log.skew_ms += 1_000 * seconds
+
+
+@then("{count:d} jobs are recorded")
+def jobs_recorded(context, count):
+    jobs = context.fixture.day.log.machine.state.jobs
+    assert len(jobs) == count, list(jobs)
+
+
 @when("a wave begins, and the outcome of its first change sets is unknown")
 def wave_with_unknown_outcomes(context):
     day = context.fixture.day
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -68,6 +68,8 @@
     start_deadlines_ms : dict of str to int
         By incarnation: latest deadline of the starts that it was ordered, on its clock,
         when this daemon last stepped down, in ``start_deadlines_term``.
+    end_seen_ms : dict of str to int
+        When this leader has first seen that a job had ended, by job.
     takeover_callbacks : list of callable
         Called when this daemon takes over leadership: earlier knowledge is stale.
     tick_callbacks : list of callable
@@ -119,6 +121,7 @@
         self.start_deadlines_ms: dict[str, int] = {}
         self.start_deadlines_term = 0
         self.last_removal_ms = 0
+        self.end_seen_ms: dict[str, int] = {}
         self.last_report_ms = 0
         self.last_idle_check_ms = 0
         self.takeover_callbacks: list[Callable[[], None]] = []
@@ -236,6 +239,7 @@
         self.sessions.clear()
         self.failed_on.clear()
         self.step_durations.clear()
+        self.end_seen_ms.clear()
         for cordon in self.cordons:
             cordon.clear()
         self.cycles.stop()
@@ -396,17 +400,25 @@
             session.stop(key)
 
     def removals(self) -> list[object]:
-        """Return the change that removes jobs past their retention time."""
-        now = self.state.now_ms
+        """
+        Return the change that removes jobs past their retention time.
+
+        It is measured on this daemon's monotonic clock since the leader has first seen
+        the end: log time follows the time of day, which may jump ahead.
+        """
+        now = self.now()
         if now - self.last_removal_ms < REMOVAL_INTERVAL_MS:
             return []
         self.last_removal_ms = now
-        expired = tuple(
-            job.job_id
+        self.end_seen_ms = {
+            job.job_id: self.end_seen_ms.get(job.job_id, now)
             for job in self.state.jobs.values()
-            if job.ended
-            and not job.occurrences
-            and now - job.ended_ms > self.retention_ms
+            if job.ended and not job.occurrences
+        }
+        expired = tuple(
+            job_id
+            for job_id, seen_ms in self.end_seen_ms.items()
+            if now - seen_ms > self.retention_ms
         )
         for job_id in [one for one in self.failed_on if one not in self.state.jobs]:
             del self.failed_on[job_id]
