Take no lists while the lease is lost

What callers saw: nothing. A leader that stood still and was replaced meanwhile took the lists that had arrived before for news, once it went on: it reported ends, and counted runs as stray or never ordered that the next leader had started or ended. The change sets were void by their term, but the log lines named the wrong jobs.

Why it works: an answer that comes while the leader may not order is dropped; the target is called again if the lease is regained.

--- a/features/batch/starts.feature
+++ b/features/batch/starts.feature
@@ -27,3 +27,10 @@
     And 6 seconds pass on the fleet
     Then the job has ended
     And no invariant was violated on the fleet
+
+  # Guards against ends reported by a leader that stood still and was replaced meanwhile.
+  Scenario: A leader that has lost its lease but doesn't know yet takes no lists
+    Given an idle fleet
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And the leader loses its lease and takes no notice for 3 seconds
+    Then it has proposed no change meanwhile
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -76,6 +76,22 @@
     assert job.phase == "completed", job.phase
 
 
+@when("the leader loses its lease and takes no notice for {seconds:d} seconds")
+def lose_lease_unnoticed(context, seconds):
+    day = context.fixture.day
+    leader, context.proposed = day.leader, []
+    usual = leader.cycles.submit
+
+    def submit(change):
+        context.proposed.append(change)
+        return usual(change)
+
+    leader.cycles.submit = submit
+    day.log.frozen.add(day.log.leader)
+    leader.loop.stop()
+    day.pass_time(seconds)
+
+
 @when("the time of day jumps ahead by {seconds:d} seconds")
 def jump_ahead(context, seconds):
     context.fixture.day.log.skew_ms += 1_000 * seconds
--- a/features/batch/steps/starts.py
+++ b/features/batch/steps/starts.py
@@ -179,6 +179,11 @@
     orders = FaultOnce(day.fleet, "start", always, fault)
 
 
+@then("it has proposed no change meanwhile")
+def nothing_proposed(context):
+    assert not context.proposed, context.proposed
+
+
 @then("no invariant was violated on the fleet")
 def no_problems(context):
     problems = context.fixture.day.checker.problems
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -284,6 +284,10 @@
         answer = await self.leader.orders.renew_lease(self.target, order)
         if self.closed:
             return
+        if not self.leader.may_order():  # another leader may have changed the state
+            self.calling = False
+            self.sleep(self.timing.retry_ms)
+            return
         if isinstance(answer, TargetView):
             self.acked_end = max(self.acked_end, order.last_seen)
             if order.deadline_ms is not None:
