--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -19,6 +19,13 @@
     Then every task of it was started once
     And the job has ended
 
+  # Guards against a leader that neither plans, steps down nor looks after its targets.
+  Scenario: An error in one tick of the leader doesn't end the later ones
+    Given an idle fleet
+    When one report of the load raises an error
+    And 3 seconds pass on the fleet
+    Then the leader has reported the load since
+
   Scenario: A wave completes although the outcome of an upkeep's intent is unknown
     Given an idle fleet
     When a wave begins, and the outcome of its first change sets is unknown
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -76,6 +76,23 @@
     assert job.phase == "completed", job.phase
 
 
+@when("one report of the load raises an error")
+def failing_report(context):
+    leader, context.reports = context.fixture.day.leader, []
+
+    def report():
+        context.reports.append(leader.now())
+        if len(context.reports) == 1:
+            raise RuntimeError("no such target")
+
+    leader.log_load = report
+
+
+@then("the leader has reported the load since")
+def reported_since(context):
+    assert len(context.reports) > 1, context.reports
+
+
 @when("the leader loses its lease and takes no notice for {seconds:d} seconds")
 def lose_lease_unnoticed(context, seconds):
     day = context.fixture.day
