--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -19,8 +19,28 @@
     Then every task of it was started once
     And the job has ended
 
+  # Guards against a leader that neither plans, steps down nor looks after its targets.
+  Scenario: An error in one tick of the leader doesn't end the later ones
+    Given an idle fleet
+    When one report of the load raises an error
+    And 3 seconds pass on the fleet
+    Then the leader has reported the load since
+
   Scenario: A wave completes although the outcome of an upkeep's intent is unknown
     Given an idle fleet
     When a wave begins, and the outcome of its first change sets is unknown
     And 30 seconds pass on the fleet
     Then the wave is complete
+
+  # Guards against jobs that are unknown to callers within the time they are kept.
+  Scenario: An ended job is kept for its time although the time of day jumps ahead
+    Given an idle fleet
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And 2 seconds pass on the fleet
+    Then the job has ended
+    When the time of day jumps ahead by 600 seconds
+    And a job of 3 tasks of 4 cores with label "" is submitted
+    And 120 seconds pass on the fleet
+    Then 2 jobs are recorded
+    When 50 seconds pass on the fleet
+    Then 0 jobs are recorded
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -76,6 +76,50 @@
     assert job.phase == "completed", job.phase
 
 
+@when("one report of the load raises an error")
+def failing_report(context):
+    leader, context.reports = context.fixture.day.leader, []
+
+    def report():
+        context.reports.append(leader.now())
+        if len(context.reports) == 1:
+            raise RuntimeError("no such target")
+
+    leader.log_load = report
+
+
+@then("the leader has reported the load since")
+def reported_since(context):
+    assert len(context.reports) > 1, context.reports
+
+
+@when("the leader loses its lease and takes no notice for {seconds:d} seconds")
+def lose_lease_unnoticed(context, seconds):
+    day = context.fixture.day
+    leader, context.proposed = day.leader, []
+    usual = leader.cycles.submit
+
+    def submit(change):
+        context.proposed.append(change)
+        return usual(change)
+
+    leader.cycles.submit = submit
+    day.log.frozen.add(day.log.leader)
+    leader.loop.stop()
+    day.pass_time(seconds)
+
+
+@when("the time of day jumps ahead by {seconds:d} seconds")
+def jump_ahead(context, seconds):
+    context.fixture.day.log.skew_ms += 1_000 * seconds
+
+
+@then("{count:d} jobs are recorded")
+def jobs_recorded(context, count):
+    jobs = context.fixture.day.log.machine.state.jobs
+    assert len(jobs) == count, list(jobs)
+
+
 @when("a wave begins, and the outcome of its first change sets is unknown")
 def wave_with_unknown_outcomes(context):
     day = context.fixture.day
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -212,9 +212,16 @@
         return sizes[0] if sizes else NOTHING
 
     def serving_hosts(self, now: int) -> dict[str, list[KnownHost]]:
-        """Return the hosts that serve each pool, or are moving to it."""
+        """
+        Return the hosts that serve each pool, or are moving to it.
+
+        A host whose move is ordered serves its pool no more: while the cloud is slow it
+        would be counted as surplus again, and the pool's last hosts would be emptied.
+        """
         serving = defaultdict(list)
         for known in self.table.hosts.values():
+            if known.host in self.calling and not self.has_arrived(known.host):
+                continue
             incarnation = self.table.incarnation_on(known.host)
             if known.moved_ms is not None:
                 if now - known.moved_ms < ARRIVAL_TIMEOUT_MS:
@@ -222,18 +229,19 @@
             elif (
                 incarnation
                 and incarnation != known.former_incarnation
-                and self.serves(known, incarnation)
+                and self.serves(known, incarnation, now)
             ):
                 serving[known.pool].append(known)
         return serving
 
-    def serves(self, known: KnownHost, incarnation: str) -> bool:
+    def serves(self, known: KnownHost, incarnation: str, now: int) -> bool:
         """Return whether a host takes new work, ignoring this task's own cordon."""
         session = self.scheduler.sessions.get(incarnation)
         return (
             session is not None
             and session.silent_since_ms is None
             and not session.target.draining
+            and not session.health.excluded(now)
             and not self.scheduler.is_cordoned(known.host, self.emptying)
         )
 
