--- a/features/platform/signals.feature
+++ b/features/platform/signals.feature
@@ -31,3 +31,10 @@
     Given three core machines that know one another
     When an entry starts, and gets SIGHUP again and again once it accepts connections
     Then it starts
+
+  # Guards against 504 and against answers that never come, at a planned change of leaders.
+  Scenario: The leader is stopped while callers submit jobs
+    Given three core machines that know one another
+    And 8 connections on which callers submit jobs to an entry all the time
+    When the leader is stopped, and 2 seconds pass
+    Then each of these jobs was accepted within 2 seconds
--- a/features/platform/steps/signals.py
+++ b/features/platform/steps/signals.py
@@ -16,6 +16,7 @@
     KEY,
     PREFIX,
     READY_S,
+    STEP,
     call,
     control_url,
     leader_of,
@@ -41,6 +42,12 @@
 SIGHUP_GAP_S = 0.005
 PARTS = (b"POST /Instances.Leave/nobody HTTP/1.1\r\nHost: core\r\n", b"\r\n")
 LENGTH = re.compile(rb"content-length: (\d+)\r\n", re.IGNORECASE)
+MAX_JOBS = 10_000  # of one caller
+SUBMIT_GAP_S = 0.01
+SUBMIT = (
+    f"POST {PREFIX}{{:016x}} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n"
+    "X-Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n"
+)
 LIST_QUEUE = f"GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\nX-Key: {KEY}\r\n\r\n".encode()
 
 
@@ -188,6 +195,59 @@
     context.scenario_stack.callback(context.deployment.close)
 
 
+@given("{count:d} connections on which callers submit jobs to an entry all the time")
+def submitting_callers(context, count):
+    context.program = context.deployment.add("entry")
+    wait_until(
+        READY_S, lambda: readiness_of(context, context.program) == 200, "it is ready"
+    )
+    context.outcomes = []
+    context.ended = threading.Event()
+    address = (context.deployment.programs[context.program].ip, CALLERS_PORT)
+    body = json.dumps({"task_spec": "text", "steps": [STEP]})
+
+    def submit_jobs(caller):
+        with socket.create_connection(address, CALLER_TIMEOUT_S) as connection:
+            for number in range(MAX_JOBS):
+                if context.ended.is_set():
+                    return
+                request = SUBMIT.format(caller * MAX_JOBS + number, len(body)) + body
+                sent_s = time.monotonic()
+                connection.sendall(request.encode())
+                status = receive(connection)[:12].decode()
+                context.outcomes.append((status, time.monotonic() - sent_s))
+                time.sleep(SUBMIT_GAP_S)
+
+    context.callers = [
+        threading.Thread(target=submit_jobs, args=[number]) for number in range(count)
+    ]
+    for caller in context.callers:
+        caller.start()
+    context.scenario_stack.callback(context.ended.set)
+
+
+@when("the leader is stopped, and {seconds:g} seconds pass")
+def stop_leader(context, seconds):
+    time.sleep(PAUSE_S)
+    before = len(context.outcomes)
+    context.deployment.signal(leader_of(context), signal.SIGTERM)
+    time.sleep(seconds)
+    context.ended.set()
+    for caller in context.callers:
+        caller.join()
+    assert len(context.outcomes) > before > 0, context.outcomes
+
+
+@then("each of these jobs was accepted within {seconds:g} seconds")
+def all_accepted(context, seconds):
+    others = [
+        outcome
+        for outcome in context.outcomes
+        if outcome[0] != "HTTP/1.1 200" or outcome[1] > seconds
+    ]
+    assert not others, f"{len(others)} of {len(context.outcomes)}: {others[:5]}"
+
+
 @then("no request of its callers ended without an answer")
 def none_lost(context):
     for caller in context.callers:
