--- a/features/platform/receiving.feature
+++ b/features/platform/receiving.feature
@@ -23,3 +23,14 @@
       | Host          |
       | X-Key         |
       | X-Deadline-Ms |
+
+  Scenario Outline: A caller sends <what>
+    Given a service with an open connection
+    When a caller sends <what>
+    Then the request is answered
+
+    Examples:
+      | what                               |
+      | a request in HTTP/1.0              |
+      | a body after it was told to go on  |
+      | a body in ten segments             |
