A stop that was not sent doesn't make a later one forgotten

Cause: the time of the last stop went back to what it was before an order that turned out not to be sent, also if a later stop had been sent meanwhile. An order takes 0.6 s to fail so, a stop is repeated after 0.5 s.

Fix: the times of all stops that may take effect are kept; one that was not sent takes only its own away.

Measured: features/batch/stops.feature 3 of 3; before, the scenario that is told again failed (at work at 5.3 s of virtual time), the other two passed.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -12,7 +12,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -132,8 +132,8 @@
         Whether the start was answered by a refusal, or not at all.
     stop_sent_ms : int
         When a stop was last sent.
-    stop_may_act_ms : int
-        When the last stop was sent that may take effect.
+    stops_ms : list of int
+        When the stops were sent that may take effect.
     percent, percent_since_ms : int
         Progress by the latest list, and when this value was first listed.
     listed_ms : int
@@ -145,7 +145,7 @@
     accepted_ms: int | None = None
     unconfirmed: bool = False
     stop_sent_ms: int = NEVER_MS
-    stop_may_act_ms: int = NEVER_MS
+    stops_ms: list[int] = field(default_factory=list)
     percent: int = -1
     percent_since_ms: int = 0
     listed_ms: int = 0
@@ -617,7 +617,8 @@
             listed.percent >= AT_WORK_PERCENT
             and self.leader.now() - self.list_sent_ms <= MAX_LIST_AGE_MS
             and self.list_sent_ms - self.first_list_ms >= STOP_RETRY_MS
-            and self.list_sent_ms - tracked.stop_may_act_ms >= LATE_STOP_MS
+            and self.list_sent_ms - max(tracked.stops_ms, default=NEVER_MS)
+            >= LATE_STOP_MS
         )
 
     def stop(self, key: RunKey) -> None:
@@ -634,10 +635,11 @@
 
     async def order_stop(self, order: StopOrder, tracked: TrackedRun) -> None:
         """Send a stop; the lists show when it has taken effect."""
-        former_ms, tracked.stop_may_act_ms = tracked.stop_may_act_ms, self.leader.now()
+        sent_ms = self.leader.now()
+        tracked.stops_ms.append(sent_ms)
         answer = await self.leader.orders.stop(self.target, order)
         if answer.outcome == OrderOutcome.NOT_SENT:
-            tracked.stop_may_act_ms = former_ms
+            tracked.stops_ms.remove(sent_ms)
         if not self.closed and answer.outcome == OrderOutcome.FENCED:
             self.leader.on_fenced(self.target)
         self.wake()
