Stops under way outlast a lease that is lost and regained in one term

Fix: the times of the last stops are kept with these deadlines when the leader steps down, and count for the sessions of the same term.

Measured: features/batch/stops.feature and starts.feature 13 of 13, fleet.feature 39 of 39; before, the two scenarios that lose the lease failed (at work at 7.1 and 7.2 s of virtual time, before the stop took effect).

--- a/features/batch/steps/stops.py
+++ b/features/batch/steps/stops.py
@@ -10,6 +10,7 @@
 
 EFFECT_S = 5.0  # from the stop until it takes effect
 ANSWER_S = 0.6
+LEASE_LOST_S = 0.2
 SETTLE_S = 1.5
 SAMPLE_S = 0.05
 
@@ -45,6 +46,13 @@
     return session is not None and session.works(context.key)
 
 
+def lose_lease(day):
+    """Let the leader lose its quorum lease, and regain it in the same term."""
+    name = day.log.leader
+    day.log.frozen.add(name)
+    day.at(LEASE_LOST_S, day.log.frozen.discard, name)
+
+
 def late_stop(context):
     """Return a stop that takes effect late, and whose answer is lost."""
     day = context.fixture.day
@@ -88,6 +96,24 @@
     send_stop(context, late)
 
 
+@given(
+    "it is told to stop, and the leader loses its lease for 0.2 seconds before that"
+    " takes effect"
+)
+def stop_and_lose_lease(context):
+    stop_late(context)
+    lose_lease(context.fixture.day)
+
+
+@given(
+    "it is told to stop, and the leader loses its lease twice before that takes effect"
+)
+def stop_and_lose_lease_twice(context):
+    stop_and_lose_lease(context)
+    day = context.fixture.day
+    day.at(LEASE_LOST_S + SAMPLE_S, lose_lease, day)
+
+
 @given("it is told to stop, and the order is not sent")
 def stop_not_sent(context):
     day = context.fixture.day
@@ -97,9 +123,11 @@
 @then("it is not counted as at work until it has ended")
 def not_at_work(context):
     day = context.fixture.day
+    term = day.log.term
     while context.key in running_keys(day):
         day.pass_time(SAMPLE_S)
         assert not works(context), day.clock.seconds()
+    assert day.log.term == term
 
 
 @then("it is counted as at work a second later")
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -67,7 +67,11 @@
         Latest term that ended because another leader's orders were seen.
     start_deadlines_ms : dict of str to int
         By incarnation: latest deadline of the starts that it was ordered, on its clock,
-        when this daemon last stepped down, in ``start_deadlines_term``.
+        when this daemon last stepped down, in ``orders_term``.
+    stops_ms : dict of RunKey to int
+        When the last stop of a run was sent in that term.
+    orders_term : int
+        Term of these orders; a target obeys them as long as it sees no higher one.
     takeover_callbacks : list of callable
         Called when this daemon takes over leadership: earlier knowledge is stale.
     tick_callbacks : list of callable
@@ -117,7 +121,8 @@
         self.term_start_ms = 0
         self.fenced_term = 0
         self.start_deadlines_ms: dict[str, int] = {}
-        self.start_deadlines_term = 0
+        self.stops_ms: dict[RunKey, int] = {}
+        self.orders_term = 0
         self.last_removal_ms = 0
         self.last_report_ms = 0
         self.last_idle_check_ms = 0
@@ -213,8 +218,9 @@
         """Open a session with each target to learn its runs, and start to plan."""
         self.term, self.term_start_ms = self.log.term, self.now()
         lease_end_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
-        if self.term != self.start_deadlines_term:
+        if self.term != self.orders_term:
             self.start_deadlines_ms.clear()
+            self.stops_ms.clear()
         for target in self.state.targets.values():
             self.open_session(target, lease_end_ms)
         extra = {"term": self.term, "targets": len(self.sessions)}
@@ -228,10 +234,11 @@
         if self.term is None:
             return
         logger.info("scheduling ends", extra={"term": self.term})
-        self.start_deadlines_term = self.term
+        self.orders_term = self.term
         self.term = None
         for incarnation, session in self.sessions.items():
             self.start_deadlines_ms[incarnation] = session.max_deadline_ms
+            self.stops_ms |= session.last_stops_ms()
             session.close()
         self.sessions.clear()
         self.failed_on.clear()
@@ -271,7 +278,9 @@
     def open_session(self, target: Target, lease_end_ms: int) -> None:
         """Open a session with a target."""
         deadline_ms = self.start_deadlines_ms.get(target.incarnation, -1)
-        session = TargetSession(target, self, self.timing, lease_end_ms, deadline_ms)
+        session = TargetSession(
+            target, self, self.timing, lease_end_ms, deadline_ms, self.stops_ms
+        )
         self.sessions[target.incarnation] = session
         session.wake()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -190,6 +190,8 @@
     earlier_deadline_ms, max_deadline_ms : int
         Latest deadline of the starts that were ordered under this fencing token by
         earlier sessions, and by this one too, on the target's clock.
+    earlier_stops_ms : dict of RunKey to int
+        Last stops that earlier sessions have sent under this fencing token.
     """
 
     def __init__(
@@ -199,6 +201,7 @@
         timing: SessionTiming,
         lease_end_ms: int,
         earlier_deadline_ms: int = -1,
+        earlier_stops_ms: dict[RunKey, int] | None = None,
     ):
         self.target = target
         self.incarnation = target.incarnation
@@ -221,6 +224,7 @@
         self.max_list_wait_ms: int | None = None
         self.throttled = False
         self.earlier_deadline_ms = self.max_deadline_ms = earlier_deadline_ms
+        self.earlier_stops_ms = earlier_stops_ms or {}
         self.tracked_runs: dict[RunKey, TrackedRun] = {}
         self.closed = False
         self.calling = False
@@ -608,19 +612,30 @@
 
         A stop may take effect after its answer, or without one; this leader knows none
         of the stops by earlier leaders, which have taken effect or never will shortly
-        after the target has seen this leader's fencing token.
+        after the target has seen this leader's fencing token. Those of earlier sessions
+        of its own term have the same token.
         """
         listed, tracked = self.listed.get(key), self.tracked_runs.get(key)
         if listed is None or tracked is None or self.silent_since_ms is not None:
             return False
+        last_stop_ms = max(
+            [self.earlier_stops_ms.get(key, NEVER_MS), *tracked.stops_ms]
+        )
         return (
             listed.percent >= AT_WORK_PERCENT
             and self.leader.now() - self.list_sent_ms <= MAX_LIST_AGE_MS
             and self.list_sent_ms - self.first_list_ms >= STOP_RETRY_MS
-            and self.list_sent_ms - max(tracked.stops_ms, default=NEVER_MS)
-            >= LATE_STOP_MS
+            and self.list_sent_ms - last_stop_ms >= LATE_STOP_MS
         )
 
+    def last_stops_ms(self) -> dict[RunKey, int]:
+        """Return when the last stop of each run was sent that may take effect."""
+        return {
+            key: max(tracked.stops_ms)
+            for key, tracked in self.tracked_runs.items()
+            if tracked.stops_ms
+        }
+
     def stop(self, key: RunKey) -> None:
         """Send a stop."""
         if self.closed or not self.leader.may_order():
