A call that a leader has scheduled doesn't act in its next leadership

What callers could see: nothing known. Retries that were scheduled before the leader lost its lease (a move, a further question to the advisor, the release of a host in a wave) acted after it had regained it in the same term, on knowledge that a takeover discards.

Cause: call_later drops a call if the term has changed, but a leader may take over more than once in a term.

Fix: takeovers are counted, and a call belongs to one of them.

The same comparison of terms after an await in moves, upkeep, advice and host_losses is left as it is: no test shows that it does harm.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -57,6 +57,8 @@
     ----------
     term : int or None
         Term in which this daemon leads, None while it does not.
+    takeovers : int
+        How often it has taken over, which may be more than once in a term.
     fence : int
         Fencing token of the orders; it is the term.
     retention_ms : int
@@ -118,6 +120,7 @@
         )
         self.sessions: dict[str, TargetSession] = {}
         self.term: int | None = None
+        self.takeovers = 0
         self.term_start_ms = 0
         self.fenced_term = 0
         self.start_deadlines_ms: dict[str, int] = {}
@@ -163,10 +166,10 @@
 
     def call_later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule a call that is dropped if leadership is lost first."""
-        term = self.term
+        takeovers = self.takeovers
 
         def call() -> None:
-            if self.term == term:
+            if self.term is not None and self.takeovers == takeovers:
                 action()
 
         self.reactor.callLater(delay_s, call)
@@ -217,6 +220,7 @@
     def take_over(self) -> None:
         """Open a session with each target to learn its runs, and start to plan."""
         self.term, self.term_start_ms = self.log.term, self.now()
+        self.takeovers += 1
         lease_end_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
         if self.term != self.orders_term:
             self.start_deadlines_ms.clear()
