An error in the leader's tick doesn't end the ticks

What callers could see (in a test; no such error is known): after one unexpected error there, a leader neither started due occurrences nor moved hosts nor advanced waves, and didn't step down when it lost its lease. Elected again, it would propose in its old term, so that each job and cancel is refused as long as it leads (by reading).

Cause: a LoopingCall ends for good when its function raises, and nobody looked at its result. Only the callbacks were isolated, not the leader's own work: since that includes a call for each session four times a second.

Fix: the tick itself is isolated and logged, as the callbacks are.

Measured: features/batch/errors.feature 7 of 7; before, the two new scenarios failed: the leader still had its term 1.5 s after its lease was lost.

--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -19,6 +19,20 @@
     Then every task of it was started once
     And the job has ended
 
+  # Guards against a leader that neither schedules nor steps down any more.
+  Scenario Outline: The leader <fails> in its tick, once
+    Given an idle fleet
+    And a leader that <fails> in its tick, once
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And 3 seconds pass on the fleet
+    Then the job has ended
+    And the leader steps down once it has lost its lease
+
+    Examples:
+      | fails                          |
+      | fails to report its load       |
+      | fails to look for idle targets |
+
   Scenario: A wave completes although the outcome of an upkeep's intent is unknown
     Given an idle fleet
     When a wave begins, and the outcome of its first change sets is unknown
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -9,6 +9,7 @@
 from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
 FAULTY_CHANGE_SETS = 4
+TICK_FAULT_S = 1.5  # until the leader has reported its load
 WAVE_S = 20.0
 
 
@@ -69,6 +70,36 @@
     leader.commit_callbacks.insert(0, fail_always)
 
 
+@given("a leader that {fails} in its tick, once")
+def failing_tick(context, fails):
+    day = context.fixture.day
+    owner, name = {
+        "fails to report its load": (day.leader, "log_load"),
+        "fails to look for idle targets": (
+            next(iter(day.leader.sessions.values())),
+            "check_idle",
+        ),
+    }[fails]
+    usual = getattr(owner, name)
+
+    def fail_once(*arguments):
+        setattr(owner, name, usual)
+        raise RuntimeError("no such field")
+
+    setattr(owner, name, fail_once)
+    day.pass_time(TICK_FAULT_S)
+    assert getattr(owner, name) == usual
+
+
+@then("the leader steps down once it has lost its lease")
+def leader_steps_down(context):
+    day = context.fixture.day
+    leader = day.leader
+    day.log.frozen.add(day.log.leader)
+    day.pass_time(TICK_FAULT_S)
+    assert leader.term is None
+
+
 @then("the job has ended")
 def job_ended(context):
     jobs = context.fixture.day.log.machine.state.jobs
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -138,7 +138,7 @@
         self.failed_on: dict[str, set[str]] = defaultdict(set)
         self.step_durations: dict[StepId, dict[str, float]] = defaultdict(dict)
         self.tickets: Tickets | None = None
-        self.loop = LoopingCall(self.tick)
+        self.loop = LoopingCall(run_isolated, self.tick)  # an error would end it
         self.loop.clock = reactor
 
     @property
