A speed whose order raised an error is sent again

What callers could see (HARM): a filler that goes on at full speed beside a serving task, as its target was never told to slow it down (in a test; no such error is known).

Cause: a speed counts as sent from the moment of its order; an answer other than 'done' takes that back, an exception didn't.

Fix: an error takes it back too, and the next tick sends the speed again.

Measured: features/batch/errors.feature 8 of 8; before, the new scenario failed with one order sent.

--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -33,6 +33,12 @@
       | fails to report its load       |
       | fails to look for idle targets |
 
+  # Guards against a filler that keeps a speed which nobody has set.
+  Scenario: An order on the speed of a filler raises an error
+    Given an idle fleet
+    And a filler whose first order on its speed raises an error
+    Then the order is sent again, once
+
   Scenario: A wave completes although the outcome of an upkeep's intent is unknown
     Given an idle fleet
     When a wave begins, and the outcome of its first change sets is unknown
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -5,6 +5,8 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import StepSpec
 from mulberryledge_core.outcomes import Applied, Code, Refusal
 from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
@@ -100,6 +102,29 @@
     assert leader.term is None
 
 
+@given("a filler whose first order on its speed raises an error")
+def failing_throttle(context):
+    fixture = context.fixture
+    fleet = fixture.day.fleet
+    usual, context.sent = fleet.throttle, []
+
+    async def fail_first(target, order):
+        context.sent.append(order.task)
+        if len(context.sent) == 1:
+            raise RuntimeError("no such field")
+        return await usual(target, order)
+
+    fleet.throttle = fail_first
+    fixture.duration_ms = 10_000.0
+    fixture.submit(StepSpec(1, Size(1_000, 64), 10_000, filler=True))
+    fixture.day.pass_time(2 * TICK_FAULT_S)
+
+
+@then("the order is sent again, once")
+def sent_again(context):
+    assert len(context.sent) == 2, context.sent
+
+
 @then("the job has ended")
 def job_ended(context):
     jobs = context.fixture.day.log.machine.state.jobs
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/filler_throttle.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/filler_throttle.py
@@ -97,7 +97,7 @@
             if throttle.sent_percents.get(key) != throttle.speed_percent:
                 throttle.sent_percents[key] = throttle.speed_percent
                 sent = ensureDeferred(self.send_speed(session, throttle, key))
-                sent.addErrback(self.on_error)
+                sent.addErrback(self.on_error, throttle, key)
         self.move_starved(session, throttle, fillers)
 
     def fillers_and_tails(
@@ -183,6 +183,7 @@
                 extra_hosts[session.target.pool] = 1
         return extra_hosts
 
-    def on_error(self, failure) -> None:
-        """Log an unexpected error, and continue."""
+    def on_error(self, failure, throttle: TargetThrottle, key: RunKey) -> None:
+        """Log an unexpected error; the next tick sends the speed again."""
+        throttle.sent_percents.pop(key, None)
         logger.critical("pacing failed", extra={"failure": failure.getTraceback()})
