--- a/features/batch/errors.feature
+++ b/features/batch/errors.feature
@@ -26,6 +26,26 @@
     And 3 seconds pass on the fleet
     Then the leader has reported the load since
 
+  # Guards against a leader that neither schedules nor steps down any more.
+  Scenario Outline: The leader <fails> in its tick, once
+    Given an idle fleet
+    And a leader that <fails> in its tick, once
+    When a job of 3 tasks of 4 cores with label "" is submitted
+    And 3 seconds pass on the fleet
+    Then the job has ended
+    And the leader steps down once it has lost its lease
+
+    Examples:
+      | fails                          |
+      | fails to report its load       |
+      | fails to look for idle targets |
+
+  # Guards against a filler that keeps a speed which nobody has set.
+  Scenario: An order on the speed of a filler raises an error
+    Given an idle fleet
+    And a filler whose first order on its speed raises an error
+    Then the order is sent again, once
+
   Scenario: A wave completes although the outcome of an upkeep's intent is unknown
     Given an idle fleet
     When a wave begins, and the outcome of its first change sets is unknown
--- a/features/batch/steps/errors.py
+++ b/features/batch/steps/errors.py
@@ -5,10 +5,13 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.task import Clock
 
+from mulberryledge_core.batch.sizes import Size
+from mulberryledge_core.batch.specs import StepSpec
 from mulberryledge_core.outcomes import Applied, Code, Refusal
 from mulberryledge_daemon.batch.scheduling_cycles import SchedulingCycles
 
 FAULTY_CHANGE_SETS = 4
+TICK_FAULT_S = 1.5  # until the leader has reported its load
 WAVE_S = 20.0
 
 
@@ -69,6 +72,59 @@
     leader.commit_callbacks.insert(0, fail_always)
 
 
+@given("a leader that {fails} in its tick, once")
+def failing_tick(context, fails):
+    day = context.fixture.day
+    owner, name = {
+        "fails to report its load": (day.leader, "log_load"),
+        "fails to look for idle targets": (
+            next(iter(day.leader.sessions.values())),
+            "check_idle",
+        ),
+    }[fails]
+    usual = getattr(owner, name)
+
+    def fail_once(*arguments):
+        setattr(owner, name, usual)
+        raise RuntimeError("no such field")
+
+    setattr(owner, name, fail_once)
+    day.pass_time(TICK_FAULT_S)
+    assert getattr(owner, name) == usual
+
+
+@then("the leader steps down once it has lost its lease")
+def leader_steps_down(context):
+    day = context.fixture.day
+    leader = day.leader
+    day.log.frozen.add(day.log.leader)
+    day.pass_time(TICK_FAULT_S)
+    assert leader.term is None
+
+
+@given("a filler whose first order on its speed raises an error")
+def failing_throttle(context):
+    fixture = context.fixture
+    fleet = fixture.day.fleet
+    usual, context.sent = fleet.throttle, []
+
+    async def fail_first(target, order):
+        context.sent.append(order.task)
+        if len(context.sent) == 1:
+            raise RuntimeError("no such field")
+        return await usual(target, order)
+
+    fleet.throttle = fail_first
+    fixture.duration_ms = 10_000.0
+    fixture.submit(StepSpec(1, Size(1_000, 64), 10_000, filler=True))
+    fixture.day.pass_time(2 * TICK_FAULT_S)
+
+
+@then("the order is sent again, once")
+def sent_again(context):
+    assert len(context.sent) == 2, context.sent
+
+
 @then("the job has ended")
 def job_ended(context):
     jobs = context.fixture.day.log.machine.state.jobs
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -57,6 +57,8 @@
     ----------
     term : int or None
         Term in which this daemon leads, None while it does not.
+    takeovers : int
+        How often it has taken over, which may be more than once in a term.
     fence : int
         Fencing token of the orders; it is the term.
     retention_ms : int
@@ -67,7 +69,11 @@
         Latest term that ended because another leader's orders were seen.
     start_deadlines_ms : dict of str to int
         By incarnation: latest deadline of the starts that it was ordered, on its clock,
-        when this daemon last stepped down, in ``start_deadlines_term``.
+        when this daemon last stepped down, in ``orders_term``.
+    stops_ms : dict of RunKey to int
+        When the last stop of a run was sent in that term.
+    orders_term : int
+        Term of these orders; a target obeys them as long as it sees no higher one.
     end_seen_ms : dict of str to int
         When this leader has first seen that a job had ended, by job.
     takeover_callbacks : list of callable
@@ -116,10 +122,12 @@
         )
         self.sessions: dict[str, TargetSession] = {}
         self.term: int | None = None
+        self.takeovers = 0
         self.term_start_ms = 0
         self.fenced_term = 0
         self.start_deadlines_ms: dict[str, int] = {}
-        self.start_deadlines_term = 0
+        self.stops_ms: dict[RunKey, int] = {}
+        self.orders_term = 0
         self.last_removal_ms = 0
         self.end_seen_ms: dict[str, int] = {}
         self.last_report_ms = 0
@@ -133,7 +141,7 @@
         self.failed_on: dict[str, set[str]] = defaultdict(set)
         self.step_durations: dict[StepId, dict[str, float]] = defaultdict(dict)
         self.tickets: Tickets | None = None
-        self.loop = LoopingCall(run_isolated, self.tick)
+        self.loop = LoopingCall(run_isolated, self.tick)  # an error would end it
         self.loop.clock = reactor
 
     @property
@@ -161,10 +169,10 @@
 
     def call_later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Schedule a call that is dropped if leadership is lost first."""
-        term = self.term
+        takeovers = self.takeovers
 
         def call() -> None:
-            if self.term == term:
+            if self.term is not None and self.takeovers == takeovers:
                 action()
 
         self.reactor.callLater(delay_s, call)
@@ -215,9 +223,11 @@
     def take_over(self) -> None:
         """Open a session with each target to learn its runs, and start to plan."""
         self.term, self.term_start_ms = self.log.term, self.now()
+        self.takeovers += 1
         lease_end_ms = self.now() + self.timing.lease_ms + LEASE_MARGIN_MS
-        if self.term != self.start_deadlines_term:
+        if self.term != self.orders_term:
             self.start_deadlines_ms.clear()
+            self.stops_ms.clear()
         for target in self.state.targets.values():
             self.open_session(target, lease_end_ms)
         extra = {"term": self.term, "targets": len(self.sessions)}
@@ -231,10 +241,11 @@
         if self.term is None:
             return
         logger.info("scheduling ends", extra={"term": self.term})
-        self.start_deadlines_term = self.term
+        self.orders_term = self.term
         self.term = None
         for incarnation, session in self.sessions.items():
             self.start_deadlines_ms[incarnation] = session.max_deadline_ms
+            self.stops_ms |= session.last_stops_ms()
             session.close()
         self.sessions.clear()
         self.failed_on.clear()
@@ -275,7 +286,9 @@
     def open_session(self, target: Target, lease_end_ms: int) -> None:
         """Open a session with a target."""
         deadline_ms = self.start_deadlines_ms.get(target.incarnation, -1)
-        session = TargetSession(target, self, self.timing, lease_end_ms, deadline_ms)
+        session = TargetSession(
+            target, self, self.timing, lease_end_ms, deadline_ms, self.stops_ms
+        )
         self.sessions[target.incarnation] = session
         session.wake()
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -12,7 +12,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -132,8 +132,8 @@
         Whether the start was answered by a refusal, or not at all.
     stop_sent_ms : int
         When a stop was last sent.
-    stop_may_act_ms : int
-        When the last stop was sent that may take effect.
+    stops_ms : list of int
+        When the stops were sent that may take effect.
     percent, percent_since_ms : int
         Progress by the latest list, and when this value was first listed.
     listed_ms : int
@@ -145,7 +145,7 @@
     accepted_ms: int | None = None
     unconfirmed: bool = False
     stop_sent_ms: int = NEVER_MS
-    stop_may_act_ms: int = NEVER_MS
+    stops_ms: list[int] = field(default_factory=list)
     percent: int = -1
     percent_since_ms: int = 0
     listed_ms: int = 0
@@ -190,6 +190,8 @@
     earlier_deadline_ms, max_deadline_ms : int
         Latest deadline of the starts that were ordered under this fencing token by
         earlier sessions, and by this one too, on the target's clock.
+    earlier_stops_ms : dict of RunKey to int
+        Last stops that earlier sessions have sent under this fencing token.
     """
 
     def __init__(
@@ -199,6 +201,7 @@
         timing: SessionTiming,
         lease_end_ms: int,
         earlier_deadline_ms: int = -1,
+        earlier_stops_ms: dict[RunKey, int] | None = None,
     ):
         self.target = target
         self.incarnation = target.incarnation
@@ -221,6 +224,7 @@
         self.max_list_wait_ms: int | None = None
         self.throttled = False
         self.earlier_deadline_ms = self.max_deadline_ms = earlier_deadline_ms
+        self.earlier_stops_ms = earlier_stops_ms or {}
         self.tracked_runs: dict[RunKey, TrackedRun] = {}
         self.closed = False
         self.calling = False
@@ -617,18 +621,30 @@
 
         A stop may take effect after its answer, or without one; this leader knows none
         of the stops by earlier leaders, which have taken effect or never will shortly
-        after the target has seen this leader's fencing token.
+        after the target has seen this leader's fencing token. Those of earlier sessions
+        of its own term have the same token.
         """
         listed, tracked = self.listed.get(key), self.tracked_runs.get(key)
         if listed is None or tracked is None or self.silent_since_ms is not None:
             return False
+        last_stop_ms = max(
+            [self.earlier_stops_ms.get(key, NEVER_MS), *tracked.stops_ms]
+        )
         return (
             listed.percent >= AT_WORK_PERCENT
             and self.leader.now() - self.list_sent_ms <= MAX_LIST_AGE_MS
             and self.list_sent_ms - self.first_list_ms >= STOP_RETRY_MS
-            and self.list_sent_ms - tracked.stop_may_act_ms >= LATE_STOP_MS
+            and self.list_sent_ms - last_stop_ms >= LATE_STOP_MS
         )
 
+    def last_stops_ms(self) -> dict[RunKey, int]:
+        """Return when the last stop of each run was sent that may take effect."""
+        return {
+            key: max(tracked.stops_ms)
+            for key, tracked in self.tracked_runs.items()
+            if tracked.stops_ms
+        }
+
     def stop(self, key: RunKey) -> None:
         """Send a stop."""
         if self.closed or not self.leader.may_order():
@@ -643,10 +659,11 @@
 
     async def order_stop(self, order: StopOrder, tracked: TrackedRun) -> None:
         """Send a stop; the lists show when it has taken effect."""
-        former_ms, tracked.stop_may_act_ms = tracked.stop_may_act_ms, self.leader.now()
+        sent_ms = self.leader.now()
+        tracked.stops_ms.append(sent_ms)
         answer = await self.leader.orders.stop(self.target, order)
         if answer.outcome == OrderOutcome.NOT_SENT:
-            tracked.stop_may_act_ms = former_ms
+            tracked.stops_ms.remove(sent_ms)
         if not self.closed and answer.outcome == OrderOutcome.FENCED:
             self.leader.on_fenced(self.target)
         self.wake()
