Simulation: the final fault plays the daemon's own writer, and disks that stall

Now each member runs log/writer.py over its folder, in the world's time. A disk may stall (the leader's rather than others) or be full and have room again; after a calm of 7 s each voter that lost its disk must vote with the new one.

--- a/features/log/final_fault.feature
+++ b/features/log/final_fault.feature
@@ -20,8 +20,8 @@
 
     Examples:
       | defect                             | seed |
-      | acknowledge_early                  | 12   |
-      | wiped_keeps_name                   | 34   |
-      | writes without a sync              | 1    |
-      | the leader's entry before its sync | 37   |
-      | a commit by one voter too few      | 3    |
+      | acknowledge_early                  | 29   |
+      | wiped_keeps_name                   | 54   |
+      | writes without a sync              | 10   |
+      | the leader's entry before its sync | 97   |
+      | a commit by one voter too few      | 20   |
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/final_fault.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/final_fault.py
@@ -10,11 +10,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from types import SimpleNamespace
 
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from mulberryledge_core.consensus import steps
+from mulberryledge_core.consensus.effects import Persist, Rewrite, Send
 from mulberryledge_core.consensus.entries import Entry, Origin
 from mulberryledge_core.consensus.leases import is_leading
 from mulberryledge_core.consensus.membership_policy import JoiningDaemon, next_change
 from mulberryledge_core.consensus.timing import Bounds
+from mulberryledge_daemon.log.writer import Writer, WriterEvents, write_all
 from mulberryledge_testing.simulation import runs
 from mulberryledge_testing.simulation.power import FolderDisk
 from mulberryledge_testing.simulation.world import (
@@ -29,9 +35,10 @@
 BEGIN_MS = 8_000
 CATCH_UP_MS = 7_000  # catch_up_s and the second in which a member is back
 RECOVERY_MS = 15_000
-STEP_MS = 50
+MS_PER_S = 1_000
+STALL_MS = (100, 800)
 FAULT_COUNT = 16
-BATCH_BYTES = 150  # a snapshot goes in several chunks
+BOUNDS = Bounds(batch_bytes=150, in_flight_bytes=600)  # snapshots go in chunks
 MAX_SEQUENCE = 100  # up to there the world's proposals all keep their own record
 
 
@@ -78,6 +85,10 @@
         Disks that may still be lost.
     has_power : bool
         Whether a crash is that of the process alone.
+    in_flight : dict of str to tuple
+        By member: the writes of the sync in progress.
+    stalled : set of str
+        Members whose disk takes long for each sync.
     """
 
     def __init__(
@@ -92,6 +103,10 @@
         self.removed: set[str] = set()
         self.folders: list[FolderDisk] = []
         self.reserve = list(size.reserve)
+        self.writers: dict[str, Writer] = {}
+        self.in_flight: dict[str, tuple[Persist | Rewrite, ...]] = {}
+        self.stalled: set[str] = set()
+        self.failure: AssertionError | None = None
         standby = (*(one for one in size.names if one not in VOTERS), *size.reserve)
         super().__init__(seed, defects, standby, size.names)
         self.loss = min(self.loss, 0.02)
@@ -109,7 +124,108 @@
             member.disk.open()
             self.snapshots += member.disk.storage.snapshot.index > 0
             super().start(member)
-            member.node.bounds = Bounds(batch_bytes=BATCH_BYTES)
+            member.node.bounds = BOUNDS
+            self.writers[member.name] = self.make_writer(member)
+
+    def make_writer(self, member: SimulatedMember) -> Writer:
+        """Return the daemon's own writer, which writes in the world's time."""
+        incarnation = member.incarnation
+
+        def later(delay_s: float, action: Callable[[], None]) -> None:
+            self.after(
+                delay_s * MS_PER_S,
+                lambda: self.when_running(member, incarnation, action),
+            )
+
+        def run(function: Callable, *args: object) -> Deferred:
+            done = Deferred()
+
+            def finish() -> None:
+                if self.random.random() < self.crash_on_sync:
+                    self.crash(member)
+                    return
+                self.in_flight.pop(member.name, None)
+                written = maybeDeferred(function, *args)
+                if self.random.random() < self.crash_on_sync:
+                    written.addErrback(lambda _: None)
+                    self.crash(member)
+                    return
+                written.chainDeferred(done)
+
+            if function is write_all:
+                self.in_flight[member.name] = args[1]
+            slow = self.random.random() < self.slow_disk
+            delay_ms = self.random.uniform(0, 80 if slow else 2)
+            if member.name in self.stalled:
+                delay_ms = self.random.uniform(*STALL_MS)
+            later(delay_ms / MS_PER_S, finish)
+            return done
+
+        def on_synced(index: int, term: int) -> None:
+            steps.on_synced(member.node, index, term, self.now(member))
+            self.execute_effects(member)
+
+        def on_failed() -> None:
+            steps.storage_failed(member.node, self.now(member))
+            self.execute_effects(member)
+
+        def on_recovered() -> None:
+            steps.storage_recovered(member.node)
+            self.execute_effects(member)
+
+        events = WriterEvents(
+            lambda effect: self.transmit(member.name, effect),
+            self.keeping_failure(on_synced),
+            self.keeping_failure(on_failed),
+            self.keeping_failure(on_recovered),
+        )
+        clock = SimpleNamespace(callLater=later)
+        return Writer(clock, member.disk.storage, events, run)
+
+    def keeping_failure(self, action: Callable) -> Callable:
+        """Keep a broken invariant for :meth:`run`: a writer would end the process."""
+
+        def act(*args: object) -> None:
+            try:
+                action(*args)
+            except AssertionError as error:
+                self.failure = self.failure or error
+
+        return act
+
+    def run(self, duration_ms: float) -> None:
+        """Advance virtual time; raise what was violated during a write's callbacks."""
+        super().run(duration_ms)
+        if self.failure is not None:
+            raise self.failure
+
+    def execute_effect(self, member: SimulatedMember, effect: object) -> None:
+        """Execute one effect, with the daemon's own writer."""
+        if isinstance(effect, Send):
+            early = self.defects.acknowledge_early
+            if effect.after_sync and not early:
+                self.writers[member.name].send(effect)
+            else:
+                self.transmit(member.name, effect)
+        elif isinstance(effect, Persist | Rewrite):
+            for entry in effect.entries:
+                self.invariants.on_written(member.node, entry)
+            self.writers[member.name].write(effect)
+        else:
+            super().execute_effect(member, effect)
+
+    def start_sync(self, member: SimulatedMember) -> None:
+        """Start a sync of the queued writes."""
+        self.writers[member.name].start_next_sync()
+
+    def fill_disk(self, member: SimulatedMember) -> None:
+        """Make a disk refuse writes."""
+        member.disk.disk.full = True
+
+    def free_disk(self, member: SimulatedMember) -> None:
+        """Make a full or stalled disk accept writes again."""
+        member.disk.disk.full = False
+        self.stalled.discard(member.name)
 
     def crash(self, member: SimulatedMember) -> None:
         """Stop a member during what it writes."""
@@ -117,8 +233,9 @@
             return
         member.node = None
         member.paused_until = 0.0
-        written = self.random.randint(0, len(member.queue))
-        member.disk.stop(member.queue[:written], keeps_cache=self.has_power)
+        self.writers[member.name].stop()
+        written = self.in_flight.pop(member.name, ())
+        member.disk.stop(written, keeps_cache=self.has_power)
         delay_ms = self.random.uniform(1, self.restart_after_ms)
         self.after(delay_ms, lambda: self.start(member))
 
@@ -221,8 +338,11 @@
 
 
 def lose_disks_and_catch_up(world: PowerWorld) -> None:
-    """Lose as many disks as may be; calm until these count no more."""
+    """Lose as many disks as may be; calm until these count no more, and vote again."""
     runs.heal(world)
+    crash_on_sync, world.crash_on_sync = world.crash_on_sync, 0.0
+    for member in world.members.values():
+        world.free_disk(member)
     world.run(CATCH_UP_MS)
     world.restart_after_ms = 1_000
     for member in world.random.sample(list(world.members.values()), world.losses_left):
@@ -231,6 +351,25 @@
         propose(world)
         world.run(CATCH_UP_MS / 4)
     world.losses_left = world.size.losses
+    leader = world.leader()
+    assert leader is not None, "no leader after disks were lost"
+    replaced = [
+        voter.name
+        for voter in leader.node.log.members.voters()
+        if voter.name in world.members
+        and world.members[voter.name].disk.folder != voter.folder
+    ]
+    assert not replaced, f"{replaced} do not vote again after {CATCH_UP_MS} ms"
+    world.crash_on_sync = crash_on_sync
+
+
+def stall_disk(world: PowerWorld) -> None:
+    """Stall the leader's disk, or another one."""
+    member = world.leader() or runs.random_member(world)
+    if world.random.random() < 0.3:
+        member = runs.random_member(world)
+    if len(world.stalled) < world.size.losses:
+        world.stalled.add(member.name)
 
 
 def add_members(world: PowerWorld) -> None:
@@ -297,6 +436,7 @@
     (runs.heal, 16),
     (runs.compact, 12),
     (runs.fill_disk, 2),
+    (stall_disk, 5),
     (runs.free_disk, 6),
 )
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/power.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/simulation/power.py
@@ -5,6 +5,7 @@
 Data folders in real files whose machine may lose power during any operation.
 """
 
+import errno
 import logging
 import os
 from collections.abc import Sequence
@@ -23,7 +24,7 @@
 
 OPERATIONS = (1, 2, 3, 4, 6, 10)  # a write has two, a snapshot four
 
-logging.getLogger(open_storage.__module__).addHandler(logging.NullHandler())
+logging.getLogger("mulberryledge_daemon.log").addHandler(logging.NullHandler())
 
 
 class Stopped(Exception):
@@ -40,12 +41,15 @@
         Operations until the stop; None without one.
     keeps_cache : bool
         Whether the stop is that of the process alone, which loses no write.
+    full : bool
+        Whether there is no room for further writes.
     """
 
     def __init__(self, random: Random):
         self.random = random
         self.left: int | None = None
         self.keeps_cache = False
+        self.full = False
         self.unsynced: dict[int, int] = {}
 
     def stops(self) -> bool:
@@ -62,6 +66,9 @@
             super().append(descriptor, data[: self.random.randint(0, len(data))])
             self.tear(descriptor)
             raise Stopped
+        if self.full:
+            super().append(descriptor, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         super().append(descriptor, data)
 
     def sync(self, descriptor: int) -> None:
@@ -92,6 +99,7 @@
         stops = self.stops()
         if not stops or self.random.random() < 0.5:
             os.ftruncate(descriptor, size)
+            self.unsynced.pop(descriptor, None)
         if stops:
             raise Stopped
 
@@ -101,13 +109,22 @@
         if self.stops():
             temporary.write_bytes(data[: self.random.randint(0, len(data))])
             raise Stopped
+        if self.full:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         temporary.write_bytes(data)
         stops = self.stops()
         if not stops or self.keeps_cache or self.random.random() < 0.5:
             os.replace(temporary, path)
+            self.forget_replaced()
         if stops:
             raise Stopped
 
+    def forget_replaced(self) -> None:
+        """Forget the unsynced ends of files that have no name any more."""
+        for descriptor in list(self.unsynced):
+            if os.fstat(descriptor).st_nlink == 0:
+                del self.unsynced[descriptor]
+
     def sync_folder(self, folder: Path) -> None:
         """Do nothing: a creation or rename counts as durable unless a stop undid it."""
 
@@ -159,7 +176,7 @@
         """Stop during some writes, at any operation."""
         self.disk.keeps_cache = keeps_cache
         self.disk.left = self.disk.random.choice(OPERATIONS)
-        with suppress(Stopped):
+        with suppress(Stopped, OSError):  # it may be full
             self.write_all(effects)
         self.disk.tear_all()
         self.close()
