--- a/features/platform/steps/entry_stops.py
+++ b/features/platform/steps/entry_stops.py
@@ -224,6 +224,15 @@
         caller.thread.join()
 
 
+@when(
+    "it stalls for {seconds:g} seconds from second {first:g} of its stop, with callers"
+    " all the time"
+)
+def stop_with_stall(context, seconds, first):
+    reactor.callFromThread(reactor.callLater, first, time.sleep, seconds)
+    stop_under_load(context, 50)
+
+
 @then("the caller gets the whole reply")
 def whole_reply(context):
     (caller,) = context.callers
--- a/features/platform/stopping.feature
+++ b/features/platform/stopping.feature
@@ -49,6 +49,12 @@
     Then no request that it has read ends without an answer
     And the stop is over before the grace period
 
+  # Guards against the same where the process stalls in the last half second.
+  Scenario: An entry without an answer of its leader stalls before it ends
+    Given an entry that waits for a leader that is silent
+    When it stalls for 0.5 seconds from second 4.6 of its stop, with callers all the time
+    Then no request that it has read ends without an answer
+
   # Guards against replies that are cut off without a record of it.
   Scenario: A caller does not read its reply at all while the entry stops
     Given an entry that gives large replies
