--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -26,10 +26,3 @@
     When a connection to a peer opens, and the peer never says a word
     Then the connection is given up within 2 seconds
     And the peer is dialled again within 4 seconds
-
-  # Guards against a peer that is never dialled again after the settings left it out once.
-  Scenario: A peer is left out of the settings while its connection opens, and comes back
-    When a connection to a peer opens, and the peer never says a word
-    And the settings leave the peer out until the connection is given up
-    And the settings name the peer again
-    Then the peer is dialled again within 4 seconds
