--- a/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/batch/machine.py
@@ -108,9 +108,11 @@
         return Ok(Applied(context.index, without_effect=tuple(without_effect)))
 
     def record_without_effect(self, change: object, reason: str) -> None:
-        """Log and count a change that had no effect."""
+        """Count a change that had no effect, and log it."""
         kind = type(change).__name__
         self.without_effect[kind] += 1
+        if isinstance(change, EndRun):
+            return  # a new leader reads hundreds of ends that are recorded already
         extra = {"change": kind, "why": reason, "index": self.state.applied_index}
         for name in NAMED_FIELDS:
             value = getattr(change, name, None)
