Judge a long-running task by when its target made the list

Cause: a list counted by when it was requested. A target holds the answer back for up to a second, so a new leader took no task for at work until two seconds after its takeover.

A list tells the state at the target's clock that it carries. A task counts as at work by a list that the target made 0.5 s or more after the first one for this leader.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -35,7 +35,6 @@
       | hanging target            |
       | slow targets              |
       | wave                      |
-      | wave beside hand-overs    |
       | lost answers of the cloud |
       | silent cloud              |
       | cancelled jobs            |
@@ -57,6 +56,18 @@
       | wave           |
       | silent advisor |
 
+  # Guards against stops beyond a step's budget: a stop by an earlier leader is not known.
+  Scenario Outline: Waves keep the budgets of steps while the leader changes on "<site>"
+    When a day of "<site>" with wave beside hand-overs is simulated, twice on the day
+    Then no invariant is violated
+    And every job that can complete has ended
+    And no wave had more hosts down than allowed, and each is complete
+
+    Examples:
+      | site  |
+      | falaj |
+      | yayla |
+
   Scenario: Jobs that take far longer than their estimate end
     When days with underestimated jobs are simulated
     Then no invariant is violated
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -47,7 +47,7 @@
 )
 STOP_RETRY_MS = 500  # the platform specifies 0.2 to 0.4 s for a stop
 LATE_STOP_MS = 12_500  # after which a stop without effect can't take effect any more
-MAX_LIST_AGE_MS = 3_000  # a list is requested each second, and may take 1.35 s
+MAX_LIST_AGE_MS = 2_000  # lists arrive about once a second
 AT_WORK_PERCENT = 100
 NEVER_MS = -1_000_000
 
@@ -175,8 +175,10 @@
         Number of the last end that the target was told is durable.
     listed : dict of RunKey to ListedRun
         Runs of the latest list.
-    list_sent_ms, first_list_ms : int
-        When the latest list was requested, and when the first one arrived.
+    list_arrived_ms : int
+        When the latest list arrived.
+    first_clock_ms : int
+        The target's clock when it made the first list for this session.
     health : Health
         Outcomes of the target's runs.
     missed_calls : int
@@ -217,7 +219,8 @@
         self.acked_end = 0
         self.view_clock_ms = -1
         self.listed: dict[RunKey, ListedRun] = {}
-        self.list_sent_ms = self.first_list_ms = NEVER_MS
+        self.list_arrived_ms = NEVER_MS
+        self.first_clock_ms = 0
         self.health = Health()
         self.missed_calls = 0
         self.renewed_ms: int | None = None
@@ -355,10 +358,10 @@
             return
         self.view_clock_ms = view.clock_ms
         self.listed = {(one.task, one.run): one for one in view.running}
-        self.list_sent_ms = sent_ms
+        self.list_arrived_ms = now
         first_view = not self.confirmed
         if first_view:
-            self.first_list_ms = now
+            self.first_clock_ms = view.clock_ms
         self.confirmed = True
         self.report_ends(view, now)
         changes = self.changes_from(view, sent_ms)
@@ -632,9 +635,9 @@
         )
         return (
             listed.percent >= AT_WORK_PERCENT
-            and self.leader.now() - self.list_sent_ms <= MAX_LIST_AGE_MS
-            and self.list_sent_ms - self.first_list_ms >= STOP_RETRY_MS
-            and self.list_sent_ms - last_stop_ms >= LATE_STOP_MS
+            and self.leader.now() - self.list_arrived_ms <= MAX_LIST_AGE_MS
+            and self.view_clock_ms - self.first_clock_ms >= STOP_RETRY_MS
+            and self.list_arrived_ms - last_stop_ms >= LATE_STOP_MS
         )
 
     def last_stops_ms(self) -> dict[RunKey, int]:
