Replace excluded hosts of a pool only if none other is left

Suspected cause: since each excluded target, 3 s for a run that is slow, made its pool ask for another host. The fault that mends is a pool whose hosts are all excluded; only then do they stop counting now.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/moves.py
@@ -217,6 +217,8 @@
 
         A host whose move is ordered serves its pool no more: while the cloud is slow it
         would be counted as surplus again, and the pool's last hosts would be emptied.
+        Hosts whose targets are excluded serve it again soon, so they count as long as
+        the pool has another one.
         """
         serving = defaultdict(list)
         for known in self.table.hosts.values():
@@ -229,19 +231,26 @@
             elif (
                 incarnation
                 and incarnation != known.former_incarnation
-                and self.serves(known, incarnation, now)
+                and self.serves(known, incarnation)
             ):
                 serving[known.pool].append(known)
+        for pool, hosts in serving.items():
+            if all(self.is_excluded(known, now) for known in hosts):
+                serving[pool] = []
         return serving
 
-    def serves(self, known: KnownHost, incarnation: str, now: int) -> bool:
+    def is_excluded(self, known: KnownHost, now: int) -> bool:
+        """Return whether the target on a host is excluded from placement."""
+        session = self.scheduler.sessions.get(self.table.incarnation_on(known.host))
+        return session is not None and session.health.excluded(now)
+
+    def serves(self, known: KnownHost, incarnation: str) -> bool:
         """Return whether a host takes new work, ignoring this task's own cordon."""
         session = self.scheduler.sessions.get(incarnation)
         return (
             session is not None
             and session.silent_since_ms is None
             and not session.target.draining
-            and not session.health.excluded(now)
             and not self.scheduler.is_cordoned(known.host, self.emptying)
         )
 
