--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -26,7 +26,7 @@
     InstallSnapshotReply,
     TransferLeadership,
 )
-from mulberryledge_core.consensus.node import Node, Progress, Role
+from mulberryledge_core.consensus.node import Node, Progress, Role, StepDownCause
 from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
@@ -179,7 +179,7 @@
     chosen, term = successor(node, now), node.term
     if chosen is None:
         return False
-    node.become_follower(term, "", now)
+    node.become_follower(term, "", now, StepDownCause.RESIGNED)
     node.leader = ""
     node.send(chosen, TransferLeadership(term))
     return True
@@ -190,7 +190,7 @@
     confirmed = quorum_confirmed_ms(node, now)
     since = node.elected_ms if confirmed is None else confirmed
     if now >= since + node.timing.election_max_ms:
-        node.become_follower(node.term, "", now)
+        node.become_follower(node.term, "", now, StepDownCause.QUORUM_LOST)
         node.leader = ""
         return
     flush(node, now)
@@ -379,4 +379,4 @@
         node.advance_commit(index)
         demoted = not node.is_voter()
         if demoted and node.commit >= node.log.members_index:
-            node.become_follower(node.term, "", now)
+            node.become_follower(node.term, "", now, StepDownCause.DEMOTED)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -28,7 +28,13 @@
 from mulberryledge_core.consensus.members import Member
 from mulberryledge_core.consensus.node import Node, Progress, Role
 
-__all__ = ["VOTER_TIMEOUT_MS", "JoiningDaemon", "next_change", "target_voter_count"]
+__all__ = [
+    "VOTER_TIMEOUT_MS",
+    "JoiningDaemon",
+    "is_silent",
+    "next_change",
+    "target_voter_count",
+]
 
 VOTER_TIMEOUT_MS = 2_500  # well above an election timeout, below a repair's bound
 LEARNER_TIMEOUT_MS = 30_000  # silence after which a learner is removed
@@ -105,7 +111,7 @@
 
 def _promote(node: Node, voter_count: int, now: int) -> PromoteMember | None:
     voters = node.log.members.voters()
-    lost = [voter for voter in voters if _is_silent(node, voter, now)]
+    lost = [voter for voter in voters if is_silent(node, voter, now)]
     if len(voters) - len(lost) >= voter_count or len(voters) > voter_count:
         return None
     zones = Counter(voter.availability_zone for voter in voters if voter not in lost)
@@ -128,7 +134,7 @@
     demoted = max(
         (voter for voter in voters if voter.name != node.name),
         key=lambda voter: (
-            _is_silent(node, voter, now),
+            is_silent(node, voter, now),
             zones[voter.availability_zone],
             voter.name,
         ),
@@ -147,7 +153,8 @@
     return None
 
 
-def _is_silent(node: Node, member: Member, now: int) -> bool:
+def is_silent(node: Node, member: Member, now: int) -> bool:
+    """Return whether the leader has heard nothing from a member for long."""
     progress = node.progress.get(member.name)
     if progress is None:
         return member.name != node.name
@@ -159,7 +166,7 @@
     progress = node.progress.get(member.name)
     if progress is None or not progress.folder or progress.reported_ms is None:
         return False
-    return not _is_silent(node, member, now) and _is_caught_up(node, progress)
+    return not is_silent(node, member, now) and _is_caught_up(node, progress)
 
 
 def _is_caught_up(node: Node, progress: Progress) -> bool:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -16,7 +16,7 @@
 from mulberryledge_core.consensus.messages import LeaseGrant
 from mulberryledge_core.consensus.timing import Bounds, Timing
 
-__all__ = ["Node", "Progress", "Role"]
+__all__ = ["Node", "Progress", "Role", "StepDown", "StepDownCause"]
 
 
 class Role(StrEnum):
@@ -28,6 +28,35 @@
     LEADER = "leader"
 
 
+class StepDownCause(StrEnum):
+    """Why a leader stopped leading."""
+
+    QUORUM_LOST = "quorum-lost"
+    HIGHER_TERM = "higher-term"
+    RESIGNED = "resigned"
+    DEMOTED = "demoted"
+    DISK_FAILED = "disk-failed"
+
+
+@dataclass(frozen=True, slots=True)
+class StepDown:
+    """
+    The end of a leadership of this node.
+
+    Attributes
+    ----------
+    term : int
+        The term in which the node led.
+    unheard : tuple of str
+        Voters that had not reported within the longest election timeout.
+    """
+
+    term: int
+    cause: StepDownCause
+    unheard: tuple[str, ...]
+    voter_count: int
+
+
 @dataclass(slots=True)
 class Progress:
     """
@@ -107,6 +136,8 @@
     lease_until_ms, lease_index : int
         Freshness lease of this daemon: valid until that time, provided that index
         is applied.
+    last_step_down : StepDown or None
+        How the latest leadership of this node ended.
     """
 
     name: str
@@ -139,6 +170,7 @@
     pending_grant: LeaseGrant | None = None
     snapshot_buffer: bytearray = field(default_factory=bytearray)
     snapshot_buffer_key: tuple[int, int] | None = None
+    last_step_down: StepDown | None = None
     effects: list[Effect] = field(default_factory=list)
 
     def __post_init__(self):
@@ -186,8 +218,21 @@
         self.hard_state = HardState(term, voted_for)
         self.persist()
 
-    def become_follower(self, term: int, leader: str, now: int) -> None:
+    def become_follower(
+        self,
+        term: int,
+        leader: str,
+        now: int,
+        cause: StepDownCause = StepDownCause.HIGHER_TERM,
+    ) -> None:
         """Become a follower in this term or a higher one."""
+        if self.role == Role.LEADER:
+            self.last_step_down = StepDown(
+                self.term,
+                cause,
+                self.unheard_voters(now),
+                len(self.log.members.voters()),
+            )
         if term > self.term:
             self.set_term(term)
             self.leader = ""
@@ -201,6 +246,21 @@
             assert self.leader in ("", leader), "one leader a term"
             self.leader = self.last_leader = leader
 
+    def unheard_voters(self, now: int) -> tuple[str, ...]:
+        """Return the other voters that have not reported for an election timeout."""
+        since = now - self.timing.election_max_ms
+        return tuple(
+            voter.name
+            for voter in self.log.members.voters()
+            if voter.name != self.name and not self._reported_since(voter.name, since)
+        )
+
+    def _reported_since(self, name: str, since: int) -> bool:
+        progress = self.progress.get(name)
+        if progress is None or progress.reported_ms is None:
+            return False
+        return progress.reported_ms >= since
+
     def advance_commit(self, index: int) -> None:
         """Commit up to an index and queue the new entries for applying."""
         index = min(index, self.log.last_index)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/steps.py
@@ -24,7 +24,7 @@
     TransferLeadership,
     VoteReply,
 )
-from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_core.consensus.node import Node, Role, StepDownCause
 from mulberryledge_core.outcomes import Code, Refusal
 
 __all__ = [
@@ -176,7 +176,7 @@
     node.storage_ok = False
     others = len(node.log.members.voters()) - 1
     if node.role == Role.LEADER and others >= node.log.members.majority():
-        node.become_follower(node.term, "", now)
+        node.become_follower(node.term, "", now, StepDownCause.DISK_FAILED)
         node.leader = ""
 
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -30,6 +30,8 @@
 __all__ = ["ClusterJoiner"]
 
 DIAL_ALL_MS = 3_000  # longest redial delay of a peer
+JOIN_REPORT_MIN_MS = 1_000
+JOIN_REPORT_MAX_MS = 60_000
 MEMORY_FOLDER = "memory"
 
 logger = logging.getLogger(__name__)
@@ -46,6 +48,10 @@
     dials_all : bool
         Whether every peer is dialled, including those that dial this daemon: after
         the start, and without contact with a leader.
+    join_report_ms : int
+        When it is logged next that this daemon is no member.
+    join_report_interval_ms : int
+        Doubles with each of these lines.
     """
 
     def __init__(
@@ -71,6 +77,8 @@
         self.settings_bootstrap = SettingsBootstrap(settings, node.folder)
         self.members: Configuration | None = None
         self.dials_all = True
+        self.join_report_ms = node.started_ms + JOIN_REPORT_MIN_MS
+        self.join_report_interval_ms = JOIN_REPORT_MIN_MS
 
     def start(self, network: Network) -> None:
         """Listen and dial, or bootstrap a cluster alone if there are no peers."""
@@ -198,6 +206,26 @@
             self.dials_all = dials_all
             self.update_dialled_peers()
 
+    def report_join(self) -> None:
+        """Log whom this daemon dials and reaches as long as it is no member."""
+        now = self.now()
+        if self.network is None or now < self.join_report_ms or self.is_member():
+            return
+        interval_ms = min(2 * self.join_report_interval_ms, JOIN_REPORT_MAX_MS)
+        self.join_report_interval_ms = interval_ms
+        self.join_report_ms = now + interval_ms
+        extra = {
+            "dialled": " ".join(sorted(self.network.addresses)),
+            "connected": " ".join(sorted(self.network.links)),
+            "leader": self.node.leader,
+            "cluster": self.cluster,
+        }
+        logger.info("not a member yet", extra=extra)
+
+    def is_member(self) -> bool:
+        """Return whether this daemon is among the members that it knows."""
+        return self.node.log.members.find(self.name) is not None
+
     def update_dialled_peers(self) -> None:
         """Dial the peers whose names sort after this daemon's, or all."""
         if self.network is None or not (self.peers or self.address_bootstrap):
@@ -211,7 +239,7 @@
             addresses[member.name] = PeerAddress(
                 member.name, member.address, member.port
             )
-        is_member = members.find(self.name) is not None
+        is_member = self.is_member()
         if is_member:
             for name in members.former:
                 addresses.pop(name, None)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
@@ -12,6 +12,10 @@
 from twisted.internet.defer import ensureDeferred
 
 from mulberryledge_core.consensus.membership_policy import JoiningDaemon, next_change
+from mulberryledge_core.consensus.membership_summary import (
+    MembershipSummary,
+    summarise_members,
+)
 from mulberryledge_core.consensus.node import Node
 from mulberryledge_core.outcomes import ApplyResult
 from mulberryledge_daemon.peers.messages import Hello
@@ -31,6 +35,8 @@
     ----------
     joining_daemons : dict of str to JoiningDaemon
         Connected daemons with a data folder, by name.
+    borne_enough : bool
+        Whether the voters that are heard bear as many losses as promised.
     """
 
     def __init__(
@@ -47,6 +53,7 @@
         self.joining_daemons: dict[str, JoiningDaemon] = {}
         self.last_check_ms = 0
         self.busy = False
+        self.borne_enough = True
 
     def on_hello(self, hello: Hello) -> None:
         """Record a connected daemon if it could be a member."""
@@ -69,6 +76,7 @@
         if self.busy or now - self.last_check_ms < CHECK_INTERVAL_MS:
             return
         self.last_check_ms = now
+        self.check_losses_borne()
         change = next_change(
             self.node, self.joining_daemons.values(), self.min_voters, now
         )
@@ -76,13 +84,43 @@
             self.busy = True
             ensureDeferred(self.propose_change(change))
 
+    def summary(self) -> MembershipSummary:
+        """Return the numbers of the members as this leader sees them."""
+        return summarise_members(self.node, self.min_voters, self.now())
+
+    def check_losses_borne(self) -> None:
+        """Log when fewer losses are borne than promised, and when enough are again."""
+        summary = self.summary()
+        promised = self.min_voters // 2
+        borne_enough = summary.losses_borne >= promised
+        if borne_enough != self.borne_enough:
+            self.borne_enough = borne_enough
+            log = logger.info if borne_enough else logger.warning
+            text = "as many losses are borne as promised"
+            log(
+                text if borne_enough else "fewer losses are borne than promised",
+                extra=summary_fields(summary) | {"promised": promised},
+            )
+
     async def propose_change(self, change: object) -> None:
         """Propose a membership change and log its outcome."""
         outcome = await self.propose(change)
         self.busy = False
-        extra = {"change": repr(change)}
+        extra = {"change": repr(change)} | summary_fields(self.summary())
         if isinstance(outcome, Err):
             extra["why"] = outcome.err_value.message
             logger.warning("members not changed", extra=extra)
         else:
             logger.info("members changed", extra=extra)
+
+
+def summary_fields(summary: MembershipSummary) -> dict[str, object]:
+    """Return a summary as the fields of a log line."""
+    return {
+        "voters": summary.voters,
+        "silent": " ".join(summary.silent),
+        "learners": summary.learners,
+        "target_voters": summary.target,
+        "quorum": summary.quorum,
+        "losses_borne": summary.losses_borne,
+    }
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -164,6 +164,7 @@
         )
         self.appended: set[tuple[str, int]] = set()
         self.known_leader = ("", 0)
+        self.known_step_down = None
         self.flushing = False
         self.started = False
         self.loop = LoopingCall(self.tick)
@@ -293,12 +294,25 @@
             self.node, self.cluster_joiner, self.storage, traffic, self.now()
         )
 
+    def membership_gauges(self) -> dict[str, float]:
+        """Return the numbers of the members; those that a leader knows only on it."""
+        members = self.node.log.members
+        gauges = {"members": float(len(members.members))}
+        gauges["voters"] = float(len(members.voters()))
+        if self.membership_controller is not None and self.is_leader():
+            summary = self.membership_controller.summary()
+            gauges["voters_silent"] = float(len(summary.silent))
+            gauges["voters_target"] = float(summary.target)
+            gauges["losses_borne"] = float(summary.losses_borne)
+        return gauges
+
     def tick(self) -> None:
         """Run timers, resends and membership changes that are due."""
         with exit_on_exception():
             steps.tick(self.node, self.now())
             self.proposer.tick()
             self.cluster_joiner.update_dials_all()
+            self.cluster_joiner.report_join()
             if self.membership_controller is not None and self.is_leader():
                 self.membership_controller.tick()
             self.run_effects()
@@ -388,6 +402,13 @@
 
     def check_changes(self) -> None:
         """React to a new leader and to changed members."""
+        step_down = self.node.last_step_down
+        if step_down is not self.known_step_down:
+            self.known_step_down = step_down
+            extra = {"term": step_down.term, "why": step_down.cause}
+            extra["unheard"] = " ".join(step_down.unheard)
+            extra["voters"] = step_down.voter_count
+            logger.info("leadership ended", extra=extra)
         leader = (self.node.leader, self.node.term)
         if leader != self.known_leader:
             self.known_leader = leader
@@ -410,6 +431,10 @@
             self.notify_gateways((sender,))
         elif self.membership_controller is not None:
             self.membership_controller.on_hello(hello)
+            if self.node.log.members.find(sender) is None:
+                extra = {"peer": sender, "leader": self.node.leader}
+                extra["can_vote"] = bool(hello.folder)
+                logger.info("connected daemon is no member", extra=extra)
 
     def notify_gateways(self, names: Iterable[str] | None = None) -> None:
         """Send the leader and the members to gateways."""
