Count only members that are heard when voters are replaced

Cause: the policy counted as able to vote every voter, also a silent one, and every learner whose folder had ever been reported. A voter that was demoted for its silence stayed such a learner for 30 s, so a second loss within that time raised the number aimed for (5, 7, 9): successors were promoted and no dead voter demoted. Under one leader the quorum grew until the next loss took it. Class: what was once known of a member counts as what it can do now.

Change: standbys are learners that reported within an election timeout. Of an odd number of voters a silent one is demoted before its successor is promoted; the quorum shrinks with it, so no fewer losses are borne in between, also if the successor is lost at that moment. Voters that are silent for 10 s and have no successor are demoted in pairs down to the promised least number. A new leader demotes no live voter before all could report, and surplus silent learners go before their 30 s are over, as each new leader counts them anew.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -31,3 +31,35 @@
       | 3      | 3        |
       | 3      | 5        |
       | 3      | 6        |
+
+  Scenario Outline: Dead voters are kept when machines are replaced one after the other
+    Given a leader with <voters> voters and 0 standbys besides
+    When each other voter is lost <times> times, one every 9 seconds, and a successor comes
+    Then the voters are <voters> daemons that are heard, after each of these losses
+    And there are never more than <most> members
+
+    Examples:
+      | voters | times | most |
+      | 3      | 3     | 8    |
+      | 5      | 3     | 10   |
+      | 9      | 2     | 14   |
+
+  Scenario: Two losses before the first successor comes leave dead voters behind
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost, and then 2 successors come
+    Then the voters are 5 daemons that are heard
+
+  Scenario: A successor is lost at its promotion and takes the quorum with it
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost, and a successor that is lost at its promotion comes
+    Then a majority of the voters is heard after each change
+
+  Scenario: Voters that were lost for long and have no successor keep the quorum large
+    Given a leader with 9 voters and 0 standbys besides
+    When 4 voters are lost for 11 seconds where at least 5 are needed
+    Then the voters are 5 daemons that are heard
+
+  Scenario: A leader that has just been elected trusts no standby it hasn't heard from
+    Given a leader with 4 voters and 2 standbys besides
+    When it is elected anew and has heard from no one
+    Then it changes no members
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -5,10 +5,13 @@
 
 from behave import given, then, when
 
+from mulberryledge_core.commands.members import PromoteMember
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
+from mulberryledge_core.consensus.leading import track_members
 from mulberryledge_core.consensus.members import Configuration, Member, change_members
 from mulberryledge_core.consensus.membership_policy import (
+    JoiningDaemon,
     next_change,
     target_voter_count,
 )
@@ -53,7 +56,7 @@
 
 @then("it wants {wanted:d} voters where at least {fewest:d} are needed")
 def step_wanted(context, wanted, fewest):
-    found = target_voter_count(leader_of(context.members), fewest)
+    found = target_voter_count(leader_of(context.members), fewest, NOW_MS)
     assert found == wanted, found
 
 
@@ -64,3 +67,141 @@
     for some in combinations(names, len(names) // 2 + 1):
         held = len(voters & set(some))
         assert held >= context.members.majority(), (some, sorted(voters))
+
+
+class LedCluster:
+    """Members of one leader that goes on leading while others come and go."""
+
+    def __init__(self, members, min_voters):
+        self.node = leader_of(members)
+        self.min_voters = min_voters
+        self.now_ms = NOW_MS
+        self.live = {one.name for one in members.members}
+        self.coming = {}
+        self.lost_at_promotion = ""
+        self.least_majority_margin = len(self.live)
+        self.most_members = len(self.live)
+
+    def lose(self, name):
+        self.live.discard(name)
+        self.coming.pop(name, None)
+
+    def come(self, name):
+        self.live.add(name)
+        self.coming[name] = JoiningDaemon(name, name, 1, "", f"disk-{name}")
+
+    def pass_time(self, seconds):
+        for _ in range(int(seconds * 5)):
+            self.now_ms += 200
+            self.hear()
+            self.change()
+
+    def hear(self):
+        for name in self.live - {self.node.name}:
+            progress = self.node.progress.get(name)
+            if progress is not None:
+                progress.reported_ms, progress.folder = self.now_ms, f"disk-{name}"
+
+    def change(self):
+        applicants = tuple(self.coming.values())
+        change = next_change(self.node, applicants, self.min_voters, self.now_ms)
+        if change is None:
+            return
+        members = change_members(self.node.log.members, change).unwrap()
+        self.node.log = EntryLog(Snapshot(members=members))
+        track_members(self.node, self.now_ms)
+        if isinstance(change, PromoteMember) and change.name == self.lost_at_promotion:
+            self.lose(change.name)
+        self.most_members = max(self.most_members, len(members.members))
+        heard = sum(one.name in self.live for one in members.voters())
+        margin = heard - members.majority()
+        self.least_majority_margin = min(self.least_majority_margin, margin)
+
+    def voters(self):
+        return {one.name for one in self.node.log.members.voters()}
+
+
+@when(
+    "each other voter is lost {times:d} times, one every {interval_s:d} seconds,"
+    " and a successor comes"
+)
+def step_replace(context, times, interval_s):
+    context.cluster = cluster = LedCluster(context.members, 3)
+    context.voters_after_loss = []
+    count = len(cluster.voters())
+    order = sorted(cluster.voters() - {cluster.node.name})
+    for number in range(times * (count - 1)):
+        cluster.lose(order.pop(0))
+        cluster.come(f"n{number}")
+        order.append(f"n{number}")
+        cluster.pass_time(interval_s)
+        context.voters_after_loss.append(cluster.voters())
+        assert cluster.voters() == cluster.live, (cluster.voters(), cluster.live)
+
+
+@then("the voters are {count:d} daemons that are heard, after each of these losses")
+def step_voters_each_time(context, count):
+    assert {len(one) for one in context.voters_after_loss} == {count}
+
+
+@then("there are never more than {most:d} members")
+def step_most_members(context, most):
+    assert context.cluster.most_members <= most, context.cluster.most_members
+
+
+@when("{lost:d} voters are lost, and then {coming:d} successors come")
+def step_lose_then_come(context, lost, coming):
+    context.cluster = cluster = LedCluster(context.members, 3)
+    for name in sorted(cluster.voters())[-lost:]:
+        cluster.lose(name)
+    cluster.pass_time(3)
+    for number in range(coming):
+        cluster.come(f"n{number}")
+    cluster.pass_time(3)
+
+
+@when("{lost:d} voters are lost, and a successor that is lost at its promotion comes")
+def step_lost_at_promotion(context, lost):
+    context.cluster = cluster = LedCluster(context.members, 5)
+    for name in sorted(cluster.voters())[-lost:]:
+        cluster.lose(name)
+    cluster.pass_time(3)
+    cluster.lost_at_promotion = "n0"
+    cluster.come("n0")
+    cluster.pass_time(9)
+
+
+@when(
+    "{lost:d} voters are lost for {seconds:d} seconds"
+    " where at least {needed:d} are needed"
+)
+def step_lost_for_long(context, lost, seconds, needed):
+    context.cluster = cluster = LedCluster(context.members, needed)
+    for name in sorted(cluster.voters())[-lost:]:
+        cluster.lose(name)
+    cluster.pass_time(seconds)
+
+
+@then("the voters are {count:d} daemons that are heard")
+def step_voters(context, count):
+    cluster = context.cluster
+    assert len(cluster.voters()) == count, cluster.voters()
+    assert cluster.voters() <= cluster.live, (cluster.voters(), cluster.live)
+
+
+@then("a majority of the voters is heard after each change")
+def step_majority_heard(context):
+    assert context.cluster.least_majority_margin >= 0
+
+
+@when("it is elected anew and has heard from no one")
+def step_elected_anew(context):
+    context.node = leader_of(context.members)
+    context.node.elected_ms = NOW_MS
+    for progress in context.node.progress.values():
+        progress.reported_ms, progress.folder = None, ""
+
+
+@then("it changes no members")
+def step_no_change(context):
+    assert next_change(context.node, (), 3, NOW_MS) is None
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -5,12 +5,12 @@
 Membership changes that the leader makes by itself: it replaces a lost voter, accepts
 the new data folder of a voter that lost its disk, and adds a daemon that connects.
 
-A voter is replaced only by a learner that has caught up, and the learner is promoted
-first, so that there are never fewer voters than before. Changes need a quorum, so the
-minority side of a partition removes no member.
+A voter is replaced only by a learner that has caught up. What the leader has not heard
+from recently counts neither as a standby nor as a successor. Changes need a quorum, so
+the minority side of a partition removes no member.
 
-Every member with a data folder votes, except for one if their number is even: any
-majority of these members then contains a majority of the voters.
+Every member that is heard and has a data folder votes, except for one if their number
+is even: any majority of these members then contains a majority of the voters.
 """
 
 from collections import Counter
@@ -37,7 +37,9 @@
 ]
 
 VOTER_TIMEOUT_MS = 2_500  # well above an election timeout, below a repair's bound
+LOST_MS = 10_000  # silence after which voters without a successor are demoted
 LEARNER_TIMEOUT_MS = 30_000  # silence after which a learner is removed
+MAX_SILENT_LEARNERS = 4  # a new leader counts the silence of each anew
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,25 +69,53 @@
     is_settled = node.commit >= max(node.term_start_index, node.log.members_index)
     if node.role != Role.LEADER or not is_settled:
         return None
-    voter_count = target_voter_count(node, min_voters)
     return (
         _add_applicant(node, applicants)
         or _replace_folder(node)
-        or _promote(node, voter_count, now)
-        or _demote(node, voter_count, now)
+        or _change_voters(node, min_voters, now)
         or _remove_silent_learner(node, now)
     )
 
 
-def target_voter_count(node: Node, min_voters: int) -> int:
-    """Return the number of voters to aim for: all able to vote, but an odd number."""
-    able_count = 0
-    for member in node.log.members.members:
-        progress = node.progress.get(member.name)
-        able_count += member.voter or (progress is not None and progress.folder != "")
+def target_voter_count(node: Node, min_voters: int, now: int) -> int:
+    """
+    Return the number of voters to aim for: all able to vote, but an odd number.
+
+    A silent voter is able to vote as long as no standby can take its place.
+    """
+    count = len(node.log.members.voters())
+    silent, standbys = _silent_voters(node, now), _standbys(node, now)
+    is_gap = count % 2 == 0
+    replaced_count = min(len(silent), max(0, len(standbys) - is_gap))
+    able_count = count + len(standbys) - replaced_count
     return max(min_voters, able_count if able_count % 2 else able_count - 1)
 
 
+def _change_voters(
+    node: Node, min_voters: int, now: int
+) -> PromoteMember | DemoteMember | None:
+    """
+    Return the next change towards the target number of voters.
+
+    Of an odd number, a silent voter is demoted before its successor is promoted: the
+    quorum shrinks with it, so that as many further losses are borne as before, also
+    if the successor is lost as well.
+    """
+    count = len(node.log.members.voters())
+    target = target_voter_count(node, min_voters, now)
+    silent, standbys = _silent_voters(node, now), _standbys(node, now)
+    if count % 2 and silent and standbys:
+        return _demote(node, silent)
+    if count < target:
+        return _promote(node, standbys, silent) if standbys else None
+    if count > target:
+        return _demote(node, silent or _spare_voters(node, now))
+    if count % 2 and count - 2 >= min_voters:
+        lost = [voter for voter in silent if _silent_ms(node, voter, now) > LOST_MS]
+        return _demote(node, lost) if len(lost) > 1 else None
+    return None
+
+
 def _add_applicant(node: Node, applicants: Iterable[JoiningDaemon]) -> AddMember | None:
     for applicant in applicants:
         known = node.log.members.find(applicant.name)
@@ -109,64 +139,78 @@
     return None
 
 
-def _promote(node: Node, voter_count: int, now: int) -> PromoteMember | None:
+def _silent_voters(node: Node, now: int) -> list[Member]:
     voters = node.log.members.voters()
-    lost = [voter for voter in voters if is_silent(node, voter, now)]
-    if len(voters) - len(lost) >= voter_count or len(voters) > voter_count:
-        return None
-    zones = Counter(voter.availability_zone for voter in voters if voter not in lost)
-    eligible = [
-        (zones[member.availability_zone], member.name)
+    return [voter for voter in voters if is_silent(node, voter, now)]
+
+
+def _standbys(node: Node, now: int) -> list[Member]:
+    return [
+        member
         for member in node.log.members.members
         if not member.voter and _is_standby(node, member, now)
     ]
-    if not eligible:
-        return None
-    name = min(eligible)[1]
-    return PromoteMember(name, node.progress[name].folder)
 
 
-def _demote(node: Node, voter_count: int, now: int) -> DemoteMember | None:
+def _spare_voters(node: Node, now: int) -> list[Member]:
+    """Return the voters to demote for an odd number, once all could be heard."""
+    if now - node.elected_ms <= VOTER_TIMEOUT_MS:
+        return []
+    return [voter for voter in node.log.members.voters() if voter.name != node.name]
+
+
+def _promote(node: Node, standbys: list[Member], silent: list[Member]) -> PromoteMember:
+    """Promote a standby where the fewest voters are heard."""
     voters = node.log.members.voters()
-    if len(voters) <= voter_count:
+    zones = Counter(voter.availability_zone for voter in voters if voter not in silent)
+    chosen = min(standbys, key=lambda one: (zones[one.availability_zone], one.name))
+    return PromoteMember(chosen.name, node.progress[chosen.name].folder)
+
+
+def _demote(node: Node, candidates: list[Member]) -> DemoteMember | None:
+    """Demote one of the candidates where most voters are."""
+    zones = Counter(voter.availability_zone for voter in node.log.members.voters())
+    if not candidates:
         return None
-    zones = Counter(voter.availability_zone for voter in voters)
-    demoted = max(
-        (voter for voter in voters if voter.name != node.name),
-        key=lambda voter: (
-            is_silent(node, voter, now),
-            zones[voter.availability_zone],
-            voter.name,
-        ),
-    )
-    return DemoteMember(demoted.name, demoted.folder)
+    chosen = max(candidates, key=lambda one: (zones[one.availability_zone], one.name))
+    return DemoteMember(chosen.name, chosen.folder)
 
 
 def _remove_silent_learner(node: Node, now: int) -> RemoveMember | None:
-    for member in node.log.members.members:
-        progress = node.progress.get(member.name)
-        if member.voter or progress is None:
-            continue
-        heard_ms = progress.reported_ms or node.elected_ms
-        if now - max(heard_ms, node.elected_ms) > LEARNER_TIMEOUT_MS:
-            return RemoveMember(member.name)
+    silent = [
+        member
+        for member in node.log.members.members
+        if not member.voter and is_silent(node, member, now)
+    ]
+    if not silent:
+        return None
+    longest = max(silent, key=lambda one: (_silent_ms(node, one, now), one.name))
+    is_surplus = len(silent) > MAX_SILENT_LEARNERS
+    if is_surplus or _silent_ms(node, longest, now) > LEARNER_TIMEOUT_MS:
+        return RemoveMember(longest.name)
     return None
 
 
-def is_silent(node: Node, member: Member, now: int) -> bool:
-    """Return whether the leader has heard nothing from a member for long."""
+def _silent_ms(node: Node, member: Member, now: int) -> int:
+    """Return how long this leader has heard nothing from another member."""
     progress = node.progress.get(member.name)
-    if progress is None:
-        return member.name != node.name
-    heard_ms = node.elected_ms if progress.reported_ms is None else progress.reported_ms
-    return now - heard_ms > VOTER_TIMEOUT_MS
+    reported_ms = None if progress is None else progress.reported_ms
+    return now - (node.elected_ms if reported_ms is None else reported_ms)
+
+
+def is_silent(node: Node, member: Member, now: int) -> bool:
+    """Return whether the leader has heard nothing from another member for long."""
+    if member.name == node.name:
+        return False
+    return _silent_ms(node, member, now) > VOTER_TIMEOUT_MS
 
 
 def _is_standby(node: Node, member: Member, now: int) -> bool:
     progress = node.progress.get(member.name)
     if progress is None or not progress.folder or progress.reported_ms is None:
         return False
-    return not is_silent(node, member, now) and _is_caught_up(node, progress)
+    is_recent = now - progress.reported_ms <= node.timing.election_max_ms
+    return is_recent and _is_caught_up(node, progress)
 
 
 def _is_caught_up(node: Node, progress: Progress) -> bool:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
@@ -49,7 +49,7 @@
         voters=len(voters),
         silent=silent,
         learners=len(members.members) - len(voters),
-        target=target_voter_count(node, min_voters),
+        target=target_voter_count(node, min_voters, now),
         quorum=members.majority(),
         losses_borne=len(voters) - len(silent) - members.majority(),
     )
