Tell each daemon that is no member who leads, and dial members from the leader

Cause: a newcomer dialled the seeds of its settings and the founders of the cluster, no one dialled it, and only a leader that it had reached itself could add it. Once the leader was a successor too, nobody told the newcomer of it: only gateways got the directory of members. Class: the way in to the leader is through whom the settings named once. The same acted on a member that was cut off while others were replaced.

Change: each daemon tells whoever connects, and every connected daemon that is no member when leader or members change, who leads and who the members are; a newcomer passes on what it was told. A daemon that isn't a member, or has no leader, dials all that it was told of, until it follows a leader. A leader dials every member, not only those whose names sort after its own. Delays of peers that are no longer dialled are forgotten.

Evidence: six scenarios of features/log/joining.feature fail on the code before and pass now.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -26,3 +26,40 @@
     When a connection to a peer opens, and the peer never says a word
     Then the connection is given up within 2 seconds
     And the peer is dialled again within 4 seconds
+
+  Scenario: A newcomer whose seeds don't include the leader is never added
+    Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
+    When "v3" tells it of "v3 n5 n6" under leader "n5"
+    Then it dials "v1 v2 v3 n5 n6"
+
+  Scenario: A newcomer learns nothing from a follower that it reaches
+    Given a follower of "n5" in a cluster of "v3 n5 n6"
+    When daemon "n9" that is no member connects
+    Then "n9" is told of "v3 n5 n6" under leader "n5"
+
+  Scenario: A newcomer isn't told of a leader elected after it connected
+    Given a follower of "n5" in a cluster of "v3 n5 n6"
+    When daemon "n9" that is no member connects
+    And "n6" is elected
+    Then "n9" is told of "v3 n5 n6" under leader "n6"
+
+  Scenario: A member that knows only addresses of lost machines isn't dialled by its leader
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And 3.1 seconds pass while it leads
+    Then it dials "v1 v2 v4"
+
+  Scenario: A member that was cut off goes on to dial only members that are gone
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And 3.1 seconds pass under a leader
+    And 3.1 seconds pass without a leader
+    And "v4" tells it of "v3 v4 n5" under leader "n5"
+    Then it dials "v1 v2 v4 n5"
+
+  Scenario: Names that were told once are dialled for ever
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And "v4" tells it of "v3 v4 n5" under leader "n5"
+    And 3.1 seconds pass under a leader
+    Then it dials "v4"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -11,10 +11,12 @@
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.members import Configuration, Member
-from mulberryledge_core.consensus.node import Node
+from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.log.cluster_joiner import ClusterJoiner
+from mulberryledge_daemon.log.options import LogOptions
+from mulberryledge_daemon.log.replicated import ReplicatedLog
 from mulberryledge_daemon.peers.link import LinkTiming
-from mulberryledge_daemon.peers.messages import Hello
+from mulberryledge_daemon.peers.messages import Hello, MemberDirectory
 from mulberryledge_daemon.peers.network import Network, NetworkHandlers, PeerAddress
 from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
 
@@ -52,6 +54,84 @@
     )
 
 
+@given('daemon "{name}" that is no member and was told of the founders "{names}"')
+def step_newcomer(context, name, names):
+    step_daemon(context, name, names)
+    step_begin(context)
+
+
+@when('"{sender}" tells it of "{names}" under leader "{leader}"')
+def step_told(context, sender, names, leader):
+    context.joining.on_directory(sender, directory(names, leader))
+
+
+def directory(names, leader):
+    """Return the directory of a cluster in its second term."""
+    members = tuple(Member(one, ADDRESS, PORT, folder=one) for one in names.split())
+    return MemberDirectory(2, leader, Configuration(members))
+
+
+class RecordedNetwork:
+    """A network with open links that only remembers what was sent."""
+
+    def __init__(self):
+        self.links = {}
+        self.sent = []
+
+    def set_peers(self, peers):
+        pass
+
+    def send(self, to, message):
+        self.sent.append((to, message))
+        return True
+
+
+@given('a follower of "{leader}" in a cluster of "{names}"')
+def step_follower(context, leader, names):
+    name = names.split()[0]
+    settings = Settings(DaemonSection(name))
+    options = LogOptions(min_voters=3)
+    context.log = ReplicatedLog(
+        MemoryReactorClock(), settings, None, Random(1), None, options
+    )
+    context.log.network = context.log.cluster_joiner.network = RecordedNetwork()
+    context.log.cluster_joiner.cluster = "cluster"
+    members = directory(names, leader).members
+    context.log.node.log = EntryLog(Snapshot(members=members))
+    context.log.node.become_follower(2, leader, context.log.now())
+    context.log.check_changes()
+
+
+@when('daemon "{name}" that is no member connects')
+def step_connects(context, name):
+    context.log.network.links[name] = None
+    hello = Hello(name, "cluster", 1, f"disk-{name}", "session", ADDRESS, PORT)
+    context.log.on_hello(name, hello)
+
+
+@when('"{leader}" is elected')
+def step_elected(context, leader):
+    context.log.node.become_follower(3, leader, context.log.now())
+    context.log.check_changes()
+
+
+@then('"{name}" is told of "{names}" under leader "{leader}"')
+def step_is_told(context, name, names, leader):
+    told = [message for to, message in context.log.network.sent if to == name]
+    directories = [one for one in told if isinstance(one, MemberDirectory)]
+    assert directories, told
+    assert directories[-1].leader == leader, directories
+    assert directories[-1].members == directory(names, leader).members
+
+
+@when("{seconds:g} seconds pass while it leads")
+def step_leads(context, seconds):
+    context.now_ms += int(seconds * 1_000)
+    context.node.role = Role.LEADER
+    context.node.lease_until_ms = context.now_ms + 1_000
+    context.joining.update_dials_all()
+
+
 @when("it begins")
 def step_begin(context):
     context.joining.start(context.network)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -16,14 +16,14 @@
 from mulberryledge_core.consensus.leases import is_fresh
 from mulberryledge_core.consensus.members import Configuration
 from mulberryledge_core.consensus.messages import NotMember
-from mulberryledge_core.consensus.node import Node
+from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.log.address_bootstrap import (
     BOOTSTRAP_FOLDER,
     AddressBootstrap,
 )
 from mulberryledge_daemon.log.settings_bootstrap import SettingsBootstrap
 from mulberryledge_daemon.log.storage import Storage
-from mulberryledge_daemon.peers.messages import Form, Hello
+from mulberryledge_daemon.peers.messages import Form, Hello, MemberDirectory
 from mulberryledge_daemon.peers.network import Network, PeerAddress
 from mulberryledge_daemon.settings import PeerSection, Settings
 
@@ -47,7 +47,10 @@
         Identity of the cluster; empty as long as the daemon belongs to none.
     dials_all : bool
         Whether every peer is dialled, including those that dial this daemon: after
-        the start, and without contact with a leader.
+        the start, without contact with a leader, and while leading.
+    directories : dict of str to MemberDirectory
+        What each peer has told this daemon, as long as it does not follow a leader
+        as a member.
     join_report_ms : int
         When it is logged next that this daemon is no member.
     join_report_interval_ms : int
@@ -77,6 +80,7 @@
         self.settings_bootstrap = SettingsBootstrap(settings, node.folder)
         self.members: Configuration | None = None
         self.dials_all = True
+        self.directories: dict[str, MemberDirectory] = {}
         self.join_report_ms = node.started_ms + JOIN_REPORT_MIN_MS
         self.join_report_interval_ms = JOIN_REPORT_MIN_MS
 
@@ -185,6 +189,33 @@
         if not self.cluster:
             self.bootstrap(message.cluster, message.members)
 
+    def on_directory(self, sender: str, message: MemberDirectory) -> None:
+        """Dial the members that a peer names, unless this daemon follows a leader."""
+        known = self.directories.get(sender)
+        if not self.needs_directory() or message == known:
+            return
+        self.directories[sender] = message
+        if known is None or message.leader != known.leader:
+            extra = {"leader": message.leader, "term": message.term, "from": sender}
+            logger.info("told of a leader", extra=extra)
+        self.update_dialled_peers()
+
+    def needs_directory(self) -> bool:
+        """Return whether the members in this daemon's log may be out of date."""
+        follows = self.is_member() and not self.dials_all
+        return not follows and self.node.role != Role.LEADER
+
+    def known_directory(self) -> MemberDirectory:
+        """Return the members and the leader, as a member or as a member told them."""
+        told = max(
+            self.directories.values(),
+            key=lambda one: (one.term, one.leader != ""),
+            default=None,
+        )
+        if told is not None and not self.is_member():
+            return told
+        return MemberDirectory(self.node.term, self.node.leader, self.node.log.members)
+
     def update_members(self) -> None:
         """Update the dialled peers if the members have changed."""
         if self.node.log.members is not self.members:
@@ -196,12 +227,15 @@
         Dial every peer after the start, and without contact with a leader.
 
         Peers that lost the connection to an earlier process of this daemon delay
-        their redials; a leader elected meanwhile would have no quorum without it.
+        their redials; a leader elected meanwhile would have no quorum without it. A
+        member that was cut off may know no address at which a member listens now, so
+        the leader dials it.
         """
         now = self.now()
         contact_ms = self.node.leader_contact_ms or self.node.started_ms
         dials_all = now - contact_ms >= DIAL_ALL_MS and not is_fresh(self.node, now)
         dials_all = dials_all or now - self.node.started_ms < DIAL_ALL_MS
+        dials_all = dials_all or self.node.role == Role.LEADER
         if dials_all != self.dials_all:
             self.dials_all = dials_all
             self.update_dialled_peers()
@@ -234,11 +268,15 @@
             peer.name: PeerAddress(peer.name, peer.address, peer.port)
             for peer in self.peers
         }
+        if not self.needs_directory():
+            self.directories.clear()
         members = self.node.log.members
-        for member in members.members:
-            addresses[member.name] = PeerAddress(
-                member.name, member.address, member.port
-            )
+        told = [one.members for one in self.directories.values()]
+        for known in (*told, members):
+            for member in known.members:
+                addresses[member.name] = PeerAddress(
+                    member.name, member.address, member.port
+                )
         is_member = self.is_member()
         if is_member:
             for name in members.former:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -135,7 +135,6 @@
             self.membership_controller = MembershipController(
                 self.node, options.min_voters, self.propose, self.now
             )
-        self.gateways: set[str] = set()
         handlers = NetworkHandlers(
             self.cluster_joiner.make_hello,
             self.cluster_joiner.check_handshake,
@@ -172,6 +171,7 @@
         self.handlers = {
             Hello: self.on_hello,
             Form: self.cluster_joiner.on_form,
+            MemberDirectory: self.cluster_joiner.on_directory,
             Propose: self.on_propose,
             ProposeReply: lambda sender, reply: self.proposer.on_reply(reply),
             Ask: self.channel.on_ask,
@@ -418,30 +418,33 @@
             logger.info("leader", extra=extra)
             if self.node.leader:
                 self.proposer.send_all()
-            self.notify_gateways()
+            self.notify_outsiders()
         if self.node.log.members is not self.cluster_joiner.members:
             self.cluster_joiner.update_members()
-            self.notify_gateways()
+            self.notify_outsiders()
 
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Handle the handshake of a peer."""
         self.cluster_joiner.on_hello(sender, hello)
-        if hello.gateway:
-            self.gateways.add(sender)
-            self.notify_gateways((sender,))
-        elif self.membership_controller is not None:
+        self.send_directory((sender,))
+        if self.membership_controller is not None and not hello.gateway:
             self.membership_controller.on_hello(hello)
             if self.node.log.members.find(sender) is None:
                 extra = {"peer": sender, "leader": self.node.leader}
                 extra["can_vote"] = bool(hello.folder)
                 logger.info("connected daemon is no member", extra=extra)
 
-    def notify_gateways(self, names: Iterable[str] | None = None) -> None:
-        """Send the leader and the members to gateways."""
-        message = MemberDirectory(
-            self.node.term, self.node.leader, self.node.log.members
+    def notify_outsiders(self) -> None:
+        """Send the leader and the members to connected daemons that have no log."""
+        members = self.node.log.members
+        self.send_directory(
+            [name for name in self.network.links if members.find(name) is None]
         )
-        for name in self.gateways if names is None else names:
+
+    def send_directory(self, names: Iterable[str]) -> None:
+        """Send the leader and the members to connected daemons."""
+        message = self.cluster_joiner.known_directory()
+        for name in names:
             self.network.send(name, message)
 
     def send_proposal(self, message: Propose) -> bool:
@@ -489,7 +492,6 @@
     def on_closed(self, peer: str) -> None:
         """Handle a lost connection."""
         self.cluster_joiner.settings_bootstrap.remove(peer)
-        self.gateways.discard(peer)
         if self.membership_controller is not None:
             self.membership_controller.on_closed(peer)
         self.channel.on_closed(peer)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
@@ -67,7 +67,7 @@
 @dataclass(frozen=True, slots=True)
 class MemberDirectory:
     """
-    Members and leader known to the sender, for gateways.
+    Members and leader known to the sender, for daemons that don't have the log.
 
     Attributes
     ----------
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -140,6 +140,8 @@
         """Dial only the given peers from now on; open connections stay."""
         by_name = {peer.name: peer for peer in peers if peer.name != self.name}
         self.addresses = by_name
+        for name in set(self.delays) - set(by_name):
+            del self.delays[name]
         for name in by_name:
             self.dial(name)
 
