--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -63,3 +63,14 @@
     Given a leader with 4 voters and 2 standbys besides
     When it is elected anew and has heard from no one
     Then it changes no members
+
+  Scenario: A leader that loses its quorum doesn't say which voters it missed
+    Given a leader with 3 voters and 0 standbys besides
+    When it hears of "m1" only, and then of no one
+    Then it says that its quorum is lost, without "m1 m2"
+
+  Scenario: The losses that are borne don't show in the logs
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost for 3 seconds where at least 3 are needed
+    Then of 5 voters with a quorum of 3 it reports 2 as silent and 0 losses as borne
+    And it warns once that fewer losses are borne than promised
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -1,11 +1,15 @@
 """How many voters a leader keeps by itself."""
 
+import logging
 from itertools import combinations
 from random import Random
 
 from behave import given, then, when
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
-from mulberryledge_core.commands.members import PromoteMember
+from mulberryledge_core.commands.members import DemoteMember, PromoteMember
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.leading import track_members
@@ -15,7 +19,14 @@
     next_change,
     target_voter_count,
 )
-from mulberryledge_core.consensus.node import Node, Progress, Role
+from mulberryledge_core.consensus.membership_summary import summarise_members
+from mulberryledge_core.consensus.node import Node, Progress, Role, StepDownCause
+from mulberryledge_core.consensus.steps import tick
+from mulberryledge_daemon.log.membership import CHECK_INTERVAL_MS, MembershipController
+from mulberryledge_daemon.log.options import LogOptions
+from mulberryledge_daemon.log.proposer import Proposer
+from mulberryledge_daemon.log.replicated import ReplicatedLog
+from mulberryledge_daemon.settings import DaemonSection, Settings
 
 NOW_MS = 50_000
 MOST_CHANGES = 30
@@ -205,3 +216,121 @@
 @then("it changes no members")
 def step_no_change(context):
     assert next_change(context.node, (), 3, NOW_MS) is None
+
+
+@given("a leader decided on a change, which no quorum has confirmed")
+def step_decided(context):
+    context.clock = Clock()
+    log = ReplicatedLog(
+        context.clock,
+        Settings(DaemonSection("m0")),
+        None,
+        Random(1),
+        None,
+        LogOptions(),
+    )
+    context.node = log.node
+    context.node.role = Role.LEADER
+    context.sent = []
+    log.proposer = context.proposer = Proposer(
+        context.clock, "session", lambda message: not context.sent.append(message)
+    )
+    context.outcomes = []
+    decision = Deferred.fromCoroutine(log.propose_in_term(DemoteMember("m1", "disk")))
+    decision.addCallback(context.outcomes.append)
+
+
+@when("another daemon leads")
+def step_other_leads(context):
+    assert len(context.sent) == 1 and not context.outcomes
+    context.node.become_follower(context.node.term + 1, "m2", 0)
+    context.proposer.send_all()
+
+
+@then("the change is not sent to it, and its decision has failed")
+def step_not_sent(context):
+    assert len(context.sent) == 1, context.sent
+    assert isinstance(context.outcomes[0], Err), context.outcomes
+
+
+@given("a leader whose proposals raise an error")
+def step_raising(context):
+    context.proposed = []
+
+    async def propose(change):
+        context.proposed.append(change)
+        raise RuntimeError("planned")
+
+    node = leader_of(Configuration((Member("m0", folder="disk-m0"),)))
+    context.times_ms = iter(range(NOW_MS, NOW_MS * 2, CHECK_INTERVAL_MS))
+    context.controller = MembershipController(node, 1, propose, lambda: context.now_ms)
+    context.controller.joining_daemons["m1"] = JoiningDaemon("m1", "m1", 1, "", "d")
+
+
+@when("it checks its members twice")
+def step_check_twice(context):
+    for _ in range(2):
+        context.now_ms = next(context.times_ms)
+        context.controller.tick()
+
+
+@then("it has proposed {count:d} changes")
+def step_proposed(context, count):
+    assert len(context.proposed) == count, context.proposed
+
+
+@when('"{name}" reports another disk and then nothing for {seconds:d} second')
+def step_reports_disk(context, name, seconds):
+    context.node = leader_of(context.members)
+    context.node.progress[name].folder = "another"
+    for other, progress in context.node.progress.items():
+        if other == name:
+            progress.reported_ms = NOW_MS - 1_000 * seconds - 500
+
+
+@when('it hears of "{name}" only, and then of no one')
+def step_hears_of_no_one(context, name):
+    context.node = leader_of(context.members)
+    for other, progress in context.node.progress.items():
+        if other == name:
+            progress.confirmed_ms, progress.confirmed_folder = NOW_MS, progress.folder
+        else:
+            progress.reported_ms = None
+    tick(context.node, NOW_MS + context.node.timing.election_max_ms + 1)
+
+
+@then('it says that its quorum is lost, without "{names}"')
+def step_says_lost(context, names):
+    ended = context.node.last_step_down
+    assert ended.cause == StepDownCause.QUORUM_LOST, ended
+    assert ended.unheard == tuple(names.split()), ended
+
+
+@then(
+    "of {voters:d} voters with a quorum of {quorum:d} it reports {silent:d} as silent"
+    " and {borne:d} losses as borne"
+)
+def step_summary(context, voters, quorum, silent, borne):
+    cluster = context.cluster
+    found = summarise_members(cluster.node, cluster.min_voters, cluster.now_ms)
+    assert (found.voters, found.quorum) == (voters, quorum), found
+    assert (len(found.silent), found.losses_borne) == (silent, borne), found
+
+
+@then("it warns once that fewer losses are borne than promised")
+def step_warns_once(context):
+    cluster, lines = context.cluster, []
+    controller = MembershipController(
+        cluster.node, cluster.min_voters, None, lambda: cluster.now_ms
+    )
+    handler = logging.Handler()
+    handler.emit = lines.append
+    logger = logging.getLogger("mulberryledge_daemon.log.membership")
+    logger.addHandler(handler)
+    try:
+        controller.check_losses_borne()
+        controller.check_losses_borne()
+    finally:
+        logger.removeHandler(handler)
+    assert [one.levelno for one in lines] == [logging.WARNING], lines
+    assert lines[0].losses_borne == 0 and lines[0].promised == 1
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from mulberryledge_core.consensus.members import Member
 from mulberryledge_core.consensus.membership_policy import (
     is_silent,
     target_voter_count,
@@ -25,7 +26,7 @@
     Attributes
     ----------
     silent : tuple of str
-        Voters from which the leader hears nothing.
+        Voters from which the leader hears nothing, or only from another data folder.
     target : int
         Number of voters that the leader aims for.
     losses_borne : int
@@ -44,7 +45,11 @@
     """Return the numbers of a leader's members."""
     members = node.log.members
     voters = members.voters()
-    silent = tuple(voter.name for voter in voters if is_silent(node, voter, now))
+    silent = tuple(
+        voter.name
+        for voter in voters
+        if is_silent(node, voter, now) or _has_other_folder(node, voter)
+    )
     return MembershipSummary(
         voters=len(voters),
         silent=silent,
@@ -53,3 +58,8 @@
         quorum=members.majority(),
         losses_borne=len(voters) - len(silent) - members.majority(),
     )
+
+
+def _has_other_folder(node: Node, voter: Member) -> bool:
+    progress = node.progress.get(voter.name)
+    return progress is not None and progress.folder not in ("", voter.folder)
