Drop a decision about members once its leader leads no more

Callers could see a live voter demoted, or a dead one promoted: a change that the policy of one leader decided on was sent again to the next leader for up to 10 s, which made it though it knew better. The scenario 'A decision about members outlives the term of the leader that made it' fails before. Found by reading, not seen in a run.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -64,6 +64,11 @@
     When it is elected anew and has heard from no one
     Then it changes no members
 
+  Scenario: A decision about members outlives the term of the leader that made it
+    Given a leader decided on a change, which no quorum has confirmed
+    When another daemon leads
+    Then the change is not sent to it, and its decision has failed
+
   Scenario: A leader that loses its quorum doesn't say which voters it missed
     Given a leader with 3 voters and 0 standbys besides
     When it hears of "m1" only, and then of no one
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
@@ -34,13 +34,21 @@
 
 @dataclass(slots=True)
 class PendingProposal:
-    """A proposal without a known outcome."""
+    """
+    A proposal without a known outcome.
+
+    Attributes
+    ----------
+    is_valid : callable
+        Whether it may still be sent.
+    """
 
     sequence: int
     is_member_change: bool
     data: bytes
     deferred: Deferred
     deadline_s: float
+    is_valid: Callable[[], bool]
     sent_s: float = -1.0
     unanswered_sends: int = 0
 
@@ -62,8 +70,17 @@
         self.sequence = 0
         self.pending: dict[int, PendingProposal] = {}
 
-    def propose(self, command: Command) -> Deferred:
-        """Send a command to the leader; resolves with its outcome."""
+    def propose(
+        self, command: Command, is_valid: Callable[[], bool] = lambda: True
+    ) -> Deferred:
+        """
+        Send a command to the leader; resolves with its outcome.
+
+        Parameters
+        ----------
+        is_valid : callable
+            Checked before each send; a proposal that isn't valid any more fails.
+        """
         if len(self.pending) >= MAX_PENDING:
             refusal = Refusal(Code.OVERLOADED, "too many proposals wait for an outcome")
             deferred = Deferred()
@@ -89,6 +106,7 @@
             data=data,
             deferred=Deferred(),
             deadline_s=self.clock.seconds() + PROPOSE_TIMEOUT_S,
+            is_valid=is_valid,
         )
         self.pending[proposal.sequence] = proposal
         self.try_send(proposal)
@@ -100,6 +118,10 @@
 
     def try_send(self, proposal: PendingProposal) -> None:
         """Send one proposal to the leader if there is one."""
+        if not proposal.is_valid():
+            text = "its reason has ended: it may still be applied"
+            self.resolve(proposal.sequence, Err(Refusal(Code.CONFLICT, text)))
+            return
         message = Propose(
             self.session,
             proposal.sequence,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -133,7 +133,7 @@
         self.membership_controller = None
         if options.min_voters:
             self.membership_controller = MembershipController(
-                self.node, options.min_voters, self.propose, self.now
+                self.node, options.min_voters, self.propose_in_term, self.now
             )
         handlers = NetworkHandlers(
             self.cluster_joiner.make_hello,
@@ -221,6 +221,15 @@
         """Append a command; return its outcome once this daemon has applied it."""
         return await self.proposer.propose(command)
 
+    async def propose_in_term(self, command: Command) -> ApplyResult:
+        """Append a command that this leader decides on; it fails in a later term."""
+        term = self.node.term
+
+        def is_valid() -> bool:
+            return self.node.role == Role.LEADER and self.node.term == term
+
+        return await self.proposer.propose(command, is_valid)
+
     def is_leader(self) -> bool:
         """Return whether this daemon leads and its quorum lease holds."""
         return is_leading(self.node, self.now())
