Go on checking members after a proposal raised an error

An error in one proposal left 'busy' set, and this leader changed no member any more. The scenario 'A failure while a change is proposed ends all later changes' fails before. Found by reading, not seen in a run.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -69,6 +69,11 @@
     When another daemon leads
     Then the change is not sent to it, and its decision has failed
 
+  Scenario: A failure while a change is proposed ends all later changes
+    Given a leader whose proposals raise an error
+    When it checks its members twice
+    Then it has proposed 2 changes
+
   Scenario: A leader that loses its quorum doesn't say which voters it missed
     Given a leader with 3 voters and 0 standbys besides
     When it hears of "m1" only, and then of no one
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
@@ -104,8 +104,13 @@
 
     async def propose_change(self, change: object) -> None:
         """Propose a membership change and log its outcome."""
-        outcome = await self.propose(change)
-        self.busy = False
+        try:
+            outcome = await self.propose(change)
+        except Exception:  # a later check decides anew
+            logger.exception("members check failed")
+            return
+        finally:
+            self.busy = False
         extra = {"change": repr(change)} | summary_fields(self.summary())
         if isinstance(outcome, Err):
             extra["why"] = outcome.err_value.message
