Give a voter's new disk the vote only while the voter is heard

A voter that had reported a new disk and then died got the vote of that disk: the old one could have come back. Same class: a report of any age counted. The scenario 'A voter with a new disk that has died since gets the vote back' fails before. Found by reading.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -74,6 +74,11 @@
     When it checks its members twice
     Then it has proposed 2 changes
 
+  Scenario: A voter with a new disk that has died since gets the vote back
+    Given a leader with 3 voters and 0 standbys besides
+    When "m1" reports another disk and then nothing for 1 second
+    Then it changes no members
+
   Scenario: A leader that loses its quorum doesn't say which voters it missed
     Given a leader with 3 voters and 0 standbys besides
     When it hears of "m1" only, and then of no one
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -71,7 +71,7 @@
         return None
     return (
         _add_applicant(node, applicants)
-        or _replace_folder(node)
+        or _replace_folder(node, now)
         or _change_voters(node, min_voters, now)
         or _remove_silent_learner(node, now)
     )
@@ -129,13 +129,12 @@
     return None
 
 
-def _replace_folder(node: Node) -> ReplaceFolder | None:
+def _replace_folder(node: Node, now: int) -> ReplaceFolder | None:
     for voter in node.log.members.voters():
-        progress = node.progress.get(voter.name)
-        if progress is None or progress.folder in ("", voter.folder):
-            continue
-        if _is_caught_up(node, progress):
-            return ReplaceFolder(voter.name, progress.folder)
+        if _is_standby(node, voter, now):
+            folder = node.progress[voter.name].folder
+            if folder != voter.folder:
+                return ReplaceFolder(voter.name, folder)
     return None
 
 
@@ -206,6 +205,7 @@
 
 
 def _is_standby(node: Node, member: Member, now: int) -> bool:
+    """Return whether a member could vote now with the folder that it reports."""
     progress = node.progress.get(member.name)
     if progress is None or not progress.folder or progress.reported_ms is None:
         return False
