Keep one pending dial for each peer, however often the peers change

Callers saw nothing yet. Cause: each change of the peers dials at once all that have no connection, beside the dial that is pending already; a peer that refuses answers at once, so that each dial begins a row of its own that never ends. With newcomers and gateways told of each change of leader and members by each member, the rows multiply.

Now a new dial cancels the pending one, and no dial is pending for a peer that isn't dialled any more; nor is a delay of it kept.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -63,3 +63,7 @@
     And "v4" tells it of "v3 v4 n5" under leader "n5"
     And 3.1 seconds pass under a leader
     Then it dials "v4"
+
+  Scenario: Each change of the peers adds a row of dials to one that refuses
+    When a peer refuses connections for 10 seconds while the peers change 20 times
+    Then it is dialled at most 20 times in the 20 seconds after
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -3,6 +3,8 @@
 from random import Random
 
 from behave import given, then, when
+from mulberryledge_testing.virtual_network import VirtualNetwork
+from twisted.internet.task import Clock
 from twisted.internet.testing import (
     MemoryReactorClock,
     StringTransportWithDisconnection,
@@ -198,3 +200,25 @@
 def step_dialled_again(context, seconds):
     clients = context.reactor.tcpClients
     assert pass_time(context, seconds, lambda: len(clients) > 1)
+
+
+@when(
+    "a peer refuses connections for {seconds:d} seconds"
+    " while the peers change {count:d} times"
+)
+def step_refuses(context, seconds, count):
+    context.wires = VirtualNetwork(Clock())
+    handlers = NetworkHandlers(None, None, None, None)
+    host = context.wires.add_host("10.0.0.3")
+    context.wires.add_host(ADDRESS)
+    network = Network(host, "v3", handlers, Random(1), timing=TIMING)
+    for _ in range(count):
+        network.set_peers((PeerAddress("v4", ADDRESS, PORT),))
+        context.wires.advance(seconds / count)
+
+
+@then("it is dialled at most {count:d} times in the {seconds:d} seconds after")
+def step_dials_bounded(context, count, seconds):
+    context.wires.dials.clear()
+    context.wires.advance(seconds)
+    assert 0 < len(context.wires.dials) <= count, len(context.wires.dials)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/network.py
@@ -16,6 +16,7 @@
     TCP4ClientEndpoint,
     connectProtocol,
 )
+from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
@@ -81,7 +82,14 @@
 
 
 class Network:
-    """Owns the connections to the other daemons, one per pair."""
+    """
+    Owns the connections to the other daemons, one per pair.
+
+    Attributes
+    ----------
+    redials : dict of str to IDelayedCall
+        The next attempt to connect to a peer, by its name; at most one for each.
+    """
 
     def __init__(
         self,
@@ -104,6 +112,7 @@
         self.addresses: dict[str, PeerAddress] = {}
         self.delays: dict[str, float] = {}
         self.dialling: set[str] = set()
+        self.redials: dict[str, IDelayedCall] = {}
         self.port = None
         self.stopped = False
         self.check_loop = LoopingCall(self.check_links)
@@ -142,11 +151,13 @@
         self.addresses = by_name
         for name in set(self.delays) - set(by_name):
             del self.delays[name]
+            self.cancel_redial(name)
         for name in by_name:
             self.dial(name)
 
     def dial(self, name: str) -> None:
         """Connect to a peer unless there is a connection or an attempt."""
+        self.cancel_redial(name)
         peer = self.addresses.get(name)
         in_progress = name in self.links or name in self.dialling
         if peer is None or in_progress or self.stopped:
@@ -170,11 +181,19 @@
     def dial_later(self, name: str) -> None:
         """Dial again after a delay that doubles, with jitter."""
         self.dialling.discard(name)
+        self.cancel_redial(name)
+        if self.stopped or name not in self.addresses:
+            return
         delay = self.delays.get(name, REDIAL_MIN_S)
         self.delays[name] = min(delay * 2, REDIAL_MAX_S)
-        if not self.stopped:
-            jitter = delay * (0.5 + self.random.random())
-            self.reactor.callLater(jitter, self.dial, name)
+        jitter = delay * (0.5 + self.random.random())
+        self.redials[name] = self.reactor.callLater(jitter, self.dial, name)
+
+    def cancel_redial(self, name: str) -> None:
+        """Cancel the next attempt to connect to a peer."""
+        redial = self.redials.pop(name, None)
+        if redial is not None and redial.active():
+            redial.cancel()
 
     def on_open(self, link: Link) -> None:
         """Send the handshake."""
