Dial a former member that has come back, also from a log that names it as removed

Callers saw nothing yet. Cause: a member takes the names that its own log has as removed out of what it dials, also out of its seeds and of what it was told just now. A member that was cut off while such a machine came back, and was replaced itself meanwhile, does not dial it though it may lead; nor does the leader dial a machine that is no member any more. Class: what was once known of a member counts as what it is now.

Now only a daemon that follows a leader, or leads, goes by the removed names of its log.

Evidence: the scenario 'A machine that was removed once is never dialled again though it leads' fails before (v1 and v4 are dialled, v2, which leads, isn't). Found by reading.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -67,3 +67,10 @@
   Scenario: Each change of the peers adds a row of dials to one that refuses
     When a peer refuses connections for 10 seconds while the peers change 20 times
     Then it is dialled at most 20 times in the 20 seconds after
+
+  Scenario: A machine that was removed once is never dialled again though it leads
+    Given daemon "v3" that knows "v1 v3 v4" as members and "v2" as removed
+    When it begins
+    And 3.1 seconds pass without a leader
+    And "v4" tells it of "v2 v4" under leader "v2"
+    Then it dials "v1 v2 v4"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -36,6 +36,9 @@
     def listen(self, address, port):
         pass
 
+    def send(self, to, message):
+        return False
+
     def set_peers(self, peers):
         self.names = {peer.name for peer in peers} - {self.name}
 
@@ -56,6 +59,14 @@
     )
 
 
+@given('daemon "{name}" that knows "{names}" as members and "{former}" as removed')
+def step_removed(context, name, names, former):
+    step_daemon(context, name, names)
+    members = context.node.log.members.members
+    configuration = Configuration(members, former=(former,))
+    context.node.log = EntryLog(Snapshot(members=configuration))
+
+
 @given('daemon "{name}" that is no member and was told of the founders "{names}"')
 def step_newcomer(context, name, names):
     step_daemon(context, name, names)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -277,11 +277,10 @@
                 addresses[member.name] = PeerAddress(
                     member.name, member.address, member.port
                 )
-        is_member = self.is_member()
-        if is_member:
+        if not self.needs_directory():
             for name in members.former:
                 addresses.pop(name, None)
-        include_all = self.dials_all or not is_member
+        include_all = self.dials_all or not self.is_member()
         to_dial = (
             peer for peer in addresses.values() if include_all or peer.name > self.name
         )
