Send targets, operators and entries to the leader that a core machine was told of

What callers would see: a target or an operator that reaches a core machine which was just added is answered 503, though the machine knows the leader; one that reaches a removed machine, or a learner that was cut off, is sent to the leader of its time, which may be gone for good. The same machine tells entries and newcomers of that leader.

Cause: redirects read the machine's own log only, and a machine that is a member by its own log named no other leader. Class: what was once known counts as what is now.

Now both use the newest of the own log and what was told; the own log if a machine is a member by it and no later term is known.

Evidence: the scenarios 'A removed member sends callers to the leader of its time' and 'A newcomer that was told of the leader sends no caller to it' fail before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -74,3 +74,15 @@
     And 3.1 seconds pass without a leader
     And "v4" tells it of "v2 v4" under leader "v2"
     Then it dials "v1 v2 v4"
+
+  Scenario: A removed member sends callers to the leader of its time
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And it followed "v1" in term 1
+    And "v4" tells it of "v4 n5 n6" under leader "n5"
+    Then it names "v4 n5 n6" under leader "n5"
+
+  Scenario: A newcomer that was told of the leader sends no caller to it
+    Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
+    When "v3" tells it of "v3 n5 n6" under leader "n5"
+    Then it redirects a target to the leader
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -1,6 +1,8 @@
 """Whom a daemon dials, without a socket."""
 
+from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 from behave import given, then, when
 from mulberryledge_testing.virtual_network import VirtualNetwork
@@ -21,7 +23,11 @@
 from mulberryledge_daemon.peers.messages import Hello, MemberDirectory
 from mulberryledge_daemon.peers.network import Network, NetworkHandlers, PeerAddress
 from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
+from mulberryledge_platform.core import Core
+from mulberryledge_platform.http_server import WebRequest
+from mulberryledge_platform.settings import Address
 
+CONTROL_PORT = 8_000
 ADDRESS, PORT = "10.0.0.1", 7_000
 TIMING = LinkTiming(ping_after_s=0.5, silence_timeout_s=1.5, check_interval_s=0.25)
 
@@ -84,6 +90,37 @@
     return MemberDirectory(2, leader, Configuration(members))
 
 
+@when('"{sender}" tells it of "{names}" under leader "{leader}" as of entry {index:d}')
+def step_told_as_of(context, sender, names, leader, index):
+    message = replace(directory(names, leader), index=index)
+    context.joining.on_directory(sender, message)
+
+
+@when('it followed "{leader}" in term {term:d}')
+def step_followed(context, leader, term):
+    context.node.become_follower(term, leader, context.now_ms)
+
+
+@then('it names "{names}" under leader "{leader}"')
+def step_names(context, names, leader):
+    known = context.joining.known_directory()
+    expected = directory(names, leader)
+    assert (known.leader, known.members) == (leader, expected.members), known
+
+
+@then("it redirects a target to the leader")
+def step_redirects(context):
+    core = Core.__new__(Core)
+    core.log = SimpleNamespace(
+        name=context.joining.name, node=context.node, cluster_joiner=context.joining
+    )
+    core.settings = SimpleNamespace(control=Address(ADDRESS, CONTROL_PORT))
+    request = WebRequest("POST", "", "/Instances.Heartbeat/t1", b"")
+    reply = core.redirect_to_leader(request)
+    location = f"http://{ADDRESS}:{CONTROL_PORT}{request.path}"
+    assert (reply.status, reply.headers) == (307, (("Location", location),)), reply
+
+
 class RecordedNetwork:
     """A network with open links that only remembers what was sent."""
 
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -14,7 +14,7 @@
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.leases import is_fresh
-from mulberryledge_core.consensus.members import Configuration
+from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.log.address_bootstrap import (
@@ -206,15 +206,17 @@
         return not follows and self.node.role != Role.LEADER
 
     def known_directory(self) -> MemberDirectory:
-        """Return the members and the leader, as a member or as a member told them."""
-        told = max(
-            self.directories.values(),
-            key=lambda one: (one.term, one.leader != ""),
-            default=None,
-        )
-        if told is not None and not self.is_member():
-            return told
-        return MemberDirectory(self.node.term, self.node.leader, self.node.log.members)
+        """Return the newest known members and leader, by the own log or as told."""
+        own = MemberDirectory(self.node.term, self.node.leader, self.node.log.members)
+        told = max(self.directories.values(), key=rank, default=None)
+        if told is None or (self.is_member() and rank(own) >= rank(told)):
+            return own
+        return told
+
+    def leader_member(self) -> Member | None:
+        """Return the leader if it is known."""
+        known = self.known_directory()
+        return known.members.find(known.leader)
 
     def update_members(self) -> None:
         """Update the dialled peers if the members have changed."""
@@ -292,3 +294,8 @@
         """Notify a connected daemon that it was removed from the members."""
         if self.node.commit >= self.node.log.members_index:
             self.network.send(name, NotMember(self.node.term, self.node.commit))
+
+
+def rank(directory: MemberDirectory) -> tuple[int, bool]:
+    """Return what is higher for the newer one of two directories."""
+    return directory.term, directory.leader != ""
