Rank what is told of the members by the sender's commit index

Callers saw nothing yet. Cause: within a term, the message that came last was taken for the newest. A voter that lags, or a newcomer that passes on what it was told some time ago, put the members of before into an entry, which then dialled a lost machine and not its successor; and a newcomer told others of the first it had heard of, not the last. Class: what was once known counts as what is now.

Now a directory has the last entry that its sender knows to be committed, and the higher one of a term counts. A daemon that lacks a change of members can't know a higher commit index than one that has it in its log, so the members of before never win.

Evidence: the scenarios 'A newcomer passes on members that have changed since' and 'An entry takes the members of a voter that lags for the new ones' fail before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -86,3 +86,15 @@
     Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
     When "v3" tells it of "v3 n5 n6" under leader "n5"
     Then it redirects a target to the leader
+
+  Scenario: A newcomer passes on members that have changed since
+    Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
+    When "v3" tells it of "v3 n5 n6" under leader "n5" as of entry 10
+    And "n6" tells it of "n5 n6 n7" under leader "n5" as of entry 20
+    Then it names "n5 n6 n7" under leader "n5"
+
+  Scenario: An entry takes the members of a voter that lags for the new ones
+    Given an entry
+    When "n6" tells the entry of "n5 n6 n7" under leader "n5" as of entry 20
+    And "n7" tells the entry of "v3 n5 n7" under leader "n5" as of entry 10
+    Then the entry dials "n5 n6 n7"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -16,6 +16,7 @@
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_daemon.batch.gateway import Gateway
 from mulberryledge_daemon.log.cluster_joiner import ClusterJoiner
 from mulberryledge_daemon.log.options import LogOptions
 from mulberryledge_daemon.log.replicated import ReplicatedLog
@@ -96,6 +97,27 @@
     context.joining.on_directory(sender, message)
 
 
+@given("an entry")
+def step_entry(context):
+    wires = VirtualNetwork(Clock())
+    context.entry = Gateway(wires.add_host(ADDRESS), "e1", (), TIMING, Random(1))
+
+
+@when(
+    '"{sender}" tells the entry of "{names}" under leader "{leader}"'
+    " as of entry {index:d}"
+)
+def step_tells_entry(context, sender, names, leader, index):
+    message = replace(directory(names, leader), index=index)
+    context.entry.on_message(sender, message)
+
+
+@then('the entry dials "{names}"')
+def step_entry_dials(context, names):
+    dialled = set(context.entry.network.addresses)
+    assert dialled == set(names.split()), dialled
+
+
 @when('it followed "{leader}" in term {term:d}')
 def step_followed(context, leader, term):
     context.node.become_follower(term, leader, context.now_ms)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -131,11 +131,9 @@
             self.on_directory(sender, message)
 
     def on_directory(self, sender: str, message: MemberDirectory) -> None:
-        """Store who leads, unless the voter is of an earlier term or knows less."""
+        """Store who leads, unless the voter knows less."""
         known = self.directory
-        if message.term < known.term or (
-            message.term == known.term and known.leader and not message.leader
-        ):
+        if message.rank() < known.rank():
             return
         self.directory = message
         if message.leader != known.leader:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -207,9 +207,10 @@
 
     def known_directory(self) -> MemberDirectory:
         """Return the newest known members and leader, by the own log or as told."""
-        own = MemberDirectory(self.node.term, self.node.leader, self.node.log.members)
-        told = max(self.directories.values(), key=rank, default=None)
-        if told is None or (self.is_member() and rank(own) >= rank(told)):
+        node = self.node
+        own = MemberDirectory(node.term, node.leader, node.log.members, node.commit)
+        told = max(self.directories.values(), key=MemberDirectory.rank, default=None)
+        if told is None or (self.is_member() and own.rank() >= told.rank()):
             return own
         return told
 
@@ -294,8 +295,3 @@
         """Notify a connected daemon that it was removed from the members."""
         if self.node.commit >= self.node.log.members_index:
             self.network.send(name, NotMember(self.node.term, self.node.commit))
-
-
-def rank(directory: MemberDirectory) -> tuple[int, bool]:
-    """Return what is higher for the newer one of two directories."""
-    return directory.term, directory.leader != ""
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
@@ -73,11 +73,18 @@
     ----------
     leader : str
         Name of the leader; empty if the sender knows none.
+    index : int
+        Last log entry that the sender knows to be committed.
     """
 
     term: int
     leader: str
     members: Configuration
+    index: int = 0
+
+    def rank(self) -> tuple[int, bool, int]:
+        """Return what is higher for the newer one of two directories."""
+        return self.term, self.leader != "", self.index
 
 
 @dataclass(frozen=True, slots=True)
