--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -63,3 +63,38 @@
     And "v4" tells it of "v3 v4 n5" under leader "n5"
     And 3.1 seconds pass under a leader
     Then it dials "v4"
+
+  Scenario: Each change of the peers adds a row of dials to one that refuses
+    When a peer refuses connections for 10 seconds while the peers change 20 times
+    Then it is dialled at most 20 times in the 20 seconds after
+
+  Scenario: A machine that was removed once is never dialled again though it leads
+    Given daemon "v3" that knows "v1 v3 v4" as members and "v2" as removed
+    When it begins
+    And 3.1 seconds pass without a leader
+    And "v4" tells it of "v2 v4" under leader "v2"
+    Then it dials "v1 v2 v4"
+
+  Scenario: A removed member sends callers to the leader of its time
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And it followed "v1" in term 1
+    And "v4" tells it of "v4 n5 n6" under leader "n5"
+    Then it names "v4 n5 n6" under leader "n5"
+
+  Scenario: A newcomer that was told of the leader sends no caller to it
+    Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
+    When "v3" tells it of "v3 n5 n6" under leader "n5"
+    Then it redirects a target to the leader
+
+  Scenario: A newcomer passes on members that have changed since
+    Given daemon "n9" that is no member and was told of the founders "v1 v2 v3"
+    When "v3" tells it of "v3 n5 n6" under leader "n5" as of entry 10
+    And "n6" tells it of "n5 n6 n7" under leader "n5" as of entry 20
+    Then it names "n5 n6 n7" under leader "n5"
+
+  Scenario: An entry takes the members of a voter that lags for the new ones
+    Given an entry
+    When "n6" tells the entry of "n5 n6 n7" under leader "n5" as of entry 20
+    And "n7" tells the entry of "v3 n5 n7" under leader "n5" as of entry 10
+    Then the entry dials "n5 n6 n7"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -1,8 +1,12 @@
 """Whom a daemon dials, without a socket."""
 
+from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 from behave import given, then, when
+from mulberryledge_testing.virtual_network import VirtualNetwork
+from twisted.internet.task import Clock
 from twisted.internet.testing import (
     MemoryReactorClock,
     StringTransportWithDisconnection,
@@ -12,6 +16,7 @@
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.node import Node, Role
+from mulberryledge_daemon.batch.gateway import Gateway
 from mulberryledge_daemon.log.cluster_joiner import ClusterJoiner
 from mulberryledge_daemon.log.options import LogOptions
 from mulberryledge_daemon.log.replicated import ReplicatedLog
@@ -19,7 +24,11 @@
 from mulberryledge_daemon.peers.messages import Hello, MemberDirectory
 from mulberryledge_daemon.peers.network import Network, NetworkHandlers, PeerAddress
 from mulberryledge_daemon.settings import DaemonSection, PeerSection, Settings
+from mulberryledge_platform.core import Core
+from mulberryledge_platform.http_server import WebRequest
+from mulberryledge_platform.settings import Address
 
+CONTROL_PORT = 8_000
 ADDRESS, PORT = "10.0.0.1", 7_000
 TIMING = LinkTiming(ping_after_s=0.5, silence_timeout_s=1.5, check_interval_s=0.25)
 
@@ -34,6 +43,9 @@
     def listen(self, address, port):
         pass
 
+    def send(self, to, message):
+        return False
+
     def set_peers(self, peers):
         self.names = {peer.name for peer in peers} - {self.name}
 
@@ -54,6 +66,14 @@
     )
 
 
+@given('daemon "{name}" that knows "{names}" as members and "{former}" as removed')
+def step_removed(context, name, names, former):
+    step_daemon(context, name, names)
+    members = context.node.log.members.members
+    configuration = Configuration(members, former=(former,))
+    context.node.log = EntryLog(Snapshot(members=configuration))
+
+
 @given('daemon "{name}" that is no member and was told of the founders "{names}"')
 def step_newcomer(context, name, names):
     step_daemon(context, name, names)
@@ -71,6 +91,58 @@
     return MemberDirectory(2, leader, Configuration(members))
 
 
+@when('"{sender}" tells it of "{names}" under leader "{leader}" as of entry {index:d}')
+def step_told_as_of(context, sender, names, leader, index):
+    message = replace(directory(names, leader), index=index)
+    context.joining.on_directory(sender, message)
+
+
+@given("an entry")
+def step_entry(context):
+    wires = VirtualNetwork(Clock())
+    context.entry = Gateway(wires.add_host(ADDRESS), "e1", (), TIMING, Random(1))
+
+
+@when(
+    '"{sender}" tells the entry of "{names}" under leader "{leader}"'
+    " as of entry {index:d}"
+)
+def step_tells_entry(context, sender, names, leader, index):
+    message = replace(directory(names, leader), index=index)
+    context.entry.on_message(sender, message)
+
+
+@then('the entry dials "{names}"')
+def step_entry_dials(context, names):
+    dialled = set(context.entry.network.addresses)
+    assert dialled == set(names.split()), dialled
+
+
+@when('it followed "{leader}" in term {term:d}')
+def step_followed(context, leader, term):
+    context.node.become_follower(term, leader, context.now_ms)
+
+
+@then('it names "{names}" under leader "{leader}"')
+def step_names(context, names, leader):
+    known = context.joining.known_directory()
+    expected = directory(names, leader)
+    assert (known.leader, known.members) == (leader, expected.members), known
+
+
+@then("it redirects a target to the leader")
+def step_redirects(context):
+    core = Core.__new__(Core)
+    core.log = SimpleNamespace(
+        name=context.joining.name, node=context.node, cluster_joiner=context.joining
+    )
+    core.settings = SimpleNamespace(control=Address(ADDRESS, CONTROL_PORT))
+    request = WebRequest("POST", "", "/Instances.Heartbeat/t1", b"")
+    reply = core.redirect_to_leader(request)
+    location = f"http://{ADDRESS}:{CONTROL_PORT}{request.path}"
+    assert (reply.status, reply.headers) == (307, (("Location", location),)), reply
+
+
 class RecordedNetwork:
     """A network with open links that only remembers what was sent."""
 
@@ -198,3 +270,25 @@
 def step_dialled_again(context, seconds):
     clients = context.reactor.tcpClients
     assert pass_time(context, seconds, lambda: len(clients) > 1)
+
+
+@when(
+    "a peer refuses connections for {seconds:d} seconds"
+    " while the peers change {count:d} times"
+)
+def step_refuses(context, seconds, count):
+    context.wires = VirtualNetwork(Clock())
+    handlers = NetworkHandlers(None, None, None, None)
+    host = context.wires.add_host("10.0.0.3")
+    context.wires.add_host(ADDRESS)
+    network = Network(host, "v3", handlers, Random(1), timing=TIMING)
+    for _ in range(count):
+        network.set_peers((PeerAddress("v4", ADDRESS, PORT),))
+        context.wires.advance(seconds / count)
+
+
+@then("it is dialled at most {count:d} times in the {seconds:d} seconds after")
+def step_dials_bounded(context, count, seconds):
+    context.wires.dials.clear()
+    context.wires.advance(seconds)
+    assert 0 < len(context.wires.dials) <= count, len(context.wires.dials)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -14,7 +14,7 @@
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.leases import is_fresh
-from mulberryledge_core.consensus.members import Configuration
+from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.messages import NotMember
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.log.address_bootstrap import (
@@ -206,15 +206,18 @@
         return not follows and self.node.role != Role.LEADER
 
     def known_directory(self) -> MemberDirectory:
-        """Return the members and the leader, as a member or as a member told them."""
-        told = max(
-            self.directories.values(),
-            key=lambda one: (one.term, one.leader != ""),
-            default=None,
-        )
-        if told is not None and not self.is_member():
-            return told
-        return MemberDirectory(self.node.term, self.node.leader, self.node.log.members)
+        """Return the newest known members and leader, by the own log or as told."""
+        node = self.node
+        own = MemberDirectory(node.term, node.leader, node.log.members, node.commit)
+        told = max(self.directories.values(), key=MemberDirectory.rank, default=None)
+        if told is None or (self.is_member() and own.rank() >= told.rank()):
+            return own
+        return told
+
+    def leader_member(self) -> Member | None:
+        """Return the leader if it is known."""
+        known = self.known_directory()
+        return known.members.find(known.leader)
 
     def update_members(self) -> None:
         """Update the dialled peers if the members have changed."""
@@ -277,11 +280,10 @@
                 addresses[member.name] = PeerAddress(
                     member.name, member.address, member.port
                 )
-        is_member = self.is_member()
-        if is_member:
+        if not self.needs_directory():
             for name in members.former:
                 addresses.pop(name, None)
-        include_all = self.dials_all or not is_member
+        include_all = self.dials_all or not self.is_member()
         to_dial = (
             peer for peer in addresses.values() if include_all or peer.name > self.name
         )
