Add voters for an odd number only while every voter is heard

With nine machines of which two may be away, a core that lost machines every few seconds, some of them its leader, had 13 voters and six of these dead, which is the last quorum.

Cause: a new leader took each voter as heard until 2.5 s after its election, as did one whose voter had only just died. Successors that came in this time were standbys without a silent voter to replace, so they were promoted in pairs and enlarged the quorum. Same class: who can't be known to be lost counted as heard.

Change: of an odd number of voters, a further one is promoted only while each voter has reported within an election timeout with the disk that votes. Of an even number one is promoted at once as before, since that leaves the quorum's size.

Evidence: 'A new leader promotes successors before it can know which voters are lost' fails before and passes now.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -64,6 +64,12 @@
     When it is elected anew and has heard from no one
     Then it changes no members
 
+  Scenario: A new leader promotes successors before it can know which voters are lost
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost at a leader's election, and 2 successors come at once
+    Then there are never more than 5 voters
+    And the voters are 5 daemons that are heard
+
   Scenario: A decision about members outlives the term of the leader that made it
     Given a leader decided on a change, which no quorum has confirmed
     When another daemon leads
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -91,7 +91,7 @@
         self.coming = {}
         self.lost_at_promotion = ""
         self.least_majority_margin = len(self.live)
-        self.most_members = len(self.live)
+        self.most_members = self.most_voters = len(self.live)
 
     def lose(self, name):
         self.live.discard(name)
@@ -124,6 +124,7 @@
         if isinstance(change, PromoteMember) and change.name == self.lost_at_promotion:
             self.lose(change.name)
         self.most_members = max(self.most_members, len(members.members))
+        self.most_voters = max(self.most_voters, len(members.voters()))
         heard = sum(one.name in self.live for one in members.voters())
         margin = heard - members.majority()
         self.least_majority_margin = min(self.least_majority_margin, margin)
@@ -171,6 +172,23 @@
     cluster.pass_time(3)
 
 
+@when("{lost:d} voters are lost {when}, and {coming:d} successors come at once")
+def step_lose_and_come(context, lost, when, coming):
+    context.cluster = cluster = LedCluster(context.members, 3)
+    for name in sorted(cluster.voters())[-lost:]:
+        cluster.lose(name)
+    if when == "at a leader's election":
+        elect_anew(cluster.node)
+    for number in range(coming):
+        cluster.come(f"n{number}")
+    cluster.pass_time(5)
+
+
+@then("there are never more than {most:d} voters")
+def step_most_voters(context, most):
+    assert context.cluster.most_voters <= most, context.cluster.most_voters
+
+
 @when("{lost:d} voters are lost, and a successor that is lost at its promotion comes")
 def step_lost_at_promotion(context, lost):
     context.cluster = cluster = LedCluster(context.members, 5)
@@ -205,12 +223,16 @@
     assert context.cluster.least_majority_margin >= 0
 
 
+def elect_anew(node):
+    node.elected_ms = NOW_MS
+    for progress in node.progress.values():
+        progress.reported_ms, progress.folder = None, ""
+
+
 @when("it is elected anew and has heard from no one")
 def step_elected_anew(context):
     context.node = leader_of(context.members)
-    context.node.elected_ms = NOW_MS
-    for progress in context.node.progress.values():
-        progress.reported_ms, progress.folder = None, ""
+    elect_anew(context.node)
 
 
 @then("it changes no members")
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -99,17 +99,21 @@
 
     Of an odd number, a silent voter is demoted before its successor is promoted: the
     quorum shrinks with it, so that as many further losses are borne as before, also
-    if the successor is lost as well.
+    if the successor is lost as well. A further voter for an odd number raises the
+    quorum, so that it is promoted only while every voter is heard: one that has only
+    just fallen silent, or that a new leader has not heard from yet, may be lost.
     """
     count = len(node.log.members.voters())
     target = target_voter_count(node, min_voters, now)
     silent, standbys = _silent_voters(node, now), _standbys(node, now)
     if count % 2 and silent and standbys:
         return _demote(node, silent)
+    is_clear = all(_is_heard(node, voter, now) for voter in node.log.members.voters())
     if count < target:
-        return _promote(node, standbys, silent) if standbys else None
+        may_promote = standbys and (is_clear or count % 2 == 0)
+        return _promote(node, standbys, silent) if may_promote else None
     if count > target:
-        return _demote(node, silent or _spare_voters(node, now))
+        return _demote(node, silent or (_spare_voters(node) if is_clear else []))
     if count % 2 and count - 2 >= min_voters:
         lost = [voter for voter in silent if _silent_ms(node, voter, now) > LOST_MS]
         return _demote(node, lost) if len(lost) > 1 else None
@@ -151,10 +155,8 @@
     ]
 
 
-def _spare_voters(node: Node, now: int) -> list[Member]:
-    """Return the voters to demote for an odd number, once all could be heard."""
-    if now - node.elected_ms <= VOTER_TIMEOUT_MS:
-        return []
+def _spare_voters(node: Node) -> list[Member]:
+    """Return the voters of which one may be demoted for an odd number."""
     return [voter for voter in node.log.members.voters() if voter.name != node.name]
 
 
@@ -207,10 +209,25 @@
 def _is_standby(node: Node, member: Member, now: int) -> bool:
     """Return whether a member could vote now with the folder that it reports."""
     progress = node.progress.get(member.name)
-    if progress is None or not progress.folder or progress.reported_ms is None:
+    if progress is None or not progress.folder:
         return False
-    is_recent = now - progress.reported_ms <= node.timing.election_max_ms
-    return is_recent and _is_caught_up(node, progress)
+    return _is_recent(node, progress, now) and _is_caught_up(node, progress)
+
+
+def _is_heard(node: Node, voter: Member, now: int) -> bool:
+    """Return whether a voter has reported just now with the folder that votes."""
+    if voter.name == node.name:
+        return True
+    progress = node.progress.get(voter.name)
+    if progress is None or progress.folder != voter.folder:
+        return False
+    return _is_recent(node, progress, now)
+
+
+def _is_recent(node: Node, progress: Progress, now: int) -> bool:
+    if progress.reported_ms is None:
+        return False
+    return now - progress.reported_ms <= node.timing.election_max_ms
 
 
 def _is_caught_up(node: Node, progress: Progress) -> bool:
