Demote two silent voters without successors at once, not after 10 s

Five machines of which two may be away had seven voters and two of these dead for 10 s, with all machines back: the loss of two more, which the settings allow, would have ended it.

Cause: two machines are lost and their successors come within a moment, before the silence shows. Then successors are promoted as further voters. No standby is left that could replace the dead ones, and two voters without a successor were kept for 10 s, more than the 4 s after which the next machines may be lost.

Change: two silent voters are demoted as soon as they count as silent, down to the promised least number. A voter that comes back is a standby, and is promoted again.

Evidence: 'Successors that are promoted before a loss is noticed leave dead voters' fails before and passes now. The scenario on the summary of members lost two of five voters where three are needed; they are demoted before it looks now, so it needs five, and checks the same numbers and the promise of two losses.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -64,6 +64,11 @@
     When it is elected anew and has heard from no one
     Then it changes no members
 
+  Scenario: Successors that are promoted before a loss is noticed leave dead voters
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost under one leader, and 2 successors come at once
+    Then the voters are 5 daemons that are heard
+
   Scenario: A new leader promotes successors before it can know which voters are lost
     Given a leader with 5 voters and 0 standbys besides
     When 2 voters are lost at a leader's election, and 2 successors come at once
@@ -92,6 +97,6 @@
 
   Scenario: The losses that are borne don't show in the logs
     Given a leader with 5 voters and 0 standbys besides
-    When 2 voters are lost for 3 seconds where at least 3 are needed
+    When 2 voters are lost for 3 seconds where at least 5 are needed
     Then of 5 voters with a quorum of 3 it reports 2 as silent and 0 losses as borne
     And it warns once that fewer losses are borne than promised
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -37,7 +37,6 @@
 ]
 
 VOTER_TIMEOUT_MS = 2_500  # well above an election timeout, below a repair's bound
-LOST_MS = 10_000  # silence after which voters without a successor are demoted
 LEARNER_TIMEOUT_MS = 30_000  # silence after which a learner is removed
 MAX_SILENT_LEARNERS = 4  # a new leader counts the silence of each anew
 
@@ -101,7 +100,9 @@
     quorum shrinks with it, so that as many further losses are borne as before, also
     if the successor is lost as well. A further voter for an odd number raises the
     quorum, so that it is promoted only while every voter is heard: one that has only
-    just fallen silent, or that a new leader has not heard from yet, may be lost.
+    just fallen silent, or that a new leader has not heard from yet, may be lost. Two
+    silent voters without a successor are demoted together, as only that makes the
+    quorum smaller, down to the promised least number.
     """
     count = len(node.log.members.voters())
     target = target_voter_count(node, min_voters, now)
@@ -114,9 +115,8 @@
         return _promote(node, standbys, silent) if may_promote else None
     if count > target:
         return _demote(node, silent or (_spare_voters(node) if is_clear else []))
-    if count % 2 and count - 2 >= min_voters:
-        lost = [voter for voter in silent if _silent_ms(node, voter, now) > LOST_MS]
-        return _demote(node, lost) if len(lost) > 1 else None
+    if count % 2 and count - 2 >= min_voters and len(silent) > 1:
+        return _demote(node, silent)
     return None
 
 
