Tell only daemons of this release who leads and who the members are

What callers would see: in an upgrade of the daemons one at a time, as docs/operations/upgrade.md describes it, each daemon of the earlier release exits with 70 as soon as an upgraded one connects to it, until none of the earlier release runs.

Cause: since each daemon that connects is told of the leader and the members. A release before it hands this message to the consensus, which does not know it: KeyError, "invariant broken: stopping".

Now a daemon says in its handshake that it reads the message, which an earlier release ignores; gateways always could. Whoever does not say so is told nothing, as before.

Evidence: both examples of 'A daemon of an earlier release stops as it is told of the leader' fail before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -98,3 +98,14 @@
     When "n6" tells the entry of "n5 n6 n7" under leader "n5" as of entry 20
     And "n7" tells the entry of "v3 n5 n7" under leader "n5" as of entry 10
     Then the entry dials "n5 n6 n7"
+
+  Scenario Outline: A daemon of an earlier release stops as it is told of the leader
+    Given a follower of "n5" in a cluster of "v3 n5 n6"
+    When daemon "<name>" of an earlier release connects
+    And "n6" is elected
+    Then "<name>" is told of no leader
+
+    Examples:
+      | name |
+      | n6   |
+      | n9   |
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -176,11 +176,24 @@
 
 @when('daemon "{name}" that is no member connects')
 def step_connects(context, name):
+    context.log.network.links[name] = None
+    hello = Hello(name, "cluster", 1, f"disk-{name}", "session", ADDRESS, PORT)
+    context.log.on_hello(name, replace(hello, reads_directories=True))
+
+
+@when('daemon "{name}" of an earlier release connects')
+def step_earlier_release(context, name):
     context.log.network.links[name] = None
     hello = Hello(name, "cluster", 1, f"disk-{name}", "session", ADDRESS, PORT)
     context.log.on_hello(name, hello)
 
 
+@then('"{name}" is told of no leader')
+def step_told_nothing(context, name):
+    told = [message for to, message in context.log.network.sent if to == name]
+    assert not any(isinstance(one, MemberDirectory) for one in told), told
+
+
 @when('"{leader}" is elected')
 def step_elected(context, leader):
     context.log.node.become_follower(3, leader, context.log.now())
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -146,6 +146,7 @@
             listen.address,
             listen.peers_port,
             self.settings.daemon.availability_zone,
+            reads_directories=True,
         )
 
     def check_handshake(self, hello: Hello) -> str:
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -161,6 +161,7 @@
             lambda: self.node.commit,
             lambda: self.state.applied_index,
         )
+        self.directory_readers: set[str] = set()
         self.appended: set[tuple[str, int]] = set()
         self.known_leader = ("", 0)
         self.known_step_down = None
@@ -435,7 +436,10 @@
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Handle the handshake of a peer."""
         self.cluster_joiner.on_hello(sender, hello)
-        self.send_directory((sender,))
+        self.directory_readers.discard(sender)
+        if hello.gateway or hello.reads_directories:
+            self.directory_readers.add(sender)
+            self.send_directory((sender,))
         if self.membership_controller is not None and not hello.gateway:
             self.membership_controller.on_hello(hello)
             if self.node.log.members.find(sender) is None:
@@ -446,9 +450,8 @@
     def notify_outsiders(self) -> None:
         """Send the leader and the members to connected daemons that have no log."""
         members = self.node.log.members
-        self.send_directory(
-            [name for name in self.network.links if members.find(name) is None]
-        )
+        names = sorted(self.directory_readers)
+        self.send_directory([name for name in names if members.find(name) is None])
 
     def send_directory(self, names: Iterable[str]) -> None:
         """Send the leader and the members to connected daemons."""
@@ -501,6 +504,7 @@
     def on_closed(self, peer: str) -> None:
         """Handle a lost connection."""
         self.cluster_joiner.settings_bootstrap.remove(peer)
+        self.directory_readers.discard(peer)
         if self.membership_controller is not None:
             self.membership_controller.on_closed(peer)
         self.channel.on_closed(peer)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/peers/messages.py
@@ -43,6 +43,9 @@
         Where the daemon listens for its peers, and its availability zone.
     gateway : bool
         Whether the daemon only forwards requests, and holds no state.
+    reads_directories : bool
+        Whether a daemon that is no gateway accepts a :class:`MemberDirectory`; earlier
+        releases stop on it.
     """
 
     name: str
@@ -54,6 +57,7 @@
     port: int = 0
     availability_zone: str = ""
     gateway: bool = False
+    reads_directories: bool = False
 
 
 @dataclass(frozen=True, slots=True)
