Pass on to other newcomers what a newcomer hears later

Callers saw nothing yet. Cause: a newcomer told another one of the leader only as they connected. If it heard of one afterwards and did not become a member itself, as it may reach followers only, the other one never heard.

Now news is passed on once: what leaves the newest known directory as it is, isn't.

Evidence: the scenario 'A newcomer isn't told what another newcomer hears after they met' fails before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -109,3 +109,11 @@
       | name |
       | n6   |
       | n9   |
+
+  Scenario: A newcomer isn't told what another newcomer hears after they met
+    Given a newcomer that knows no member
+    When daemon "n9" that is no member connects
+    And "v3" tells the newcomer of "v3 n5 n6" under leader "n5"
+    Then "n9" is told of "v3 n5 n6" under leader "n5"
+    When "n9" tells the newcomer of "v3 n5 n6" under leader "n5"
+    Then "n9" was told 2 times
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -158,9 +158,13 @@
         return True
 
 
-@given('a follower of "{leader}" in a cluster of "{names}"')
-def step_follower(context, leader, names):
-    name = names.split()[0]
+@given("a newcomer that knows no member")
+def step_recorded_newcomer(context):
+    make_log(context, "n8")
+
+
+def make_log(context, name):
+    """Make a log that records what it sends."""
     settings = Settings(DaemonSection(name))
     options = LogOptions(min_voters=3)
     context.log = ReplicatedLog(
@@ -168,6 +172,16 @@
     )
     context.log.network = context.log.cluster_joiner.network = RecordedNetwork()
     context.log.cluster_joiner.cluster = "cluster"
+
+
+@when('"{sender}" tells the newcomer of "{names}" under leader "{leader}"')
+def step_tells_newcomer(context, sender, names, leader):
+    context.log.on_message(sender, directory(names, leader))
+
+
+@given('a follower of "{leader}" in a cluster of "{names}"')
+def step_follower(context, leader, names):
+    make_log(context, names.split()[0])
     members = directory(names, leader).members
     context.log.node.log = EntryLog(Snapshot(members=members))
     context.log.node.become_follower(2, leader, context.log.now())
@@ -188,6 +202,12 @@
     context.log.on_hello(name, hello)
 
 
+@then('"{name}" was told {count:d} times')
+def step_told_times(context, name, count):
+    told = [message for to, message in context.log.network.sent if to == name]
+    assert sum(isinstance(one, MemberDirectory) for one in told) == count, told
+
+
 @then('"{name}" is told of no leader')
 def step_told_nothing(context, name):
     told = [message for to, message in context.log.network.sent if to == name]
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -172,7 +172,7 @@
         self.handlers = {
             Hello: self.on_hello,
             Form: self.cluster_joiner.on_form,
-            MemberDirectory: self.cluster_joiner.on_directory,
+            MemberDirectory: self.on_directory,
             Propose: self.on_propose,
             ProposeReply: lambda sender, reply: self.proposer.on_reply(reply),
             Ask: self.channel.on_ask,
@@ -447,6 +447,13 @@
                 extra["can_vote"] = bool(hello.folder)
                 logger.info("connected daemon is no member", extra=extra)
 
+    def on_directory(self, sender: str, message: MemberDirectory) -> None:
+        """Handle what a peer tells of the members; pass it on if it is news."""
+        known = self.cluster_joiner.known_directory()
+        self.cluster_joiner.on_directory(sender, message)
+        if self.cluster_joiner.known_directory() != known:
+            self.notify_outsiders()
+
     def notify_outsiders(self) -> None:
         """Send the leader and the members to connected daemons that have no log."""
         members = self.node.log.members
