Let an entry dial standbys as well, which outlive the voters that it knows

Callers saw nothing yet. Cause: an entry dialled the voters only, beside its seeds. One that is cut off while the voters are replaced, and whose settings come late or never, knew the standby that votes now and leads, but never dialled it.

Evidence: the scenario 'An entry that was cut off knows a standby and dials only voters that are gone' fails before. By reading, not seen in a run.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -117,3 +117,8 @@
     Then "n9" is told of "v3 n5 n6" under leader "n5"
     When "n9" tells the newcomer of "v3 n5 n6" under leader "n5"
     Then "n9" was told 2 times
+
+  Scenario: An entry that was cut off knows a standby and dials only voters that are gone
+    Given an entry
+    When "v3" tells the entry of "v1 v3 v4" and the standby "n5" under leader "v1"
+    Then the entry dials "v1 v3 v4 n5"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -112,6 +112,16 @@
     context.entry.on_message(sender, message)
 
 
+@when(
+    '"{sender}" tells the entry of "{names}" and the standby "{standby}"'
+    ' under leader "{leader}"'
+)
+def step_tells_standby(context, sender, names, standby, leader):
+    message = directory(names, leader)
+    members = (*message.members.members, Member(standby, ADDRESS, PORT))
+    context.entry.on_message(sender, replace(message, members=Configuration(members)))
+
+
 @then('the entry dials "{names}"')
 def step_entry_dials(context, names):
     dialled = set(context.entry.network.addresses)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/gateway.py
@@ -51,7 +51,7 @@
 
 class Gateway:
     """
-    Owns the connections to the voters and the latest report on the leader.
+    Owns the connections to the members and the latest report on the leader.
 
     Attributes
     ----------
@@ -117,9 +117,9 @@
         return Hello(self.name, "", 1, "", self.session, gateway=True)
 
     def follow_members(self) -> None:
-        """Maintain connections to the known voters and the seeds."""
+        """Maintain connections to the known members and the seeds."""
         peers = {seed.name: seed for seed in self.seeds}
-        for member in self.directory.members.voters():
+        for member in self.directory.members.members:
             peers[member.name] = PeerAddress(member.name, member.address, member.port)
         self.network.set_peers(tuple(peers.values()))
 
