Log at a removed member that it is none, and the leader that it was told of

Callers saw nothing. A machine that was removed while it was away is a member by its own log, so it never logged 'not a member yet'; a newcomer's line named no leader though it had been told of one. Both now go by the newest that is known.

Evidence: the scenario 'A member that was removed while it was away never says that it is none' fails before.

--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -122,3 +122,10 @@
     Given an entry
     When "v3" tells the entry of "v1 v3 v4" and the standby "n5" under leader "v1"
     Then the entry dials "v1 v3 v4 n5"
+
+  Scenario: A member that was removed while it was away never says that it is none
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And "v4" tells it of "v4 n5 n6" under leader "n5"
+    And 3.1 seconds pass without a leader
+    Then it logs that it is no member under leader "n5"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from mulberryledge_testing.virtual_network import VirtualNetwork
@@ -17,6 +18,7 @@
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.batch.gateway import Gateway
+from mulberryledge_daemon.log import cluster_joiner
 from mulberryledge_daemon.log.cluster_joiner import ClusterJoiner
 from mulberryledge_daemon.log.options import LogOptions
 from mulberryledge_daemon.log.replicated import ReplicatedLog
@@ -39,6 +41,8 @@
     def __init__(self, name):
         self.name = name
         self.names = set()
+        self.addresses = {}
+        self.links = {}
 
     def listen(self, address, port):
         pass
@@ -140,6 +144,14 @@
     assert (known.leader, known.members) == (leader, expected.members), known
 
 
+@then('it logs that it is no member under leader "{leader}"')
+def step_logs_no_member(context, leader):
+    with patch.object(cluster_joiner.logger, "info") as info:
+        context.joining.report_join()
+    lines = [(one.args[0], one.kwargs["extra"]["leader"]) for one in info.mock_calls]
+    assert lines == [("not a member yet", leader)], lines
+
+
 @then("it redirects a target to the leader")
 def step_redirects(context):
     core = Core.__new__(Core)
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -247,7 +247,10 @@
     def report_join(self) -> None:
         """Log whom this daemon dials and reaches as long as it is no member."""
         now = self.now()
-        if self.network is None or now < self.join_report_ms or self.is_member():
+        if self.network is None or now < self.join_report_ms:
+            return
+        known = self.known_directory()
+        if known.members.find(self.name) is not None:
             return
         interval_ms = min(2 * self.join_report_interval_ms, JOIN_REPORT_MAX_MS)
         self.join_report_interval_ms = interval_ms
@@ -255,7 +258,7 @@
         extra = {
             "dialled": " ".join(sorted(self.network.addresses)),
             "connected": " ".join(sorted(self.network.links)),
-            "leader": self.node.leader,
+            "leader": known.leader,
             "cluster": self.cluster,
         }
         logger.info("not a member yet", extra=extra)
