--- a/features/log/joining.feature
+++ b/features/log/joining.feature
@@ -98,3 +98,34 @@
     When "n6" tells the entry of "n5 n6 n7" under leader "n5" as of entry 20
     And "n7" tells the entry of "v3 n5 n7" under leader "n5" as of entry 10
     Then the entry dials "n5 n6 n7"
+
+  Scenario Outline: A daemon of an earlier release stops as it is told of the leader
+    Given a follower of "n5" in a cluster of "v3 n5 n6"
+    When daemon "<name>" of an earlier release connects
+    And "n6" is elected
+    Then "<name>" is told of no leader
+
+    Examples:
+      | name |
+      | n6   |
+      | n9   |
+
+  Scenario: A newcomer isn't told what another newcomer hears after they met
+    Given a newcomer that knows no member
+    When daemon "n9" that is no member connects
+    And "v3" tells the newcomer of "v3 n5 n6" under leader "n5"
+    Then "n9" is told of "v3 n5 n6" under leader "n5"
+    When "n9" tells the newcomer of "v3 n5 n6" under leader "n5"
+    Then "n9" was told 2 times
+
+  Scenario: An entry that was cut off knows a standby and dials only voters that are gone
+    Given an entry
+    When "v3" tells the entry of "v1 v3 v4" and the standby "n5" under leader "v1"
+    Then the entry dials "v1 v3 v4 n5"
+
+  Scenario: A member that was removed while it was away never says that it is none
+    Given daemon "v3" of a cluster of "v1 v2 v3 v4"
+    When it begins
+    And "v4" tells it of "v4 n5 n6" under leader "n5"
+    And 3.1 seconds pass without a leader
+    Then it logs that it is no member under leader "n5"
--- a/features/log/steps/joining.py
+++ b/features/log/steps/joining.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from mulberryledge_testing.virtual_network import VirtualNetwork
@@ -17,6 +18,7 @@
 from mulberryledge_core.consensus.members import Configuration, Member
 from mulberryledge_core.consensus.node import Node, Role
 from mulberryledge_daemon.batch.gateway import Gateway
+from mulberryledge_daemon.log import cluster_joiner
 from mulberryledge_daemon.log.cluster_joiner import ClusterJoiner
 from mulberryledge_daemon.log.options import LogOptions
 from mulberryledge_daemon.log.replicated import ReplicatedLog
@@ -39,6 +41,8 @@
     def __init__(self, name):
         self.name = name
         self.names = set()
+        self.addresses = {}
+        self.links = {}
 
     def listen(self, address, port):
         pass
@@ -112,6 +116,16 @@
     context.entry.on_message(sender, message)
 
 
+@when(
+    '"{sender}" tells the entry of "{names}" and the standby "{standby}"'
+    ' under leader "{leader}"'
+)
+def step_tells_standby(context, sender, names, standby, leader):
+    message = directory(names, leader)
+    members = (*message.members.members, Member(standby, ADDRESS, PORT))
+    context.entry.on_message(sender, replace(message, members=Configuration(members)))
+
+
 @then('the entry dials "{names}"')
 def step_entry_dials(context, names):
     dialled = set(context.entry.network.addresses)
@@ -130,6 +144,14 @@
     assert (known.leader, known.members) == (leader, expected.members), known
 
 
+@then('it logs that it is no member under leader "{leader}"')
+def step_logs_no_member(context, leader):
+    with patch.object(cluster_joiner.logger, "info") as info:
+        context.joining.report_join()
+    lines = [(one.args[0], one.kwargs["extra"]["leader"]) for one in info.mock_calls]
+    assert lines == [("not a member yet", leader)], lines
+
+
 @then("it redirects a target to the leader")
 def step_redirects(context):
     core = Core.__new__(Core)
@@ -158,9 +180,13 @@
         return True
 
 
-@given('a follower of "{leader}" in a cluster of "{names}"')
-def step_follower(context, leader, names):
-    name = names.split()[0]
+@given("a newcomer that knows no member")
+def step_recorded_newcomer(context):
+    make_log(context, "n8")
+
+
+def make_log(context, name):
+    """Make a log that records what it sends."""
     settings = Settings(DaemonSection(name))
     options = LogOptions(min_voters=3)
     context.log = ReplicatedLog(
@@ -168,6 +194,16 @@
     )
     context.log.network = context.log.cluster_joiner.network = RecordedNetwork()
     context.log.cluster_joiner.cluster = "cluster"
+
+
+@when('"{sender}" tells the newcomer of "{names}" under leader "{leader}"')
+def step_tells_newcomer(context, sender, names, leader):
+    context.log.on_message(sender, directory(names, leader))
+
+
+@given('a follower of "{leader}" in a cluster of "{names}"')
+def step_follower(context, leader, names):
+    make_log(context, names.split()[0])
     members = directory(names, leader).members
     context.log.node.log = EntryLog(Snapshot(members=members))
     context.log.node.become_follower(2, leader, context.log.now())
@@ -176,11 +212,30 @@
 
 @when('daemon "{name}" that is no member connects')
 def step_connects(context, name):
+    context.log.network.links[name] = None
+    hello = Hello(name, "cluster", 1, f"disk-{name}", "session", ADDRESS, PORT)
+    context.log.on_hello(name, replace(hello, reads_directories=True))
+
+
+@when('daemon "{name}" of an earlier release connects')
+def step_earlier_release(context, name):
     context.log.network.links[name] = None
     hello = Hello(name, "cluster", 1, f"disk-{name}", "session", ADDRESS, PORT)
     context.log.on_hello(name, hello)
 
 
+@then('"{name}" was told {count:d} times')
+def step_told_times(context, name, count):
+    told = [message for to, message in context.log.network.sent if to == name]
+    assert sum(isinstance(one, MemberDirectory) for one in told) == count, told
+
+
+@then('"{name}" is told of no leader')
+def step_told_nothing(context, name):
+    told = [message for to, message in context.log.network.sent if to == name]
+    assert not any(isinstance(one, MemberDirectory) for one in told), told
+
+
 @when('"{leader}" is elected')
 def step_elected(context, leader):
     context.log.node.become_follower(3, leader, context.log.now())
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -161,6 +161,7 @@
             lambda: self.node.commit,
             lambda: self.state.applied_index,
         )
+        self.directory_readers: set[str] = set()
         self.appended: set[tuple[str, int]] = set()
         self.known_leader = ("", 0)
         self.known_step_down = None
@@ -171,7 +172,7 @@
         self.handlers = {
             Hello: self.on_hello,
             Form: self.cluster_joiner.on_form,
-            MemberDirectory: self.cluster_joiner.on_directory,
+            MemberDirectory: self.on_directory,
             Propose: self.on_propose,
             ProposeReply: lambda sender, reply: self.proposer.on_reply(reply),
             Ask: self.channel.on_ask,
@@ -435,7 +436,10 @@
     def on_hello(self, sender: str, hello: Hello) -> None:
         """Handle the handshake of a peer."""
         self.cluster_joiner.on_hello(sender, hello)
-        self.send_directory((sender,))
+        self.directory_readers.discard(sender)
+        if hello.gateway or hello.reads_directories:
+            self.directory_readers.add(sender)
+            self.send_directory((sender,))
         if self.membership_controller is not None and not hello.gateway:
             self.membership_controller.on_hello(hello)
             if self.node.log.members.find(sender) is None:
@@ -443,12 +447,18 @@
                 extra["can_vote"] = bool(hello.folder)
                 logger.info("connected daemon is no member", extra=extra)
 
+    def on_directory(self, sender: str, message: MemberDirectory) -> None:
+        """Handle what a peer tells of the members; pass it on if it is news."""
+        known = self.cluster_joiner.known_directory()
+        self.cluster_joiner.on_directory(sender, message)
+        if self.cluster_joiner.known_directory() != known:
+            self.notify_outsiders()
+
     def notify_outsiders(self) -> None:
         """Send the leader and the members to connected daemons that have no log."""
         members = self.node.log.members
-        self.send_directory(
-            [name for name in self.network.links if members.find(name) is None]
-        )
+        names = sorted(self.directory_readers)
+        self.send_directory([name for name in names if members.find(name) is None])
 
     def send_directory(self, names: Iterable[str]) -> None:
         """Send the leader and the members to connected daemons."""
@@ -501,6 +511,7 @@
     def on_closed(self, peer: str) -> None:
         """Handle a lost connection."""
         self.cluster_joiner.settings_bootstrap.remove(peer)
+        self.directory_readers.discard(peer)
         if self.membership_controller is not None:
             self.membership_controller.on_closed(peer)
         self.channel.on_closed(peer)
