Promote a further voter only once the loss before it would show

Five machines of which two may be away had six voters and two of these dead, so that the loss of the leader, the second machine away, ended the core.

Cause: a successor comes a moment after the loss that it is for, when the lost voter still counts as heard. With a second standby it was a further voter instead of the successor, and one of the two could be lost by then as well.

Change: the leader notes since when it knows a member. Of an odd number of voters a further one is promoted only if each standby has been known for longer than a voter counts as heard after its last report.

Evidence: 'A successor that is lost before the loss it is for shows gets the vote' fails before and passes now.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -69,6 +69,11 @@
     When 2 voters are lost under one leader, and 2 successors come at once
     Then the voters are 5 daemons that are heard
 
+  Scenario: A successor that is lost before the loss it is for shows gets the vote
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost under one leader, and 2 successors come at once
+    Then there are never more than 5 voters
+
   Scenario: A new leader promotes successors before it can know which voters are lost
     Given a leader with 5 voters and 0 standbys besides
     When 2 voters are lost at a leader's election, and 2 successors come at once
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -227,6 +227,7 @@
     node.elected_ms = NOW_MS
     for progress in node.progress.values():
         progress.reported_ms, progress.folder = None, ""
+        progress.known_since_ms = NOW_MS
 
 
 @when("it is elected anew and has heard from no one")
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -96,13 +96,12 @@
     """
     Return the next change towards the target number of voters.
 
-    Of an odd number, a silent voter is demoted before its successor is promoted: the
-    quorum shrinks with it, so that as many further losses are borne as before, also
-    if the successor is lost as well. A further voter for an odd number raises the
-    quorum, so that it is promoted only while every voter is heard: one that has only
-    just fallen silent, or that a new leader has not heard from yet, may be lost. Two
-    silent voters without a successor are demoted together, as only that makes the
-    quorum smaller, down to the promised least number.
+    Of an odd number, a silent voter is demoted before its successor is promoted: no
+    step in between has a larger quorum, also if the successor is lost as well. A
+    further voter for an odd number raises the quorum, so that it is promoted only once
+    a loss that it may be the successor for would show: while every voter is heard, and
+    no standby has just come. Two silent voters without a successor are demoted
+    together, as only that makes the quorum smaller, down to the promised least number.
     """
     count = len(node.log.members.voters())
     target = target_voter_count(node, min_voters, now)
@@ -111,7 +110,8 @@
         return _demote(node, silent)
     is_clear = all(_is_heard(node, voter, now) for voter in node.log.members.voters())
     if count < target:
-        may_promote = standbys and (is_clear or count % 2 == 0)
+        is_known = all(_is_known_long(node, one, now) for one in standbys)
+        may_promote = standbys and (count % 2 == 0 or (is_clear and is_known))
         return _promote(node, standbys, silent) if may_promote else None
     if count > target:
         return _demote(node, silent or (_spare_voters(node) if is_clear else []))
@@ -224,6 +224,11 @@
     return _is_recent(node, progress, now)
 
 
+def _is_known_long(node: Node, standby: Member, now: int) -> bool:
+    known_ms = now - node.progress[standby.name].known_since_ms
+    return known_ms > node.timing.election_max_ms
+
+
 def _is_recent(node: Node, progress: Progress, now: int) -> bool:
     if progress.reported_ms is None:
         return False
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -83,6 +83,8 @@
         When the member's freshness lease has expired for certain.
     snapshot_offset : int or None
         Bytes received of the snapshot being sent; None while none is.
+    known_since_ms : int
+        When this leader began to replicate to the member.
     """
 
     next: int
@@ -100,6 +102,7 @@
     lease_held_until_ms: int = 0
     snapshot_offset: int | None = None
     folder: str = ""
+    known_since_ms: int = 0
 
     def in_flight_bytes(self) -> int:
         """Return the size of the unacknowledged entries."""
