Count a voter as silent after 1.5 s, not 2.5 s

Change: 1.5 s, just above the time after which a leader that hears no quorum resigns. A voter that only paused comes back as a standby and votes again. The warning on losses borne and the summary follow the same time.

Evidence: 'A new leader takes so long to notice a loss that it is lost before' fails before and passes now.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -80,6 +80,11 @@
     Then there are never more than 5 voters
     And the voters are 5 daemons that are heard
 
+  Scenario: A new leader takes so long to notice a loss that it is lost before
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost at a leader's election, and 2 successors come for 2.6 seconds
+    Then the voters are 5 daemons that are heard
+
   Scenario: A decision about members outlives the term of the leader that made it
     Given a leader decided on a change, which no quorum has confirmed
     When another daemon leads
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -174,6 +174,14 @@
 
 @when("{lost:d} voters are lost {when}, and {coming:d} successors come at once")
 def step_lose_and_come(context, lost, when, coming):
+    step_lose_and_come_for(context, lost, when, coming, 5)
+
+
+@when(
+    "{lost:d} voters are lost {when}, and {coming:d} successors come"
+    " for {seconds:g} seconds"
+)
+def step_lose_and_come_for(context, lost, when, coming, seconds):
     context.cluster = cluster = LedCluster(context.members, 3)
     for name in sorted(cluster.voters())[-lost:]:
         cluster.lose(name)
@@ -181,7 +189,7 @@
         elect_anew(cluster.node)
     for number in range(coming):
         cluster.come(f"n{number}")
-    cluster.pass_time(5)
+    cluster.pass_time(seconds)
 
 
 @then("there are never more than {most:d} voters")
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -36,7 +36,7 @@
     "target_voter_count",
 ]
 
-VOTER_TIMEOUT_MS = 2_500  # well above an election timeout, below a repair's bound
+VOTER_TIMEOUT_MS = 1_500  # above an election timeout, far below a repair's bound
 LEARNER_TIMEOUT_MS = 30_000  # silence after which a learner is removed
 MAX_SILENT_LEARNERS = 4  # a new leader counts the silence of each anew
 
