--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -69,12 +69,22 @@
     When 2 voters are lost under one leader, and 2 successors come at once
     Then the voters are 5 daemons that are heard
 
+  Scenario: A successor that is lost before the loss it is for shows gets the vote
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost under one leader, and 2 successors come at once
+    Then there are never more than 5 voters
+
   Scenario: A new leader promotes successors before it can know which voters are lost
     Given a leader with 5 voters and 0 standbys besides
     When 2 voters are lost at a leader's election, and 2 successors come at once
     Then there are never more than 5 voters
     And the voters are 5 daemons that are heard
 
+  Scenario: A new leader takes so long to notice a loss that it is lost before
+    Given a leader with 5 voters and 0 standbys besides
+    When 2 voters are lost at a leader's election, and 2 successors come for 2.6 seconds
+    Then the voters are 5 daemons that are heard
+
   Scenario: A decision about members outlives the term of the leader that made it
     Given a leader decided on a change, which no quorum has confirmed
     When another daemon leads
