Count a member's silence from when its leader began to replicate to it

A leader that had led for more than 30 s removed a newcomer at the check after the one that added it, unless the newcomer had answered within these 200 ms, then added it again, and so on for as long as its connection was open. Each of these changes delays every other change of members, and the newcomer logs each time that it was removed.

Cause: the silence of a member that has reported nothing was counted from the leader's election, also if the member was added later.

Fix: the progress of a member notes when the leader began to replicate to it, and the silence is counted from then.

Test: "A newcomer that is slow to answer is removed and added over and over". Before the fix it fails: after 2 s the newcomer is no member and is among the former ones.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -64,6 +64,11 @@
     When it is elected anew and has heard from no one
     Then it changes no members
 
+  Scenario: A newcomer that is slow to answer is removed and added over and over
+    Given a leader with 5 voters and 0 standbys besides
+    When a newcomer connects that reports nothing for 2 seconds
+    Then it has been added once and is still a member
+
   Scenario: A decision about members outlives the term of the leader that made it
     Given a leader decided on a change, which no quorum has confirmed
     When another daemon leads
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -9,7 +9,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from mulberryledge_core.commands.members import DemoteMember, PromoteMember
+from mulberryledge_core.commands.members import (
+    AddMember,
+    DemoteMember,
+    PromoteMember,
+)
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
 from mulberryledge_core.consensus.leading import track_members
@@ -92,6 +96,7 @@
         self.lost_at_promotion = ""
         self.least_majority_margin = len(self.live)
         self.most_members = len(self.live)
+        self.changes = []
 
     def lose(self, name):
         self.live.discard(name)
@@ -118,6 +123,7 @@
         change = next_change(self.node, applicants, self.min_voters, self.now_ms)
         if change is None:
             return
+        self.changes.append(type(change))
         members = change_members(self.node.log.members, change).unwrap()
         self.node.log = EntryLog(Snapshot(members=members))
         track_members(self.node, self.now_ms)
@@ -205,6 +211,21 @@
     assert context.cluster.least_majority_margin >= 0
 
 
+@when("a newcomer connects that reports nothing for {seconds:d} seconds")
+def step_slow_newcomer(context, seconds):
+    context.cluster = cluster = LedCluster(context.members, 3)
+    cluster.come("n0")
+    cluster.live.discard("n0")
+    cluster.pass_time(seconds)
+
+
+@then("it has been added once and is still a member")
+def step_added_once(context):
+    members = context.cluster.node.log.members
+    assert members.find("n0") is not None, members
+    assert context.cluster.changes == [AddMember], context.cluster.changes
+
+
 @when("it is elected anew and has heard from no one")
 def step_elected_anew(context):
     context.node = leader_of(context.members)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -72,7 +72,10 @@
     for name in sorted(names - set(node.progress)):
         held_until_ms = node.removed_lease_until_ms.pop(name, 0)
         node.progress[name] = Progress(
-            node.log.last_index + 1, answered_ms=now, lease_held_until_ms=held_until_ms
+            node.log.last_index + 1,
+            answered_ms=now,
+            tracked_ms=now,
+            lease_held_until_ms=held_until_ms,
         )
     for name in sorted(set(node.progress) - names):
         del node.progress[name]
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -193,8 +193,11 @@
 def _silent_ms(node: Node, member: Member, now: int) -> int:
     """Return how long this leader has heard nothing from another member."""
     progress = node.progress.get(member.name)
-    reported_ms = None if progress is None else progress.reported_ms
-    return now - (node.elected_ms if reported_ms is None else reported_ms)
+    if progress is None:
+        return now - node.elected_ms
+    if progress.reported_ms is None:
+        return now - max(node.elected_ms, progress.tracked_ms)
+    return now - progress.reported_ms
 
 
 def is_silent(node: Node, member: Member, now: int) -> bool:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -70,6 +70,8 @@
         First index to send next.
     in_flight : list of (last index, bytes)
         Messages with entries that are not acknowledged.
+    tracked_ms : int
+        When this leader began to replicate to the member.
     reported_ms : int or None
         When the member last reported its log position.
     confirmed_ms : int or None
@@ -93,6 +95,7 @@
     commit_sent: int = -1
     sent_ms: int = -1_000_000
     answered_ms: int = 0
+    tracked_ms: int = 0
     reported_ms: int | None = None
     confirmed_ms: int | None = None
     confirmed_folder: str = ""
