Replace a voter that is heard but can't vote

What operators saw: nothing in the record; found in review. A core machine whose data folder is damaged takes part without a folder: it answers each message and never votes. It counted as a voter that is heard, so no successor replaced it, and losses_borne was too high by one. A wiped voter that was far behind was seen by the summary and not by the policy.

One predicate for both: a voter is missing if it is silent, or reports another folder than the one that votes. The scenario 'A voter that is heard but has no usable disk keeps the vote' fails before.

--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -85,6 +85,11 @@
     When 2 voters are lost at a leader's election, and 2 successors come for 2.6 seconds
     Then the voters are 5 daemons that are heard
 
+  Scenario: A voter that is heard but has no usable disk keeps the vote
+    Given a leader with 5 voters and 0 standbys besides
+    When a voter comes back without a usable disk, and a successor comes
+    Then the voters are 5 daemons that are heard
+
   Scenario: A newcomer that is slow to answer is removed and added over and over
     Given a leader with 5 voters and 0 standbys besides
     When a newcomer connects that reports nothing for 2 seconds
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -97,6 +97,7 @@
         self.least_majority_margin = len(self.live)
         self.most_members = self.most_voters = len(self.live)
         self.changes = []
+        self.without_disk = set()
 
     def lose(self, name):
         self.live.discard(name)
@@ -116,7 +117,8 @@
         for name in self.live - {self.node.name}:
             progress = self.node.progress.get(name)
             if progress is not None:
-                progress.reported_ms, progress.folder = self.now_ms, f"disk-{name}"
+                folder = "" if name in self.without_disk else f"disk-{name}"
+                progress.reported_ms, progress.folder = self.now_ms, folder
 
     def change(self):
         applicants = tuple(self.coming.values())
@@ -386,3 +388,13 @@
         logger.removeHandler(handler)
     assert [one.levelno for one in lines] == [logging.WARNING], lines
     assert lines[0].losses_borne == 0 and lines[0].promised == 2
+
+
+@when("a voter comes back without a usable disk, and a successor comes")
+def step_without_disk(context):
+    context.cluster = cluster = LedCluster(context.members, 3)
+    lost = max(cluster.voters())
+    cluster.without_disk.add(lost)
+    cluster.come("n0")
+    cluster.pass_time(3)
+    cluster.live.discard(lost)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_policy.py
@@ -31,7 +31,7 @@
 __all__ = [
     "VOTER_TIMEOUT_MS",
     "JoiningDaemon",
-    "is_silent",
+    "is_missing",
     "next_change",
     "target_voter_count",
 ]
@@ -80,12 +80,12 @@
     """
     Return the number of voters to aim for: all able to vote, but an odd number.
 
-    A silent voter is able to vote as long as no standby can take its place.
+    A missing voter is kept as long as no standby can take its place.
     """
     count = len(node.log.members.voters())
-    silent, standbys = _silent_voters(node, now), _standbys(node, now)
+    missing, standbys = _missing_voters(node, now), _standbys(node, now)
     is_gap = count % 2 == 0
-    replaced_count = min(len(silent), max(0, len(standbys) - is_gap))
+    replaced_count = min(len(missing), max(0, len(standbys) - is_gap))
     able_count = count + len(standbys) - replaced_count
     return max(min_voters, able_count if able_count % 2 else able_count - 1)
 
@@ -96,27 +96,27 @@
     """
     Return the next change towards the target number of voters.
 
-    Of an odd number, a silent voter is demoted before its successor is promoted: no
+    Of an odd number, a missing voter is demoted before its successor is promoted: no
     step in between has a larger quorum, also if the successor is lost as well. A
     further voter for an odd number raises the quorum, so that it is promoted only once
     a loss that it may be the successor for would show: while every voter is heard, and
-    no standby has just come. Two silent voters without a successor are demoted
+    no standby has just come. Two missing voters without a successor are demoted
     together, as only that makes the quorum smaller, down to the promised least number.
     """
     count = len(node.log.members.voters())
     target = target_voter_count(node, min_voters, now)
-    silent, standbys = _silent_voters(node, now), _standbys(node, now)
-    if count % 2 and silent and standbys:
-        return _demote(node, silent)
+    missing, standbys = _missing_voters(node, now), _standbys(node, now)
+    if count % 2 and missing and standbys:
+        return _demote(node, missing)
     is_clear = all(_is_heard(node, voter, now) for voter in node.log.members.voters())
     if count < target:
         is_known = all(_is_known_long(node, one, now) for one in standbys)
         may_promote = standbys and (count % 2 == 0 or (is_clear and is_known))
-        return _promote(node, standbys, silent) if may_promote else None
+        return _promote(node, standbys, missing) if may_promote else None
     if count > target:
-        return _demote(node, silent or (_spare_voters(node) if is_clear else []))
-    if count % 2 and count - 2 >= min_voters and len(silent) > 1:
-        return _demote(node, silent)
+        return _demote(node, missing or (_spare_voters(node) if is_clear else []))
+    if count % 2 and count - 2 >= min_voters and len(missing) > 1:
+        return _demote(node, missing)
     return None
 
 
@@ -142,9 +142,9 @@
     return None
 
 
-def _silent_voters(node: Node, now: int) -> list[Member]:
+def _missing_voters(node: Node, now: int) -> list[Member]:
     voters = node.log.members.voters()
-    return [voter for voter in voters if is_silent(node, voter, now)]
+    return [voter for voter in voters if is_missing(node, voter, now)]
 
 
 def _standbys(node: Node, now: int) -> list[Member]:
@@ -160,10 +160,12 @@
     return [voter for voter in node.log.members.voters() if voter.name != node.name]
 
 
-def _promote(node: Node, standbys: list[Member], silent: list[Member]) -> PromoteMember:
+def _promote(
+    node: Node, standbys: list[Member], missing: list[Member]
+) -> PromoteMember:
     """Promote a standby where the fewest voters are heard."""
     voters = node.log.members.voters()
-    zones = Counter(voter.availability_zone for voter in voters if voter not in silent)
+    zones = Counter(voter.availability_zone for voter in voters if voter not in missing)
     chosen = min(standbys, key=lambda one: (zones[one.availability_zone], one.name))
     return PromoteMember(chosen.name, node.progress[chosen.name].folder)
 
@@ -209,6 +211,14 @@
     return _silent_ms(node, member, now) > VOTER_TIMEOUT_MS
 
 
+def is_missing(node: Node, voter: Member, now: int) -> bool:
+    """Return whether a voter is silent, or reports another data folder or none."""
+    progress = node.progress.get(voter.name)
+    has_reported = progress is not None and progress.reported_ms is not None
+    has_other_folder = has_reported and progress.folder != voter.folder
+    return has_other_folder or is_silent(node, voter, now)
+
+
 def _is_standby(node: Node, member: Member, now: int) -> bool:
     """Return whether a member could vote now with the folder that it reports."""
     progress = node.progress.get(member.name)
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
@@ -8,9 +8,8 @@
 
 from dataclasses import dataclass
 
-from mulberryledge_core.consensus.members import Member
 from mulberryledge_core.consensus.membership_policy import (
-    is_silent,
+    is_missing,
     target_voter_count,
 )
 from mulberryledge_core.consensus.node import Node
@@ -26,7 +25,7 @@
     Attributes
     ----------
     silent : tuple of str
-        Voters from which the leader hears nothing, or only from another data folder.
+        Voters that are not heard, or only with another data folder or with none.
     target : int
         Number of voters that the leader aims for.
     losses_borne : int
@@ -45,11 +44,7 @@
     """Return the numbers of a leader's members."""
     members = node.log.members
     voters = members.voters()
-    silent = tuple(
-        voter.name
-        for voter in voters
-        if is_silent(node, voter, now) or _has_other_folder(node, voter)
-    )
+    silent = tuple(voter.name for voter in voters if is_missing(node, voter, now))
     return MembershipSummary(
         voters=len(voters),
         silent=silent,
@@ -58,8 +53,3 @@
         quorum=members.majority(),
         losses_borne=len(voters) - len(silent) - members.majority(),
     )
-
-
-def _has_other_folder(node: Node, voter: Member) -> bool:
-    progress = node.progress.get(voter.name)
-    return progress is not None and progress.folder not in ("", voter.folder)
