Name the voters whose answers a lost quorum lacked

A soak of real processes showed 'quorum-lost' with one voter of five as unheard: reports were counted by their arrival, the quorum goes by when the answered message was sent. An answer that comes late confirms nothing; its voter is named now. The scenario 'A leader that loses its quorum doesn't say which voters it missed' has such an answer and fails before.

--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -348,9 +348,9 @@
     for other, progress in context.node.progress.items():
         if other == name:
             progress.confirmed_ms, progress.confirmed_folder = NOW_MS, progress.folder
-        else:
-            progress.reported_ms = None
-    tick(context.node, NOW_MS + context.node.timing.election_max_ms + 1)
+    later_ms = NOW_MS + context.node.timing.election_max_ms
+    context.node.progress[name].reported_ms = later_ms
+    tick(context.node, later_ms)
 
 
 @then('it says that its quorum is lost, without "{names}"')
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -48,7 +48,8 @@
     term : int
         The term in which the node led.
     unheard : tuple of str
-        Voters that had not reported within the longest election timeout.
+        Voters that had answered nothing that was sent to them within the longest
+        election timeout.
     """
 
     term: int
@@ -250,19 +251,20 @@
             self.leader = self.last_leader = leader
 
     def unheard_voters(self, now: int) -> tuple[str, ...]:
-        """Return the other voters that have not reported for an election timeout."""
+        """Return the other voters that have answered nothing of an election timeout."""
         since = now - self.timing.election_max_ms
         return tuple(
             voter.name
             for voter in self.log.members.voters()
-            if voter.name != self.name and not self._reported_since(voter.name, since)
+            if voter.name != self.name
+            and not self._answered_since(voter.name, voter.folder, since)
         )
 
-    def _reported_since(self, name: str, since: int) -> bool:
+    def _answered_since(self, name: str, folder: str, since: int) -> bool:
         progress = self.progress.get(name)
-        if progress is None or progress.reported_ms is None:
+        if progress is None or progress.confirmed_folder != folder:
             return False
-        return progress.reported_ms >= since
+        return progress.confirmed_ms is not None and progress.confirmed_ms > since
 
     def advance_commit(self, index: int) -> None:
         """Commit up to an index and queue the new entries for applying."""
