--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -90,6 +90,11 @@
     When a voter comes back without a usable disk, and a successor comes
     Then the voters are 5 daemons that are heard
 
+  Scenario: A newcomer that receives a long snapshot is removed as silent
+    Given a leader with 3 voters and 1 standbys besides
+    When the standby answers chunks of a snapshot for 31 seconds, and nothing else
+    Then it changes no members
+
   Scenario: A newcomer that is slow to answer is removed and added over and over
     Given a leader with 5 voters and 0 standbys besides
     When a newcomer connects that reports nothing for 2 seconds
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -1,6 +1,7 @@
 """How many voters a leader keeps by itself."""
 
 import logging
+from dataclasses import replace
 from itertools import combinations
 from random import Random
 
@@ -16,7 +17,10 @@
 )
 from mulberryledge_core.consensus.entries import Snapshot
 from mulberryledge_core.consensus.entry_log import EntryLog
-from mulberryledge_core.consensus.leading import track_members
+from mulberryledge_core.consensus.leading import (
+    on_install_snapshot_reply,
+    track_members,
+)
 from mulberryledge_core.consensus.members import Configuration, Member, change_members
 from mulberryledge_core.consensus.membership_policy import (
     JoiningDaemon,
@@ -24,6 +28,7 @@
     target_voter_count,
 )
 from mulberryledge_core.consensus.membership_summary import summarise_members
+from mulberryledge_core.consensus.messages import InstallSnapshotReply
 from mulberryledge_core.consensus.node import Node, Progress, Role, StepDownCause
 from mulberryledge_core.consensus.steps import tick
 from mulberryledge_daemon.log.membership import CHECK_INTERVAL_MS, MembershipController
@@ -398,3 +403,19 @@
     cluster.come("n0")
     cluster.pass_time(3)
     cluster.live.discard(lost)
+
+
+@when(
+    "the standby answers chunks of a snapshot for {seconds:d} seconds, and nothing else"
+)
+def step_snapshot(context, seconds):
+    context.node = node = leader_of(context.members)
+    name = context.members.members[-1].name
+    progress = node.progress[name]
+    node.log.snapshot = replace(node.log.snapshot, index=200, data=bytes(1_000_000))
+    node.commit = node.applied = node.durable = 200
+    progress.reported_ms = NOW_MS - seconds * 1_000
+    progress.match = 0
+    reply = InstallSnapshotReply(node.term, f"disk-{name}", 200, 1, NOW_MS)
+    on_install_snapshot_reply(node, name, reply, NOW_MS)
+    node.take_effects()
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/leading.py
@@ -305,6 +305,8 @@
     progress = _answering_member(node, sender, reply.term, now)
     if progress is None:
         return
+    progress.folder = reply.folder
+    progress.reported_ms = now
     _confirm(node, sender, reply.folder, reply.sent_ms, progress)
     snapshot = node.log.snapshot
     if progress.snapshot_offset is None or reply.index != snapshot.index:
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -72,7 +72,7 @@
     in_flight : list of (last index, bytes)
         Messages with entries that are not acknowledged.
     reported_ms : int or None
-        When the member last reported its log position.
+        When the member last reported its log position, or a chunk of a snapshot.
     confirmed_ms : int or None
         When the latest message was sent that the member has answered in this term
         from data folder ``confirmed_folder``. A learner's answers count once it is
