--- a/features/platform/steps/decoding.py
+++ b/features/platform/steps/decoding.py
@@ -377,7 +377,8 @@
 @when("the example settings are read without {name}")
 def read_settings(context, name):
     values = dict.fromkeys(
-        ("name", "role", "ip", "peers", "peers_end", "folder", "listen"), "1"
+        ("name", "role", "ip", "peers", "peers_end", "folder", "listen", "status_s"),
+        "1",
     )
     text = SETTINGS.format(**(values | {"listen": "", "seeds": "", "first": "true"}))
     plain = tomllib.loads(text)
--- a/features/platform/steps/entry_stops.py
+++ b/features/platform/steps/entry_stops.py
@@ -108,6 +108,7 @@
         first="false",
         folder="",
         listen=listen,
+        status_s=120,
     )
     context.address = (IP, callers)
     context.callers = []
