--- a/features/log/members.feature
+++ b/features/log/members.feature
@@ -123,5 +123,6 @@
   Scenario: The losses that are borne don't show in the logs
     Given a leader with 5 voters and 0 standbys besides
     When 2 voters are lost for 3 seconds where at least 5 are needed
-    Then of 5 voters with a quorum of 3 it reports 2 as silent and 0 losses as borne
+    Then of 5 voters with a quorum of 3 it reports 2 as missing and 0 losses as borne
     And it warns once that fewer losses are borne than promised
+    And it warns again in its next term
--- a/features/log/steps/members.py
+++ b/features/log/steps/members.py
@@ -366,14 +366,14 @@
 
 
 @then(
-    "of {voters:d} voters with a quorum of {quorum:d} it reports {silent:d} as silent"
+    "of {voters:d} voters with a quorum of {quorum:d} it reports {missing:d} as missing"
     " and {borne:d} losses as borne"
 )
-def step_summary(context, voters, quorum, silent, borne):
+def step_summary(context, voters, quorum, missing, borne):
     cluster = context.cluster
     found = summarise_members(cluster.node, cluster.min_voters, cluster.now_ms)
     assert (found.voters, found.quorum) == (voters, quorum), found
-    assert (len(found.silent), found.losses_borne) == (silent, borne), found
+    assert (len(found.missing), found.losses_borne) == (missing, borne), found
 
 
 @then("it warns once that fewer losses are borne than promised")
@@ -389,8 +389,13 @@
     try:
         controller.check_losses_borne()
         controller.check_losses_borne()
+        context.warnings = list(lines)
+        cluster.node.set_term(cluster.node.term + 1)
+        controller.check_losses_borne()
+        context.warnings_of_both_terms = list(lines)
     finally:
         logger.removeHandler(handler)
+    lines = context.warnings
     assert [one.levelno for one in lines] == [logging.WARNING], lines
     assert lines[0].losses_borne == 0 and lines[0].promised == 2
 
@@ -419,3 +424,9 @@
     reply = InstallSnapshotReply(node.term, f"disk-{name}", 200, 1, NOW_MS)
     on_install_snapshot_reply(node, name, reply, NOW_MS)
     node.take_effects()
+
+
+@then("it warns again in its next term")
+def step_warns_again(context):
+    levels = [one.levelno for one in context.warnings_of_both_terms]
+    assert levels == [logging.WARNING] * 2, levels
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/membership_summary.py
@@ -2,7 +2,7 @@
 mulberryledge_core.consensus.membership_summary
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The members as their leader sees them: who votes, who is silent, and how many more
+The members as their leader sees them: who votes, who is missing, and how many more
 voters may be lost.
 """
 
@@ -24,7 +24,7 @@
 
     Attributes
     ----------
-    silent : tuple of str
+    missing : tuple of str
         Voters that are not heard, or only with another data folder or with none.
     target : int
         Number of voters that the leader aims for.
@@ -33,7 +33,7 @@
     """
 
     voters: int
-    silent: tuple[str, ...]
+    missing: tuple[str, ...]
     learners: int
     target: int
     quorum: int
@@ -44,12 +44,12 @@
     """Return the numbers of a leader's members."""
     members = node.log.members
     voters = members.voters()
-    silent = tuple(voter.name for voter in voters if is_missing(node, voter, now))
+    missing = tuple(voter.name for voter in voters if is_missing(node, voter, now))
     return MembershipSummary(
         voters=len(voters),
-        silent=silent,
+        missing=missing,
         learners=len(members.members) - len(voters),
         target=target_voter_count(node, min_voters, now),
         quorum=members.majority(),
-        losses_borne=len(voters) - len(silent) - members.majority(),
+        losses_borne=len(voters) - len(missing) - members.majority(),
     )
--- a/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
+++ b/packages/mulberryledge-core/src/mulberryledge_core/consensus/node.py
@@ -50,6 +50,8 @@
     unheard : tuple of str
         Voters that had answered nothing that was sent to them within the longest
         election timeout.
+    voter_count : int
+        Voters in all, this node included.
     """
 
     term: int
@@ -251,7 +253,7 @@
             self.leader = self.last_leader = leader
 
     def unheard_voters(self, now: int) -> tuple[str, ...]:
-        """Return the other voters that have answered nothing of an election timeout."""
+        """Return the other voters with no answer to a message of the last timeout."""
         since = now - self.timing.election_max_ms
         return tuple(
             voter.name
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/cluster_joiner.py
@@ -52,9 +52,9 @@
         What each peer has told this daemon, as long as it does not follow a leader
         as a member.
     join_report_ms : int
-        When it is logged next that this daemon is no member.
+        When it is checked next whether to log that this daemon is no member.
     join_report_interval_ms : int
-        Doubles with each of these lines.
+        Doubles with each of these lines, until this daemon is a member.
     """
 
     def __init__(
@@ -198,7 +198,7 @@
         self.directories[sender] = message
         if known is None or message.leader != known.leader:
             extra = {"leader": message.leader, "term": message.term, "from": sender}
-            logger.info("told of a leader", extra=extra)
+            logger.info("told of the members", extra=extra)
         self.update_dialled_peers()
 
     def needs_directory(self) -> bool:
@@ -251,6 +251,8 @@
             return
         known = self.known_directory()
         if known.members.find(self.name) is not None:
+            self.join_report_interval_ms = JOIN_REPORT_MIN_MS
+            self.join_report_ms = now + JOIN_REPORT_MIN_MS
             return
         interval_ms = min(2 * self.join_report_interval_ms, JOIN_REPORT_MAX_MS)
         self.join_report_interval_ms = interval_ms
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/membership.py
@@ -36,7 +36,8 @@
     joining_daemons : dict of str to JoiningDaemon
         Connected daemons with a data folder, by name.
     borne_enough : bool
-        Whether the voters that are heard bear as many losses as promised.
+        Whether the voters that are heard bear as many losses as promised, as it was
+        logged last in this term.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.last_check_ms = 0
         self.busy = False
         self.borne_enough = True
+        self.checked_term = 0
 
     def on_hello(self, hello: Hello) -> None:
         """Record a connected daemon if it could be a member."""
@@ -90,6 +92,9 @@
 
     def check_losses_borne(self) -> None:
         """Log when fewer losses are borne than promised, and when enough are again."""
+        if self.node.term != self.checked_term:
+            self.checked_term = self.node.term
+            self.borne_enough = True
         summary = self.summary()
         promised = self.min_voters // 2
         borne_enough = summary.losses_borne >= promised
@@ -123,7 +128,7 @@
     """Return a summary as the fields of a log line."""
     return {
         "voters": summary.voters,
-        "silent": " ".join(summary.silent),
+        "missing": " ".join(summary.missing),
         "learners": summary.learners,
         "target_voters": summary.target,
         "quorum": summary.quorum,
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/proposer.py
@@ -119,7 +119,7 @@
     def try_send(self, proposal: PendingProposal) -> None:
         """Send one proposal to the leader if there is one."""
         if not proposal.is_valid():
-            text = "its reason has ended: it may still be applied"
+            text = "its leader leads no more: it may still be applied"
             self.resolve(proposal.sequence, Err(Refusal(Code.CONFLICT, text)))
             return
         message = Propose(
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/log/replicated.py
@@ -311,7 +311,7 @@
         gauges["voters"] = float(len(members.voters()))
         if self.membership_controller is not None and self.is_leader():
             summary = self.membership_controller.summary()
-            gauges["voters_silent"] = float(len(summary.silent))
+            gauges["voters_missing"] = float(len(summary.missing))
             gauges["voters_target"] = float(summary.target)
             gauges["losses_borne"] = float(summary.losses_borne)
         return gauges
