--- a/features/platform/steps/orders.py
+++ b/features/platform/steps/orders.py
@@ -1,4 +1,7 @@
-"""Steps on orders whose sender may lose its permission before they are sent."""
+"""Steps on orders whose sender or target may be another one before they are sent."""
+
+import re
+from dataclasses import replace
 
 from behave import given, then, when
 from twisted.internet.defer import ensureDeferred
@@ -7,12 +10,19 @@
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import TaskId
 from mulberryledge_core.batch.targets import Target
-from mulberryledge_daemon.batch.ports import OrderOutcome, StartOrder
+from mulberryledge_daemon.batch.ports import (
+    OrderOutcome,
+    RenewOrder,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+)
 from mulberryledge_platform.http_client import HttpClient
-from mulberryledge_platform.targets import HttpTargetOrders
+from mulberryledge_platform.targets import ORDER_TIMEOUT_S, HttpTargetOrders
 
 TARGET = Target("i-1", 1, "m-1", "10.0.0.9:80", "plans", "z1", "r1", (), Size(1, 1))
-ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"clock_ms":7}'
+FENCE, LAST_SEEN = 3, 57
+STATUS_LINE = re.compile(r"status (\d+)(?:: (.*))?")
 
 
 class Transport(StringTransport):
@@ -22,20 +32,40 @@
         pass
 
 
-def order_start(context, index):
-    order = StartOrder(TaskId("0" * 16, 0, 0, index), 1, "", 1_000, 3)
+def encode_answer(body, status=200):
+    """Return an answer of a target."""
+    data = body.encode()
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+    return head.encode() + data
+
+
+ANSWER = encode_answer('{"clock_ms":7,"running":[],"ended":[]}')
+
+
+def collect(outcome):
     answers = []
-    ensureDeferred(context.orders.start(TARGET, order)).addCallback(answers.append)
+    ensureDeferred(outcome).addCallback(answers.append)
     return answers
 
 
+def order_start(context, index, target=TARGET):
+    order = StartOrder(TaskId("0" * 16, 0, 0, index), 1, "", 1_000, FENCE)
+    return collect(context.orders.start(target, order))
+
+
 def open_connection(context):
+    """Complete the last attempt to connect; the target gets the check."""
     factory = context.reactor.tcpClients[-1][2]
     context.protocol = factory.buildProtocol(None)
     context.transport = Transport()
     context.protocol.makeConnection(context.transport)
 
 
+def open_checked_connection(context):
+    open_connection(context)
+    context.protocol.dataReceived(ANSWER)
+
+
 @given("orders to a target over a connection that {state}")
 def orders_over_connection(context, state):
     context.reactor = MemoryReactorClock()
@@ -45,17 +75,16 @@
     context.busy = state == "is busy"
     if context.busy:
         order_start(context, 0)
-        open_connection(context)
+        open_checked_connection(context)
 
 
 @when("a start is ordered, {change}, and the connection is ready")
 def start_ordered(context, change):
     context.answers = order_start(context, 1)
+    if not context.busy:
+        open_connection(context)  # the permission is lost during its check
     context.permission[0] = change == "nothing changes"
-    if context.busy:
-        context.protocol.dataReceived(ANSWER)
-    else:
-        open_connection(context)
+    context.protocol.dataReceived(ANSWER)
 
 
 @then("the order is sent")
@@ -69,3 +98,98 @@
 def is_not_sent(context):
     assert b".0.0.1" not in context.transport.value()
     assert context.answers[0].outcome == OrderOutcome.NOT_SENT, context.answers
+
+
+ORDERS = {
+    "a start": lambda orders, target: orders.start(
+        target, StartOrder(TaskId("0" * 16, 0, 0, 1), 1, "", 1_000, FENCE)
+    ),
+    "a stop": lambda orders, target: orders.stop(
+        target, StopOrder(TaskId("0" * 16, 0, 0, 1), 1, FENCE)
+    ),
+    "a speed": lambda orders, target: orders.throttle(
+        target, ThrottleOrder(TaskId("0" * 16, 0, 0, 1), 1, 50, FENCE)
+    ),
+    "a renewal": lambda orders, target: orders.renew_lease(
+        target, RenewOrder(FENCE, LAST_SEEN, 1_000, 100)
+    ),
+}
+CHECK = b'{"fencing_token":3,"last_seen":0}'
+
+
+@given("a new connection to a target that was started at {born_ms:d}")
+def new_connection(context, born_ms):
+    context.reactor = MemoryReactorClock()
+    context.permission = [True]
+    context.client = HttpClient(context.reactor, 1)
+    context.orders = HttpTargetOrders(context.client, lambda: context.permission[0])
+    context.target = replace(TARGET, started_ms=born_ms)
+
+
+@given("a checked connection to a target that was started at {born_ms:d}")
+def checked_connection(context, born_ms):
+    new_connection(context, born_ms)
+    order_start(context, 1, context.target)
+    open_checked_connection(context)
+    context.protocol.dataReceived(ANSWER)
+
+
+@when("{order} is due, and the lists on the connection are {lists}")
+def order_due(context, order, lists):
+    context.answers = collect(ORDERS[order](context.orders, context.target))
+    open_connection(context)
+    sent = context.transport.value()
+    assert sent.count(b"POST ") == 1 and sent.endswith(CHECK), sent
+    context.transport.clear()
+    status = STATUS_LINE.fullmatch(lists)
+    if lists == "closed":
+        context.protocol.connectionLost()
+    elif lists == "silent":
+        context.reactor.advance(ORDER_TIMEOUT_S)
+    elif status is not None:
+        answer = encode_answer(status[2] or "", int(status[1]))
+        context.protocol.dataReceived(answer)
+    else:
+        context.protocol.dataReceived(encode_answer(lists))
+
+
+@then('the order is {fate}, and its outcome is "{outcome}"')
+def order_has_fate(context, fate, outcome):
+    if fate == "sent":
+        assert context.transport.value().count(b"POST ") == 1
+        context.protocol.dataReceived(ANSWER)
+    else:
+        assert context.transport.value() == b"", context.transport.value()
+        assert not context.protocol.open
+    assert [one.outcome for one in context.answers] == [outcome], context.answers
+
+
+@when("an order for its next process, started at {born_ms:d}, is due")
+def order_for_next(context, born_ms):
+    context.attempts = len(context.reactor.tcpClients)
+    context.transport.clear()
+    order_start(context, 2, replace(context.target, started_ms=born_ms))
+
+
+@then("a new connection is opened for it")
+def connection_opened(context):
+    assert len(context.reactor.tcpClients) == context.attempts + 1
+    assert context.transport.value() == b"", context.transport.value()
+
+
+@when("a start is due, and {change} while the connection is opened")
+def changes_while_connecting(context, change):
+    context.answers = order_start(context, 1, context.target)
+    if change == "the session ends":
+        context.orders.close_connections(context.target)
+    else:
+        context.permission[0] = False
+    open_connection(context)
+
+
+@then("nothing is sent, and the connection is closed")
+def nothing_sent(context):
+    assert context.transport.value() == b"", context.transport.value()
+    assert context.transport.disconnected or context.transport.disconnecting
+    found = [one.outcome for one in context.answers]
+    assert found == [OrderOutcome.NOT_SENT], found
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/ports.py
@@ -186,7 +186,12 @@
 
 
 class TargetOrders(Protocol):
-    """Orders to targets."""
+    """
+    Orders to targets.
+
+    An order reaches the incarnation that it is for, or none, even if a later one has
+    the same name and address.
+    """
 
     def start(self, target: Target, order: StartOrder) -> Awaitable[OrderAnswer]:
         """Start a run."""
