Simulated targets that start again under their names and are cut off

The simulated fleet compared names where the port TargetOrders asks for the incarnation, and gave each process a new name, so the case could not occur.

--- a/features/batch/fleet.feature
+++ b/features/batch/fleet.feature
@@ -26,6 +26,7 @@
     Examples:
       | trouble                   |
       | crash                     |
+      | restarts and cuts         |
       | lost rack                 |
       | cut targets               |
       | late orders               |
@@ -47,14 +48,15 @@
     And every job that can complete has ended
 
     Examples:
-      | trouble        |
-      | crash          |
-      | cut targets    |
-      | late orders    |
-      | new leader     |
-      | drain          |
-      | wave           |
-      | silent advisor |
+      | trouble           |
+      | crash             |
+      | restarts and cuts |
+      | cut targets       |
+      | late orders       |
+      | new leader        |
+      | drain             |
+      | wave              |
+      | silent advisor    |
 
   # Guards against stops beyond a step's budget: a stop by an earlier leader is not known.
   Scenario Outline: Waves keep the budgets of steps while the leader changes on "<site>"
--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -20,6 +20,7 @@
     "tight wave",
     "lost lease",
     "shedding targets",
+    "restarts and cuts",
 )  # tested in separate scenarios
 
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -33,6 +33,7 @@
 
 LATENCY_S = 0.0015
 ANNOUNCE_INTERVAL_S = 1.5
+FIRST_ANNOUNCE_S = 0.1  # of a target with a new name; others may lose their first one
 ORDER_TIMEOUT_S = 0.6
 WAIT_MARGIN_S = 0.35
 
@@ -88,13 +89,13 @@
         self.start_target(host)
         return host
 
-    def start_target(self, host: str) -> None:
-        """Start a new incarnation of a host's target."""
+    def start_target(self, host: str, name: str = "") -> None:
+        """Start a new incarnation on a host, under a new name if none is given."""
         one = self.cloud.hosts.get(host)
         if one is None or one.pool == self.spare or one.state != HostState.UP:
             return
         target = Target(
-            name=f"i-{next(self.numbers)}",
+            name=name or f"i-{next(self.numbers)}",
             started_ms=int(self.clock.seconds() * 1_000) + 1,
             host=host,
             address=f"{host}:80",
@@ -115,8 +116,9 @@
             self.ticket_valid,
         )
         self.targets[host] = incarnation
+        longest_s = ANNOUNCE_INTERVAL_S if name else FIRST_ANNOUNCE_S
         self.clock.callLater(
-            self.random.uniform(0, 0.1), self.announce_periodically, incarnation
+            self.random.uniform(0, longest_s), self.announce_periodically, incarnation
         )
 
     def announce_periodically(self, incarnation: SimulatedTarget) -> None:
@@ -135,19 +137,20 @@
         if incarnation is not None:
             incarnation.die()
 
-    def crash(self, host: str, seconds: float) -> None:
+    def crash(self, host: str, seconds: float, keeps_name: bool = False) -> None:
         """Crash a host with its target; a new incarnation starts after a delay."""
+        name = self.target_name(host) if keeps_name else ""
         self.end_target(host)
         one = self.cloud.hosts[host]
         if one.state != HostState.UP:
             return
         one.state = HostState.DOWN
-        self.clock.callLater(seconds, self.restore_host, one)
+        self.clock.callLater(seconds, self.restore_host, one, name)
 
-    def restore_host(self, one: SimulatedHost) -> None:
+    def restore_host(self, one: SimulatedHost, name: str) -> None:
         """Bring a host up, with a new incarnation of its target."""
         one.state = HostState.UP
-        self.start_target(one.host)
+        self.start_target(one.host, name)
 
     def lose(self, host: str) -> None:
         """Remove a host permanently."""
@@ -210,6 +213,7 @@
         if (
             incarnation is None
             or not incarnation.alive
+            or incarnation.target.incarnation != target.incarnation
             or target.host in self.faults.cut
         ):
             await deferLater(self.clock, WAIT_MARGIN_S)
@@ -242,7 +246,7 @@
         incarnation = self.targets.get(target.host)
         if incarnation is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        if incarnation.target.name != target.name:
+        if incarnation.target.incarnation != target.incarnation:
             return OrderAnswer(OrderOutcome.OTHER_INCARNATION)
         answer = action(incarnation)
         await deferLater(self.clock, LATENCY_S)
@@ -251,7 +255,9 @@
     def carry_out(self, target: Target, action: Callable) -> None:
         """Execute an order that was not answered, if the incarnation still exists."""
         incarnation = self.targets.get(target.host)
-        if incarnation is not None and incarnation.target.name == target.name:
+        if incarnation is None:
+            return
+        if incarnation.target.incarnation == target.incarnation:
             action(incarnation)
 
     def close_connections(self, target: Target) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -15,6 +15,7 @@
 __all__ = ["FAULTS", "schedule_fault"]
 
 CUT_S = 6.0
+RESTART_S = 0.6
 UNDERESTIMATED_S = 2.0
 DURATION_FACTOR = 5.0
 JUMP_MS = 2_000
@@ -42,6 +43,16 @@
         day.fleet.crash(host, day.random.uniform(0.3, 6.0))
 
 
+def restart_and_cut(day: Day) -> None:
+    """Restart some targets under their names, and disconnect them soon after."""
+    hosts = pick(day, 0.4)
+    for host in hosts:
+        day.fleet.crash(host, RESTART_S, keeps_name=True)
+    gap_s = RESTART_S + day.random.uniform(0.0, 2.0)
+    day.at(gap_s, day.fleet.faults.cut.update, hosts)
+    day.at(gap_s + CUT_S, day.fleet.faults.cut.difference_update, hosts)
+
+
 def lose_rack(day: Day) -> None:
     """Crash all targets of one rack for some seconds."""
     racks = sorted({one.target.rack for one in day.fleet.targets.values()})
@@ -205,6 +216,7 @@
 
 FAULTS: dict[str, Callable[[Day], None]] = {
     "crash": crash,
+    "restarts and cuts": restart_and_cut,
     "lost rack": lose_rack,
     "cut targets": cut_targets,
     "late orders": late_orders,
