--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -343,10 +343,21 @@
         self,
         pools: Collection[str],
         excluded: frozenset[str] | set[str] = frozenset(),
+        ignored_cordon: set[str] | None = None,
     ) -> PlacingView:
-        """Return the input for planning starts in pools, without some incarnations."""
+        """
+        Return the input for planning starts in pools.
+
+        Parameters
+        ----------
+        excluded : set of str
+            Incarnations without which it is planned.
+        ignored_cordon : set of str or None
+            Cordon whose hosts may get starts.
+        """
         now = self.now()
-        cordoned = set().union(*self.cordons)
+        cordons = [one for one in self.cordons if one is not ignored_cordon]
+        cordoned = set().union(*cordons)
         usable = [
             one.target
             for one in self.sessions.values()
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -4,6 +4,10 @@
 
 The leader's task for waves: empties hosts, orders their upkeep from the cloud, and
 records their return. A host that may be down counts as down until it has returned.
+
+A host that is being emptied takes no work, but it may have long-running tasks that
+can't leave it, or wait for its turn. It is reopened for a while once tasks wait that
+only such hosts have room for, unless the pool is so busy that none would become empty.
 """
 
 import logging
@@ -13,8 +17,10 @@
 
 from mulberryledge_core.batch.commands import EndIncarnation, MarkUpkeep
 from mulberryledge_core.batch.evacuation import choose_evacuations
-from mulberryledge_core.batch.placing import fits_elsewhere
+from mulberryledge_core.batch.placing import fits_elsewhere, plan_starts
 from mulberryledge_core.batch.records import HostUpkeep, UpkeepPhase, WaveRecord
+from mulberryledge_core.batch.sizes import Tally
+from mulberryledge_core.batch.specs import StepId
 from mulberryledge_core.batch.state import RunKey
 from mulberryledge_core.batch.targets import Target
 from mulberryledge_core.batch.upkeep import (
@@ -33,6 +39,11 @@
 RETRY_S = 0.5  # before an order that was not carried out is repeated
 RETURN_MARGIN_MS = 1_000  # beyond the duration of an upkeep
 LOST_MARGIN_MS = 4_000  # the same, for a host whose target should have announced itself
+REOPEN_CHECK_MS = 250  # between two looks for tasks that wait for an emptied host
+MAX_TASK_WAIT_MS = 1_500  # of tasks that only a host that is being emptied has room for
+REOPENED_MS = 6_000  # for which a reopened host takes work
+MIN_REOPENED_MS = 500  # the same if it becomes empty; waiting tasks are started by then
+BUSY_SHARE = 0.5  # reserved share of a pool above which waiting tasks reopen no host
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +61,11 @@
         the steady clock, since the time of day may jump.
     emptying : set of str
         Cordon of hosts that are emptied for their upkeep.
+    reopened_ms : dict of str to int
+        When a host that was being emptied was last reopened.
+    waiting_since_ms : dict of StepId to int
+        Since when a step has had idle tasks, in pools with hosts that are being
+        emptied.
     """
 
     def __init__(
@@ -71,6 +87,9 @@
         self.calling: set[str] = set()
         self.away_since_ms: dict[tuple[int, str], int] = {}
         self.emptying = scheduler.cordon()
+        self.reopened_ms: dict[str, int] = {}
+        self.waiting_since_ms: dict[StepId, int] = {}
+        self.last_reopen_check_ms = 0
         scheduler.takeover_callbacks.append(self.on_takeover)
         scheduler.tick_callbacks.append(self.tick)
 
@@ -78,6 +97,8 @@
         """Discard the calls and the times of an earlier term."""
         self.calling.clear()
         self.away_since_ms.clear()
+        self.reopened_ms.clear()
+        self.waiting_since_ms.clear()
 
     def tick(self) -> None:
         """Advance each open wave."""
@@ -89,6 +110,7 @@
             if upkeep.phase in (UpkeepPhase.WAITING, UpkeepPhase.ORDERED)
         }
         self.emptying &= waiting
+        self.reopen_hosts()
         for wave in open_waves:
             self.record_returns(wave)
             self.choose_further(wave)
@@ -141,12 +163,103 @@
         waiting = [
             self.load_of(host)
             for host, upkeep in wave.hosts.items()
-            if upkeep.phase == UpkeepPhase.WAITING and host not in self.emptying
+            if upkeep.phase == UpkeepPhase.WAITING
+            and host not in self.emptying
+            and not self.is_reopened(host)
         ]
         sizes = Counter(target.pool for target in self.state.targets.values())
         emptied = Counter(self.load_of(host).pool for host in out)
         self.emptying.update(choose_hosts(waiting, emptied, sizes, count, self.timing))
 
+    def is_reopened(self, host: str) -> bool:
+        """Return whether a host was reopened lately, and may still get or have runs."""
+        if host not in self.reopened_ms:
+            return False
+        open_ms = self.scheduler.now() - self.reopened_ms[host]
+        incarnation = self.state.incarnations_by_host.get(host, "")
+        limit_ms = REOPENED_MS if self.state.live_runs(incarnation) else MIN_REOPENED_MS
+        return open_ms < limit_ms
+
+    def reopen_hosts(self) -> None:
+        """Reopen the hosts being emptied that tasks have waited for too long."""
+        now = self.scheduler.now()
+        if now - self.last_reopen_check_ms < REOPEN_CHECK_MS:
+            return
+        self.last_reopen_check_ms = now
+        pools = self.pools_being_emptied()
+        self.update_waiting_steps(pools, now)
+        overdue = {
+            step_id
+            for step_id, since_ms in self.waiting_since_ms.items()
+            if now - since_ms >= MAX_TASK_WAIT_MS
+        }
+        if overdue:
+            overdue = self.steps_that_may_reopen(overdue)
+        if not overdue:
+            return
+        view = self.scheduler.view(pools, ignored_cordon=self.emptying)
+        for start in plan_starts(view):
+            step_id = StepId(start.job_id, start.occurrence, start.step)
+            host = self.state.targets[start.incarnation].host
+            if (
+                step_id in overdue
+                and host in self.emptying - self.calling
+                and not self.scheduler.in_upkeep(host)
+            ):
+                self.emptying.discard(host)
+                self.reopened_ms[host] = now
+                extra = {"host": host, "job": step_id.job_id}
+                logger.info("host reopened", extra=extra)
+
+    def pools_being_emptied(self) -> set[str]:
+        """Return the pools of the hosts that are being emptied."""
+        incarnations = self.state.incarnations_by_host
+        return {
+            self.state.targets[incarnations[host]].pool
+            for host in self.emptying
+            if host in incarnations
+        }
+
+    def update_waiting_steps(self, pools: set[str], now: int) -> None:
+        """Record since when the steps of some pools have had idle tasks."""
+        self.waiting_since_ms = {
+            step_id: self.waiting_since_ms.get(step_id, now)
+            for name, steps in self.state.open_steps.items()
+            if pools and self.state.queue_named(name).pool in pools
+            for step_id, step in steps.items()
+            if step.idle
+        }
+
+    def steps_that_may_reopen(self, waiting: set[StepId]) -> set[StepId]:
+        """
+        Return the waiting steps for which hosts may be reopened.
+
+        In a busy pool these are the long-running ones: other tasks wait for the end of
+        others there.
+        """
+        pools = {
+            step_id: self.state.queue_of(self.state.jobs[step_id.job_id]).pool
+            for step_id in waiting
+        }
+        busy = {pool for pool in set(pools.values()) if self.is_busy(pool)}
+        return {
+            step_id
+            for step_id, pool in pools.items()
+            if pool not in busy or self.state.spec_of(step_id).long_running
+        }
+
+    def is_busy(self, pool: str) -> bool:
+        """Return whether a large share of a pool's capacity is reserved."""
+        used, capacity = Tally(), Tally()
+        for target in self.state.targets_of_pool(pool):
+            if not target.draining:
+                used.add(self.state.used[target.incarnation])
+                capacity.add(target.capacity)
+        return (
+            used.cpu_millis >= BUSY_SHARE * capacity.cpu_millis
+            or used.memory_mb >= BUSY_SHARE * capacity.memory_mb
+        )
+
     def load_of(self, host: str) -> HostLoad:
         """Return the load of a host."""
         incarnation = self.state.incarnations_by_host.get(host)
