--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/upkeep.py
@@ -255,10 +255,12 @@
             if not target.draining:
                 used.add(self.state.used[target.incarnation])
                 capacity.add(target.capacity)
-        return (
-            used.cpu_millis >= BUSY_SHARE * capacity.cpu_millis
-            or used.memory_mb >= BUSY_SHARE * capacity.memory_mb
+        shares = (
+            used.cpu_millis / max(1, capacity.cpu_millis),
+            used.memory_mb / max(1, capacity.memory_mb),
+            used.accelerators / max(1, capacity.accelerators),
         )
+        return max(shares) >= BUSY_SHARE
 
     def load_of(self, host: str) -> HostLoad:
         """Return the load of a host."""
