Log what a former process may have received, when leases ended, and ends of runs that are not live

`runs lapsed` tells when the lease had ended and when it was renewed. A new line tells of each incarnation that is over, in whatever way, what it had not confirmed; another one tells of ends of runs that aren't live, which never show as stray runs if they end before the first list. The names of the lines stay.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -306,7 +306,9 @@
             if incarnation not in self.state.targets
         ]
         for incarnation in gone:
-            self.sessions.pop(incarnation).close()
+            session = self.sessions.pop(incarnation)
+            session.log_end()
+            session.close()
 
     def plan(self, waiting: tuple[object, ...]) -> list[object]:
         """
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -49,6 +49,7 @@
 LATE_STOP_MS = 12_500  # after which a stop without effect can't take effect any more
 MAX_LIST_AGE_MS = 2_000  # lists arrive about once a second
 AT_WORK_PERCENT = 100
+MAX_NAMED_ENDS = 8  # in one log line
 NEVER_MS = -1_000_000
 
 logger = logging.getLogger(__name__)
@@ -364,6 +365,7 @@
             self.first_clock_ms = view.clock_ms
         self.confirmed = True
         self.report_ends(view, now)
+        self.log_stray_ends(view)
         changes = self.changes_from(view, sent_ms)
         self.stop_strays()
         if first_view:
@@ -388,6 +390,21 @@
                     duration_ms = now - tracked.accepted_ms
                     self.leader.run_done((one.task, one.run), duration_ms)
 
+    def log_stray_ends(self, view: TargetView) -> None:
+        """Log the new ends of runs that are not live; they never show as stray runs."""
+        live = self.live_runs()
+        strays = [
+            one
+            for one in view.ended
+            if one.number > self.last_seen and (one.task, one.run) not in live
+        ]
+        if not strays:
+            return
+        done = sum(one.how == RunEnd.DONE for one in strays)
+        named = [[one.task, one.run, one.how] for one in strays[:MAX_NAMED_ENDS]]
+        extra = {"target": self.incarnation, "ends": len(strays), "done": done}
+        logger.info("ends of runs that are not live", extra=extra | {"runs": named})
+
     def changes_from(self, view: TargetView, sent_ms: int) -> list[EndRun]:
         """
         Return the ends that the lists show, directly or by a missing run.
@@ -470,6 +487,9 @@
         live = list(self.live_runs())
         if live and now >= self.lease_end_ms:
             extra = {"target": self.incarnation, "runs": len(live)}
+            extra["lease_ended_ms"] = now - self.lease_end_ms
+            if self.renewed_ms is not None:
+                extra["since_renewal_ms"] = now - self.renewed_ms
             logger.warning("runs lapsed", extra=extra)
             for task, run in live:
                 self.leader.cycles.submit(EndRun(*task, run, RunEnd.LEASE_EXPIRED))
@@ -499,6 +519,14 @@
             self.silent_since_ms = self.leader.now()
         self.wake()
 
+    def log_end(self) -> None:
+        """Log which orders the next process of the target may have received."""
+        unconfirmed = sum(one.accepted_ms is None for one in self.tracked_runs.values())
+        extra = {"target": self.incarnation, "unconfirmed": unconfirmed}
+        extra |= {"last_seen": self.last_seen, "acked_end": self.acked_end}
+        extra["since_contact_ms"] = self.leader.now() - self.last_contact_ms
+        logger.info("target session ended", extra=extra)
+
     def end_incarnation(self, why: str) -> None:
         """Record that this incarnation has ended."""
         extra = {"target": self.incarnation, "why": why}
