Tests: the folders of failed runs with real processes are kept

Six entries of KNOWN-RED.txt could not be traced, as the logs of the failed run were gone with the test's folder.

--- a/features/promises/steps/endurance.py
+++ b/features/promises/steps/endurance.py
@@ -1,10 +1,8 @@
 """Steps on runs of real daemons under load and faults."""
 
-from pathlib import Path
-from tempfile import TemporaryDirectory
-
 from behave import then, when
 from mulberryledge_testing.endurance.run import run
+from mulberryledge_testing.failed_runs import folder_kept_on_failure
 from mulberryledge_testing.reactor_thread import run_coroutine
 from twisted.internet import reactor
 
@@ -16,9 +14,9 @@
     " with seed {seed:d}"
 )
 def step_run(context, seconds, seed):
-    with TemporaryDirectory() as folder:
+    with folder_kept_on_failure(lambda: bool(context.verdict.broken)) as folder:
         context.verdict = run_coroutine(
-            lambda: run(reactor, Path(folder), seconds, seed), seconds + SLACK_S
+            lambda: run(reactor, folder, seconds, seed), seconds + SLACK_S
         )
     print(f"seed {seed}: {context.verdict.text()}")
 
--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -3,8 +3,6 @@
 import re
 import subprocess
 import sys
-import tempfile
-from pathlib import Path
 
 from behave import then, when
 
@@ -36,16 +34,14 @@
 
 
 def run_soak(context, seed, seconds, *options):
-    scratch = tempfile.TemporaryDirectory()
-    context.add_cleanup(scratch.cleanup)
     command = [sys.executable, "-m", "mulberryledge_platform_testing.soak"]
-    command += [str(Path(scratch.name) / "soak"), "--first", str(seed)]
+    command += [str(context.folder), "--first", str(seed)]
     command += ["--seconds", str(seconds), *options]
     done = subprocess.run(
         command, capture_output=True, text=True, timeout=seconds + 2 * OVERHEAD_S
     )
     context.code, context.printed = done.returncode, done.stdout + done.stderr
-    report = Path(scratch.name) / "soak" / f"seed-{seed}" / "report.txt"
+    report = context.folder / f"seed-{seed}" / "report.txt"
     context.report = report.read_text() if report.exists() else context.printed
 
 
