Soak: a stop after a cancellation is planned once the cancellation was sent

Cause: the check was wrong. The rule exempts stops after the job's cancelling was sent; the witness exempted them from its acknowledgement on, which slowed links delay by up to 2 s.

--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -250,6 +250,7 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job."""
+        self.checker.cancel_sent.add(job_id)
         done = self.leader.cycles.submit(CancelJob(job_id))
 
         def acknowledged(verdict) -> None:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -31,6 +31,11 @@
     gang_timeouts : list of str
         Members of gangs that timed out waiting for the others; a fault at that time
         may be the cause.
+    cancel_sent : set of str
+        Jobs whose cancellation was sent; it may take effect before its answer, or
+        without one.
+    cancelled : dict of str to float
+        By job: when its cancellation was acknowledged, in seconds.
     """
 
     def __init__(self, clock, state: BatchState, wall_ms):
@@ -46,6 +51,7 @@
         self.failures: dict[TaskId, int] = defaultdict(int)
         self.team_used: dict[str, Tally] = defaultdict(Tally)
         self.submitted: dict[str, object] = {}
+        self.cancel_sent: set[str] = set()
         self.cancelled: dict[str, float] = {}
         self.starts = 0
         self.gang_timeouts: list[str] = []
@@ -170,7 +176,7 @@
     def check_budget(self, target, task: TaskId, spec) -> None:
         """Check that the stop of a task that works leaves enough others at work."""
         unsound = target.target.draining or target.behaviour.hangs
-        if unsound or task.job_id in self.cancelled or not self.works(task):
+        if unsound or task.job_id in self.cancel_sent or not self.works(task):
             return
         others = (task._replace(index=index) for index in range(spec.count))
         away = [other for other in others if other != task and self.is_away(other)]
