--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -105,8 +105,12 @@
 
     Attributes
     ----------
+    started_s : float
+        Time of the start of the process, at which its own clock is 0.
     expired_number : int
         Number of the last end when the lease last expired.
+    seen_number : int
+        Highest ``last_seen`` of the orders; ends up to it are forgotten.
     truth_of : callable
         Returns the actual work of a task.
     gangs : Gangs or None
@@ -135,14 +139,20 @@
     closed_runs: dict[TaskId, int] = field(default_factory=dict)
     number: int = 0
     expired_number: int = 0
+    seen_number: int = 0
     waiters: list[Deferred] = field(default_factory=list)
+    started_s: float = field(init=False)
+
+    def __post_init__(self):
+        self.started_s = self.clock.seconds()
 
     def now_ms(self) -> float:
-        """Return the target's own monotonic clock, which drifts by ``rate``."""
-        return self.clock.seconds() * 1_000 * self.rate
+        """Return the process's own monotonic clock, which drifts by ``rate``."""
+        return (self.clock.seconds() - self.started_s) * 1_000 * self.rate
 
     def start(self, order: StartOrder) -> OrderAnswer:
         """Execute a start order, or refuse it."""
+        self.end_expired()
         if order.fence < self.fence:
             return self.answer(OrderOutcome.FENCED)
         self.fence = order.fence
@@ -152,8 +162,10 @@
             return self.answer(OrderOutcome.DEADLINE_PASSED)
         known = self.running.get(order.task)
         if known is not None and known.run == order.run:
+            self.extend_lease(order.deadline_ms)
             return self.answer(OrderOutcome.DONE)
         if order.run <= self.closed_runs.get(order.task, 0) or known is not None:
+            self.extend_lease(order.deadline_ms)
             return self.answer(OrderOutcome.OLD_RUN)
         if self.ticket_valid is not None and not self.ticket_valid(self, order):
             return self.answer(OrderOutcome.BAD_TICKET)
@@ -210,8 +222,11 @@
             run.timer.cancel()
         self.closed_runs[task] = max(number, self.closed_runs.get(task, 0))
         self.number += 1
-        self.ended.append(ListedEnd(self.number, task, number, how, ""))
         self.watch("end", self, task, number, how)
+        if self.number > self.seen_number:
+            self.ended.append(ListedEnd(self.number, task, number, how, ""))
+        else:
+            self.watch("noted", self, task, number, how)
         self.wake()
         if run.truth.spec.gang and self.gangs is not None:
             self.gangs.leave(task, number, how)
@@ -291,12 +306,19 @@
             delay_s = max(0.001, remaining_ms / 1_000 / self.rate)
             self.lease_timer = self.clock.callLater(delay_s, self.check_lease)
             return
+        self.end_expired()
+
+    def end_expired(self) -> None:
+        """End all runs if the lease has expired."""
+        if self.lease_ms > self.now_ms():
+            return
         for task, run in list(self.running.items()):
             self.end(task, run.run, RunEnd.LEASE_EXPIRED)
         self.expired_number = self.number
 
     def view(self, order: RenewOrder) -> TargetView | OrderAnswer:
         """Renew the lease, remove acknowledged ends and return the lists."""
+        self.end_expired()
         if order.fence < self.fence:
             return self.answer(OrderOutcome.FENCED)
         self.fence = order.fence
@@ -306,6 +328,7 @@
             if one.number <= order.last_seen and one.number > self.expired_number:
                 self.watch("noted", self, one.task, one.run, one.how)
         self.ended = [one for one in self.ended if one.number > order.last_seen]
+        self.seen_number = max(self.seen_number, order.last_seen)
         return self.lists()
 
     def lists(self) -> TargetView:
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -42,7 +42,7 @@
         self.done: set[TaskId] = set()
         self.noted: set[TaskId] = set()
         self.last_start_s: dict[TaskId, float] = {}
-        self.done_s: dict[tuple[TaskId, int], float] = {}
+        self.done_s: dict[tuple[TaskId, int, str], float] = {}
         self.failures: dict[TaskId, int] = defaultdict(int)
         self.team_used: dict[str, Tally] = defaultdict(Tally)
         self.submitted: dict[str, object] = {}
@@ -62,7 +62,7 @@
         if what == "start":
             self.on_start(target, task, run)
         elif what == "noted":
-            self.on_noted(task, run, how)
+            self.on_noted(target, task, run, how)
         else:
             self.on_end(target, task, run, how)
 
@@ -93,7 +93,7 @@
             if late_s > 3.0:
                 self.problem(f"{task} starts {late_s:.1f} s after its cancellation")
 
-    def on_noted(self, task: TaskId, run: int, how: RunEnd) -> None:
+    def on_noted(self, target, task: TaskId, run: int, how: RunEnd) -> None:
         """Check that a task was not started again after an acknowledged completion."""
         job = self.submitted.get(task.job_id)
         if how != RunEnd.DONE or job is None or job.spec.steps[task.step].long_running:
@@ -101,7 +101,8 @@
         if job.spec.steps[task.step].speculative:
             return
         self.noted.add(task)
-        if self.last_start_s.get(task, 0) > self.done_s[task, run]:
+        ended_s = self.done_s[task, run, target.target.incarnation]
+        if self.last_start_s.get(task, 0) > ended_s:
             self.problem(f"{task} was started again after its acknowledged end")
 
     def check_tail_latency(self, incarnation) -> None:
@@ -207,7 +208,7 @@
             self.team_used[job.team].add(spec.size, -1)
         if how == RunEnd.DONE:
             self.done.add(task)
-            self.done_s[task, run] = self.clock.seconds()
+            self.done_s[task, run, target.target.incarnation] = self.clock.seconds()
         if how == RunEnd.GANG_TIMED_OUT and task.job_id not in self.cancelled:
             self.gang_timeouts.append(
                 f"{self.clock.seconds():.3f} s: {task} timed out waiting for its gang"
