--- a/features/soak/steps/soak.py
+++ b/features/soak/steps/soak.py
@@ -16,6 +16,16 @@
     run_soak(context, seed, seconds)
 
 
+@when('the soak injects only "{fault}" with seed {seed:d} for {seconds:d} seconds')
+def step_run_fault(context, fault, seed, seconds):
+    run_soak(context, seed, seconds, "--only", fault)
+
+
+@then('"{fault}" was injected')
+def step_injected(context, fault):
+    assert count_of(context, fault), context.report
+
+
 @when(
     "the soak replaces each core machine once with seed {seed:d},"
     " in at most {seconds:d} seconds"
