--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/plans.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
 from unittest.mock import patch
@@ -129,8 +130,15 @@
 }  # fmt: skip
 
 
-def simulate(plan: Plan) -> Outcome:
-    """Simulate a plan, and return its results."""
+def simulate(plan: Plan, prepare: Callable[[Day], object] | None = None) -> Outcome:
+    """
+    Simulate a plan, and return its results.
+
+    Parameters
+    ----------
+    prepare : callable or None
+        Called with the day before it begins.
+    """
     with ExitStack() as stack:
         stack.callback(logging.disable, logging.root.manager.disable)
         logging.disable(logging.CRITICAL)
@@ -138,6 +146,8 @@
             stack.enter_context(REPLACED[name]())
         policy = POOL_POLICY if plan.moves else None
         day = Day(site_named(plan.site), plan.seed, policy)
+        if prepare is not None:
+            prepare(day)
         for name, at_s in plan.faults:
             schedule_fault(day, name, at_s)
         report = day.run(plan.seconds, plan.load, tail_s=plan.tail_s)
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -107,6 +107,8 @@
     ----------
     expired_number : int
         Number of the last end when the lease last expired.
+    started_s : float
+        When its clock was zero.
     truth_of : callable
         Returns the actual work of a task.
     gangs : Gangs or None
@@ -136,10 +138,11 @@
     number: int = 0
     expired_number: int = 0
     waiters: list[Deferred] = field(default_factory=list)
+    started_s: float = 0.0
 
     def now_ms(self) -> float:
         """Return the target's own monotonic clock, which drifts by ``rate``."""
-        return self.clock.seconds() * 1_000 * self.rate
+        return (self.clock.seconds() - self.started_s) * 1_000 * self.rate
 
     def start(self, order: StartOrder) -> OrderAnswer:
         """Execute a start order, or refuse it."""
