--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/play.py
@@ -294,9 +294,22 @@
         self.report.long_running_shares.append(self.long_running_share())
         for incarnation in self.fleet.targets.values():
             self.checker.check_tail_latency(incarnation)
+        self.check_leases()
         self.starvation.observe()
         self.clock.callLater(SAMPLE_INTERVAL_S, self.sample_state)
 
+    def check_leases(self) -> None:
+        """Check that no lease outlasts what the leader counts."""
+        leader = self.leader
+        if leader is None or not leader.may_order():
+            return
+        for session in leader.sessions.values():
+            process = self.fleet.targets.get(session.target.host)
+            if process is None or process.target.incarnation != session.incarnation:
+                continue
+            if session.live_runs():
+                self.checker.check_lease(process, session.lease_end_ms)
+
     def long_running_share(self) -> float:
         """Return the share of the long-running tasks that work."""
         expected = working = 0
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/witness.py
@@ -124,6 +124,14 @@
             ):
                 self.problem(f"fillers hold {task} above its latency bound")
 
+    def check_lease(self, incarnation, counted_end_ms: int) -> None:
+        """Check that no run outlasts the lease that the leader counts."""
+        left_ms = (incarnation.lease_ms - incarnation.now_ms()) / incarnation.rate
+        excess_ms = 1_000 * self.clock.seconds() + left_ms - counted_end_ms
+        if incarnation.running and excess_ms > 0:
+            name = incarnation.target.incarnation
+            self.problem(f"the lease of {name} lasts {excess_ms:.0f} ms longer")
+
     def check_order(self, job, task: TaskId) -> None:
         """Check that the previous steps are done and the occurrence is due."""
         for before in job.spec.steps[task.step].after:
