Orders that wait for a check: answers in part or twice, ends, and a further connection

No test had more than one order wait, an answer that isn't the only or the last thing on the connection, or a connection beside one that leads to the former process.

--- a/features/platform/orders.feature
+++ b/features/platform/orders.feature
@@ -47,3 +47,24 @@
     Given a new connection to a target that was started at 1000
     When a start is due, and the session ends while the connection is opened
     Then nothing is sent, and the connection is closed
+
+  # Guards against orders on a connection whose process hasn't shown its start, or has ended.
+  Scenario Outline: Two starts wait for a connection whose check <answer>
+    Given a new connection to a target that was started at 1000
+    When two starts are due, and the check <answer>
+    Then <sent>
+
+    Examples:
+      | answer                                        | sent                                  |
+      | is answered in part                           | no start is sent                      |
+      | is answered, and the answer has a second one  | no start is sent                      |
+      | is answered, and the connection is to end     | no start is sent                      |
+      | isn't answered, and the connection ends       | no start is sent on a new connection  |
+      | is answered completely                        | one start is sent, the other one next |
+
+  # Guards against the same where an earlier connection leads to the former process still.
+  Scenario: A further connection is opened to a target that has started again meanwhile
+    Given a checked connection to a target that was started at 1000
+    When a start is answered late, and another one is due on a further connection
+    And the lists on that connection are of the process that was started at 2000
+    Then the second start is sent on neither, and its outcome is "other-life"
--- a/features/platform/steps/orders.py
+++ b/features/platform/steps/orders.py
@@ -193,3 +193,82 @@
     assert context.transport.disconnected or context.transport.disconnecting
     found = [one.outcome for one in context.answers]
     assert found == [OrderOutcome.NOT_SENT], found
+
+
+def sent_starts(context):
+    """Return how many starts were sent on the last connection."""
+    return context.transport.value().count(b"/run-start")
+
+
+@when("two starts are due, and the check is answered in part")
+def answered_in_part(context):
+    two_starts_due(context)
+    context.protocol.dataReceived(ANSWER[:-1])
+
+
+@when("two starts are due, and the check is answered, and the answer has a second one")
+def answered_twice(context):
+    two_starts_due(context)
+    context.protocol.dataReceived(ANSWER + ANSWER)
+
+
+@when("two starts are due, and the check is answered, and the connection is to end")
+def answered_last(context):
+    two_starts_due(context)
+    head, _, body = ANSWER.partition(b"\r\n\r\n")
+    answer = head + b"\r\nConnection: close\r\n\r\n" + body
+    context.protocol.dataReceived(answer)
+
+
+@when("two starts are due, and the check isn't answered, and the connection ends")
+def unanswered_and_ended(context):
+    two_starts_due(context)
+    context.protocol.connectionLost()
+    open_connection(context)
+
+
+@when("two starts are due, and the check is answered completely")
+def answered(context):
+    two_starts_due(context)
+    context.protocol.dataReceived(ANSWER)
+
+
+def two_starts_due(context):
+    context.answers = [order_start(context, 1, context.target)]
+    context.answers.append(order_start(context, 2, context.target))
+    open_connection(context)
+
+
+@then("no start is sent")
+@then("no start is sent on a new connection")
+def no_start_sent(context):
+    assert not sent_starts(context), context.transport.value()
+
+
+@then("one start is sent, the other one next")
+def starts_sent(context):
+    assert sent_starts(context) == 1, context.transport.value()
+    context.protocol.dataReceived(ANSWER)
+    assert sent_starts(context) == 2, context.transport.value()
+
+
+@when("a start is answered late, and another one is due on a further connection")
+def further_connection(context):
+    context.client.pools[next(iter(context.client.pools))].max_connections = 2
+    order_start(context, 1, context.target)
+    context.first_transport = context.transport
+    context.first_transport.clear()
+    context.answers = order_start(context, 2, context.target)
+    open_connection(context)
+
+
+@when("the lists on that connection are of the process that was started at {born_ms:d}")
+def lists_of_next(context, born_ms):
+    context.protocol.dataReceived(encode_answer(f'{{"born":{born_ms}}}'))
+
+
+@then('the second start is sent on neither, and its outcome is "{outcome}"')
+def sent_on_neither(context, outcome):
+    assert not sent_starts(context), context.transport.value()
+    assert b".0.0.2" not in context.first_transport.value()
+    assert [one.outcome for one in context.answers] == [outcome], context.answers
