Refused starts that extend a lease, and late messages of a former process, tested

- A start that the next process refuses for want of room extends its lease up to a deadline on the former clock, as a renewal does.
The simulated target can refuse so now.
- A late report, draining or without its start, a late leave, with or without its start, and a late answer of the cloud that lists the host as down don't end the next process, with the same leader and with a new one.
Each fails if the condition that it guards is taken out there: the start times in record_target and record_leave, the drain in record_leave, and the time of the last contact in LossDetector.

--- a/features/platform/restarts.feature
+++ b/features/platform/restarts.feature
@@ -59,23 +59,53 @@
       | loses and regains its lease  |
       | stands still and is replaced |
 
-  # Guards against leases that end later than the leader counts: a renewal for the former
-  # process extends that of the next one by a higher clock.
-  Scenario Outline: A renewal is due for a target that has started again, it is cut off, and the leader <change>
+  # Guards against leases that end later than the leader counts: a renewal or a refused
+  # start for the former process extends that of the next one by a higher clock.
+  Scenario Outline: A target starts again, <connections> and <refuses>, it is cut off, and the leader <change>
     Given a target and another one, behind connections
-    When the target starts again and resets them
-    And a start and a renewal are due for the former process while the next one is busy, and the leader <change>
+    When the target starts again and <connections>
+    And a start and a renewal are due for the former process, the next one <refuses>, and the leader <change>
     And the next process reports itself, begins a task of 20000 ms, and is cut off
     Then no task runs twice or again within 10 seconds
     And its lease has ended when the leader expected it
 
     Examples:
-      | change                       |
-      | stays                        |
-      | is replaced                  |
-      | is killed                    |
-      | loses and regains its lease  |
-      | stands still and is replaced |
+      | connections      | refuses              | change                       |
+      | resets them      | is busy              | stays                        |
+      | resets them      | is busy              | is replaced                  |
+      | resets them      | is busy              | is killed                    |
+      | resets them      | is busy              | loses and regains its lease  |
+      | resets them      | is busy              | stands still and is replaced |
+      | leaves them open | has no room          | stays                        |
+      | leaves them open | has no room          | is replaced                  |
+      | leaves them open | has no room          | is killed                    |
+      | leaves them open | has no room          | loses and regains its lease  |
+      | leaves them open | has no room          | stands still and is replaced |
+
+  # Guards against a process that is taken for ended by what is said of its former one.
+  Scenario Outline: <message> arrives once the next process has begun tasks
+    Given a target and another one, behind connections
+    When 6 tasks of 1000 ms are ordered on it, and the leader stays
+    And the target starts again and resets them
+    And the next process reports itself and begins 6 tasks of 6000 ms, and the leader <change>
+    And <message> arrives, and the target is cut off for 2 seconds
+    Then the next process is still recorded
+    And no task runs twice or again, and the job ends within 20 seconds
+
+    Examples:
+      | message                                     | change      |
+      | a report of the former process              | stays       |
+      | a report of the former process              | is replaced |
+      | a draining report of the former process     | stays       |
+      | a draining report of the former process     | is replaced |
+      | a report without a start                    | stays       |
+      | a report without a start                    | is replaced |
+      | a leave of the former process               | stays       |
+      | a leave of the former process               | is replaced |
+      | a leave without a start                     | stays       |
+      | a leave without a start                     | is replaced |
+      | a list of hosts as it was before            | stays       |
+      | a list of hosts as it was before            | is replaced |
 
   # Guards against the same in the course of a day, with orders of all kinds under way.
   Scenario Outline: Days on which targets start again and are cut off, and <trouble>
--- a/features/platform/steps/restarts.py
+++ b/features/platform/steps/restarts.py
@@ -8,10 +8,14 @@
 from mulberryledge_testing.batch.plans import Plan
 from mulberryledge_testing.batch.play import DAEMONS, Day
 from mulberryledge_testing.batch.target import TaskTruth
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater
 
 from mulberryledge_core.batch.commands import SubmitJob
 from mulberryledge_core.batch.sizes import Size
 from mulberryledge_core.batch.specs import JobSpec, StepSpec
+from mulberryledge_daemon.batch.host_losses import LossDetector
+from mulberryledge_daemon.batch.ports import HostState
 from mulberryledge_platform_testing.virtual_targets import (
     VirtualTargets,
     simulate_connected,
@@ -28,6 +32,7 @@
 STILL_S = 1.0
 MAX_FORGET_S, MAX_BEGIN_S = 2.0, 6.0
 STEP_S = 0.001
+LATE_LIST_S = 1.5  # the target has missed calls by then
 END_MS = 20
 
 
@@ -141,6 +146,8 @@
 def starts_again(context, connections):
     fixture = context.fixture
     fixture.targets.silent_ends = SILENT_ENDS[connections]
+    fixture.former = fixture.day.fleet.targets[fixture.host]
+    fixture.restarted_ms = fixture.day.log.now()
     fixture.next = fixture.targets.restart(fixture.host)
 
 
@@ -168,12 +175,13 @@
 
 
 @when(
-    "a start and a renewal are due for the former process while the next one is busy,"
-    " and the leader {change}"
+    "a start and a renewal are due for the former process, the next one {refuses}, and"
+    " the leader {change}"
 )
-def renewal_due(context, change):
+def renewal_due(context, refuses, change):
     fixture = context.fixture
-    fixture.next.behaviour.sheds = True
+    fixture.next.behaviour.sheds = refuses == "is busy"
+    fixture.next.behaviour.full = refuses == "has no room"
     fixture.submit(1, 20_000.0)
     fixture.day.pass_time(CHANGE_S)
     CHANGES[change](fixture)
@@ -193,7 +201,7 @@
 def begins_and_is_cut_off(context, duration_ms):
     fixture = context.fixture
     day, process = fixture.day, fixture.next
-    process.behaviour.sheds = False
+    process.behaviour.sheds = process.behaviour.full = False
     assert fixture.pass_until(lambda: day.leader.term is not None, MAX_BEGIN_S)
     fixture.reserve(day.log.leader)
     fixture.targets.report(fixture.host)
@@ -202,6 +210,92 @@
     fixture.release()
 
 
+@when(
+    "the next process reports itself and begins {count:d} tasks of {duration_ms:d} ms,"
+    " and the leader {change}"
+)
+def begins_tasks(context, count, duration_ms, change):
+    fixture = context.fixture
+    fixture.reserve(fixture.day.log.leader)
+    fixture.targets.report(fixture.host)
+    fixture.submit(count, float(duration_ms))
+    assert fixture.pass_until(lambda: len(fixture.next.running) >= count, MAX_BEGIN_S)
+    fixture.release()
+    CHANGES[change](fixture)
+
+
+@when("{message} arrives, and the target is cut off for {seconds:d} seconds")
+def message_arrives(context, message, seconds):
+    fixture = context.fixture
+    day, former = fixture.day, fixture.former
+    assert fixture.pass_until(lambda: day.leader.term is not None, MAX_BEGIN_S)
+    day.fleet.faults.cut.add(fixture.host)
+    MESSAGES[message](fixture, former.target, int(former.now_ms()))
+    day.pass_time(seconds)
+    day.fleet.faults.cut.discard(fixture.host)
+
+
+def report_again(fixture, target, clock_ms):
+    fixture.day.on_announcement(target, clock_ms)
+
+
+def report_draining(fixture, target, clock_ms):
+    fixture.day.on_announcement(replace(target, draining=True), clock_ms)
+
+
+def report_without_start(fixture, target, clock_ms):
+    fixture.day.on_announcement(replace(target, started_ms=0), clock_ms)
+
+
+def leave_again(fixture, target, clock_ms):
+    fixture.day.leader.record_leave(target.name, target.started_ms)
+
+
+def leave_without_start(fixture, target, clock_ms):
+    fixture.day.leader.record_leave(target.name)
+
+
+def list_as_before(fixture, target, clock_ms):
+    """Answer late a list that was asked for while the host was down."""
+    detector = next(
+        callback.__self__
+        for callback in fixture.day.leader.tick_callbacks
+        if isinstance(getattr(callback, "__self__", None), LossDetector)
+    )
+    cloud = fixture.day.fleet.cloud
+    usual = cloud.list_hosts
+    row = cloud.hosts[fixture.host]
+
+    async def list_late():
+        row.state = HostState.DOWN
+        view = await usual()
+        row.state = HostState.UP
+        cloud.list_hosts = usual
+        await deferLater(fixture.day.clock, LATE_LIST_S)
+        return view
+
+    cloud.list_hosts = list_late
+    detector.querying = True
+    ensureDeferred(detector.query(fixture.restarted_ms))
+
+
+MESSAGES = {
+    "a report of the former process": report_again,
+    "a draining report of the former process": report_draining,
+    "a report without a start": report_without_start,
+    "a leave of the former process": leave_again,
+    "a leave without a start": leave_without_start,
+    "a list of hosts as it was before": list_as_before,
+}
+
+
+@then("the next process is still recorded")
+def still_recorded(context):
+    fixture = context.fixture
+    targets = fixture.day.log.machine.state.targets
+    assert fixture.next.target.incarnation in targets, sorted(targets)
+
+
 @then("its lease has ended when the leader expected it")
 def lease_as_expected(context):
     fixture = context.fixture
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -66,12 +66,15 @@
         Whether all runs fail at once, or make no progress.
     sheds : bool
         Whether all starts are refused without any effect.
+    full : bool
+        Whether all starts are refused for want of capacity, which extends the lease.
     """
 
     slow: float = 1.0
     fails: bool = False
     hangs: bool = False
     sheds: bool = False
+    full: bool = False
 
 
 @dataclass(slots=True)
@@ -161,6 +164,8 @@
         if self.ticket_valid is not None and not self.ticket_valid(self, order):
             return self.answer(OrderOutcome.BAD_TICKET)
         self.extend_lease(order.deadline_ms)
+        if self.behaviour.full:
+            return self.answer(OrderOutcome.NO_CAPACITY)
         self.start_run(order)
         return self.answer(OrderOutcome.DONE)
 
