--- a/features/platform/restarts.feature
+++ b/features/platform/restarts.feature
@@ -118,3 +118,4 @@
       | lost lease  |
       | crash       |
       | cut targets |
+      | late orders |
