A leader that stands still, in virtual time

In the tests of targets that start again, a leader that stood still went on with its connections and calls; only its tick was stopped. A VirtualHost can be paused now: timers and bytes that are due wait and are processed in their order when it runs again, and the daemons' schedulers run on such hosts. A killed daemon is one that is lost.

--- a/features/platform/steps/restarts.py
+++ b/features/platform/steps/restarts.py
@@ -94,8 +94,7 @@
 
 
 def is_killed(fixture):
-    fixture.targets.network.lose("10.1.0.1")
-    fixture.day.schedulers[DAEMONS[0]].loop.stop()
+    fixture.targets.daemons[DAEMONS[0]].lost = True
     fixture.day.log.elect(DAEMONS[1])
 
 
@@ -108,12 +107,11 @@
 
 def stands_still(fixture):
     """Stop the leader's process for a while, in which another daemon is elected."""
-    day = fixture.day
-    scheduler = day.schedulers[DAEMONS[0]]
-    scheduler.loop.stop()
-    day.log.elect(DAEMONS[1])
-    day.pass_time(STILL_S)
-    scheduler.start()
+    daemon = fixture.targets.daemons[DAEMONS[0]]
+    daemon.pause()
+    fixture.day.log.elect(DAEMONS[1])
+    fixture.day.pass_time(STILL_S)
+    daemon.resume()
 
 
 SILENT_ENDS = {"resets them": False, "leaves them open": True}
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/virtual_network.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/virtual_network.py
@@ -68,12 +68,21 @@
 
 
 class VirtualHost:
-    """Implements the parts of a reactor that connections and timers require."""
+    """
+    Implements the parts of a reactor that connections and timers require.
+
+    Attributes
+    ----------
+    held_events : list of callable or None
+        Timers and bytes that are due while the process here stands still; None while
+        it runs.
+    """
 
     def __init__(self, network: VirtualNetwork, address: str):
         self.network = network
         self.address = address
         self.lost = False
+        self.held_events: list[Callable[[], None]] | None = None
         self.listeners: dict[int, Factory] = {}
 
     def seconds(self) -> float:
@@ -84,11 +93,27 @@
         """Call a function later, unless this host is lost by then."""
 
         def call() -> None:
-            if not self.lost:
-                function(*args, **kwargs)
+            self.process_event(lambda: function(*args, **kwargs))
 
         return self.network.clock.callLater(delay, call)
 
+    def process_event(self, event: Callable[[], None]) -> None:
+        """Process an event unless this host is lost; later if it stands still."""
+        if self.held_events is not None:
+            self.held_events.append(event)
+        elif not self.lost:
+            event()
+
+    def pause(self) -> None:
+        """Let the process here stand still."""
+        self.held_events = []
+
+    def resume(self) -> None:
+        """Let the process here run again, and process what is due."""
+        held_events, self.held_events = self.held_events or [], None
+        for event in held_events:
+            self.process_event(event)
+
     def listenTCP(self, port: int, factory: Factory, backlog=50, interface=""):
         """Accept connections."""
         self.listeners[port] = factory
@@ -198,7 +223,11 @@
         def arrive() -> None:
             reached = network.reaches(self.host, self.peer)
             self.silent = self.silent or not reached
-            if not self.silent and self.other.connected:
+            if not self.silent:
+                self.peer.process_event(process)
+
+        def process() -> None:
+            if self.other.connected:
                 act(self.other)
 
         network.clock.callLater(LATENCY_S, arrive)
