Simulated processes start their clocks anew, and late orders reach the next one of a name

The simulated fleet dropped a late order with its process, and gave all processes of a host one clock.

--- a/features/batch/steps/fleet.py
+++ b/features/batch/steps/fleet.py
@@ -21,6 +21,7 @@
     "lost lease",
     "shedding targets",
     "restarts and cuts",
+    "late orders and restarts",
 )  # tested in separate scenarios
 
 
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/fleet.py
@@ -253,12 +253,9 @@
         return answer
 
     def carry_out(self, target: Target, action: Callable) -> None:
-        """Execute an order that was not answered, if the incarnation still exists."""
-        incarnation = self.targets.get(target.host)
-        if incarnation is None:
-            return
-        if incarnation.target.incarnation == target.incarnation:
-            action(incarnation)
+        """Execute an order that was not answered on whatever has the target's name."""
+        if self.target_name(target.host) == target.name:
+            action(self.targets[target.host])
 
     def close_connections(self, target: Target) -> None:
         """Do nothing: simulated calls have no connections."""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -136,10 +136,14 @@
     number: int = 0
     expired_number: int = 0
     waiters: list[Deferred] = field(default_factory=list)
+    started_s: float = field(init=False)
+
+    def __post_init__(self):
+        self.started_s = self.clock.seconds()
 
     def now_ms(self) -> float:
-        """Return the target's own monotonic clock, which drifts by ``rate``."""
-        return self.clock.seconds() * 1_000 * self.rate
+        """Return the process's own monotonic clock, which drifts by ``rate``."""
+        return (self.clock.seconds() - self.started_s) * 1_000 * self.rate
 
     def start(self, order: StartOrder) -> OrderAnswer:
         """Execute a start order, or refuse it."""
--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/troubles.py
@@ -16,6 +16,7 @@
 
 CUT_S = 6.0
 RESTART_S = 0.6
+LATE_SHARE = 0.3  # of the orders
 UNDERESTIMATED_S = 2.0
 DURATION_FACTOR = 5.0
 JUMP_MS = 2_000
@@ -75,6 +76,22 @@
     day.at(CUT_S, setattr, day.fleet.faults, "late_share", 0.0)
 
 
+def late_orders_and_restarts(day: Day) -> None:
+    """Restart targets under their names while orders to them are under way."""
+    faults = day.fleet.faults
+    faults.late_share = LATE_SHARE
+    day.at(CUT_S, setattr, faults, "late_share", 0.0)
+    for host in pick(day, 0.4):
+        delay_s = day.random.uniform(0.5, CUT_S)
+        day.at(delay_s, restart, day, host)
+
+
+def restart(day: Day, host: str) -> None:
+    """Restart a target under its name if its host is up."""
+    if host in day.fleet.targets:
+        day.fleet.crash(host, RESTART_S, keeps_name=True)
+
+
 def change_leader(day: Day) -> None:
     """Freeze the leader and elect another; the old one resumes later."""
     old = day.log.leader
@@ -220,6 +237,7 @@
     "lost rack": lose_rack,
     "cut targets": cut_targets,
     "late orders": late_orders,
+    "late orders and restarts": late_orders_and_restarts,
     "new leader": change_leader,
     "lost lease": lose_lease,
     "shedding targets": shed,
