--- a/features/platform/restarts.feature
+++ b/features/platform/restarts.feature
@@ -119,3 +119,8 @@
       | crash       |
       | cut targets |
       | late orders |
+
+  # Guards against orders without an answer that the next process executes seconds later.
+  Scenario: The next process of a name executes late orders for the former one
+    When days on which the next process executes late orders are simulated
+    Then no invariant is violated on these days, and every job ends
--- a/features/platform/steps/restarts.py
+++ b/features/platform/steps/restarts.py
@@ -2,6 +2,7 @@
 
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from functools import partial
 
 from behave import given, then, when
 from mulberryledge_testing.batch.demand import site_named
@@ -26,6 +27,7 @@
 DAY_S = 18.0
 SITES, SEEDS = ("falaj", "yayla"), (1, 2)
 RESTARTS_S, TROUBLES_S = (3.5, 6.5, 9.5), (4.3, 10.2)
+LATE_ORDERS_S = (3.5, 10.2)
 WARM_UP_S = 8.0  # the clocks are ahead of those of processes that start later
 CHANGE_S = 0.1  # until a leader that has ordered starts is replaced
 LEASE_LOST_S = 0.2
@@ -326,6 +328,15 @@
         context.outcomes = list(pool.map(simulate_connected, plans))
 
 
+@when("days on which the next process executes late orders are simulated")
+def simulate_late_days(context):
+    faults = tuple(("late orders and restarts", at_s) for at_s in LATE_ORDERS_S)
+    plans = [Plan(site, seed, DAY_S, faults) for site in SITES for seed in SEEDS]
+    simulate_late = partial(simulate_connected, late_at_next=True)
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.outcomes = list(pool.map(simulate_late, plans))
+
+
 @then("no invariant is violated on these days, and every job ends")
 def days_held(context):
     found = [
