Reading: what the log lines on former processes of a target say, and connections closed first

A session that ends closes its connections before it is logged, so that they close whatever happens. traces.feature passes.

--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/scheduler.py
@@ -307,8 +307,8 @@
         ]
         for incarnation in gone:
             session = self.sessions.pop(incarnation)
-            session.log_end()
             session.close()
+            session.log_end()
 
     def plan(self, waiting: tuple[object, ...]) -> list[object]:
         """
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -391,7 +391,7 @@
                     self.leader.run_done((one.task, one.run), duration_ms)
 
     def log_stray_ends(self, view: TargetView) -> None:
-        """Log the new ends of runs that are not live; they never show as stray runs."""
+        """Log the new ends of runs that are not live; they may have no other trace."""
         live = self.live_runs()
         strays = [
             one
@@ -520,7 +520,7 @@
         self.wake()
 
     def log_end(self) -> None:
-        """Log which orders the next process of the target may have received."""
+        """Log what the target had not confirmed when its incarnation was over."""
         unconfirmed = sum(one.accepted_ms is None for one in self.tracked_runs.values())
         extra = {"target": self.incarnation, "unconfirmed": unconfirmed}
         extra |= {"last_seen": self.last_seen, "acked_end": self.acked_end}
