Log a run that its target lists neither as running nor as ended

Such a run counts as lapsed, as one does that the target itself lists as lapsed, and no line told the two apart.

Without the change the new scenario of traces.feature fails, as no such line is written; with it the four pass.

--- a/features/batch/steps/traces.py
+++ b/features/batch/steps/traces.py
@@ -116,3 +116,22 @@
     assert record.unconfirmed == context.ordered, (record.unconfirmed, context.ordered)
     assert record.acked_end == record.last_seen == 0, vars(record)
     assert record.since_contact_ms >= 0, record.since_contact_ms
+
+
+@given("a target that forgets the end of a run")
+def forget_end(context):
+    fixture = context.fixture
+    fixture.submit(StepSpec(1, CORES, int(fixture.duration_ms)))
+    process = context.process = busy_process(context)
+    ((task, run),) = process.running.items()
+    context.key = (task, run.run)
+    process.end(task, run.run, RunEnd.DONE)
+    process.ended.clear()
+    fixture.day.pass_time(SETTLE_S)
+
+
+@then("the log tells which run is missing from its lists")
+def missing_run_logged(context):
+    record = record_of(context, "run is missing from the lists")
+    (task, run), logged = context.key, (record.job, record.task, record.run)
+    assert logged == (task.job_id, task[1:], run), logged
--- a/features/batch/traces.feature
+++ b/features/batch/traces.feature
@@ -14,3 +14,8 @@
     Given an idle fleet whose sessions are logged
     And a target that starts again under its name while it gets starts
     Then the log tells how many starts its former process had not confirmed
+
+  Scenario: A target lists a run that it had accepted neither as running nor as ended
+    Given an idle fleet whose sessions are logged
+    And a target that forgets the end of a run
+    Then the log tells which run is missing from its lists
--- a/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
+++ b/packages/mulberryledge-daemon/src/mulberryledge_daemon/batch/sessions.py
@@ -468,7 +468,12 @@
             logger.warning("start not ordered by this session", extra=extra)
             return RunEnd.REFUSED
         if tracked.accepted_ms is not None:
-            return RunEnd.LEASE_EXPIRED if tracked.accepted_ms < sent_ms else None
+            if tracked.accepted_ms >= sent_ms:
+                return None
+            extra = {"job": key[0].job_id, "task": key[0][1:], "run": key[1]}
+            extra |= {"target": self.incarnation, "acked_end": self.acked_end}
+            logger.warning("run is missing from the lists", extra=extra)
+            return RunEnd.LEASE_EXPIRED
         if tracked.unconfirmed and clock_ms > tracked.deadline_ms:
             return RunEnd.REFUSED
         return None
