Simulated processes of a target have clocks of their own

The clock of a simulated target went on over its restarts, while the platform's starts with the process.

--- a/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
+++ b/packages/mulberryledge-testing/src/mulberryledge_testing/batch/target.py
@@ -138,8 +138,13 @@
     waiters: list[Deferred] = field(default_factory=list)
 
     def now_ms(self) -> float:
-        """Return the target's own monotonic clock, which drifts by ``rate``."""
-        return self.clock.seconds() * 1_000 * self.rate
+        """
+        Return the process's own monotonic clock, which drifts by ``rate``.
+
+        It starts with the process, so no deadline holds for another one.
+        """
+        age_ms = self.clock.seconds() * 1_000 - self.target.started_ms
+        return max(0.0, age_ms) * self.rate
 
     def start(self, order: StartOrder) -> OrderAnswer:
         """Execute a start order, or refuse it."""
